--- /dev/null
+++ b/components/config/src/lib.rs
@@ -0,0 +1,18 @@
+//! The inventory and rules that operators publish.
+//!
+//! An [`Inventory`] is parsed from TOML and checked as a whole; a value of this
+//! type always satisfies every check, so that all processes reach the same
+//! verdict on the same text.
+
+mod check;
+mod diff;
+mod inventory;
+
+pub use crate::{
+    check::{CheckError, Problem},
+    diff::{Change, diff},
+    inventory::{
+        AvailabilityZone, Executor, Inventory, Kind, Rack, Rules, Service, State, Team, Urgency,
+        Worker,
+    },
+};
--- /dev/null
+++ b/components/ident/src/group.rs
@@ -0,0 +1,23 @@
+//! Groups of agents that share the work of their shards.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// Agents that serve the same requests; each group has shards of its own.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Group {
+    /// Executors of one service.
+    Service(String),
+    /// Workers, which run the tasks of jobs.
+    Workers,
+}
+
+impl fmt::Display for Group {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Group::Service(name) => write!(f, "service {name}"),
+            Group::Workers => f.write_str("workers"),
+        }
+    }
+}
--- /dev/null
+++ b/components/register/src/lib.rs
@@ -0,0 +1,16 @@
+//! State that every process derives from the platform's log.
+//!
+//! Records are applied in the order of their offsets. Whether a record is valid
+//! depends only on the records before it, so every process reaches the same
+//! [`Applied`]. The state holds the configuration in force and the table of
+//! shard owners.
+
+mod record;
+mod state;
+mod table;
+
+pub use crate::{
+    record::{Record, RecordId},
+    state::{Applied, Config, State, Void},
+    table::{Assignment, Table},
+};
--- /dev/null
+++ b/components/register/src/record.rs
@@ -0,0 +1,43 @@
+//! Records of the platform's log.
+
+use ident::{Group, NodeId, Shard};
+use serde::{Deserialize, Serialize};
+use uuid::Uuid;
+
+use crate::{Assignment, State};
+
+/// Random id of a record, by which its writer finds it after a lost answer.
+pub type RecordId = Uuid;
+
+/// A record of the platform's log.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "type", rename_all = "snake_case")]
+pub enum Record {
+    /// An operator publishes an inventory.
+    Config {
+        /// Id of the record.
+        record: RecordId,
+        /// Version in force when the inventory was edited, 0 for none.
+        base: u64,
+        /// Inventory in TOML.
+        text: String,
+    },
+    /// A node changes the owners or deputies of shards.
+    Assign {
+        /// Id of the record.
+        record: RecordId,
+        /// Node that appends it.
+        by: NodeId,
+        /// Group whose shards change.
+        group: Group,
+        /// New assignments; each is valid if its epoch is the next one.
+        shards: Vec<(Shard, Assignment)>,
+    },
+    /// State repeated before the log forgets the records behind it.
+    Snapshot {
+        /// Id of the record.
+        record: RecordId,
+        /// State after all records before `state.next_offset`.
+        state: Box<State>,
+    },
+}
--- /dev/null
+++ b/components/verdict/tests/verdict.rs
@@ -0,0 +1,25 @@
+//! Verdicts only lose certainty.
+
+use verdict::{Proof, Reason, Refusal, Verdict};
+
+#[test]
+fn joining_attempts_keeps_the_doubt() {
+    let verdict = Verdict::NotRun.join(Verdict::MayHaveRun);
+
+    assert_eq!(verdict, Verdict::MayHaveRun);
+}
+
+#[test]
+fn a_known_answer_outweighs_a_doubtful_attempt() {
+    assert_eq!(Verdict::MayHaveRun.join(Verdict::Done), Verdict::Done);
+}
+
+#[test]
+fn weakening_a_refusal_keeps_its_reason() {
+    let refusal =
+        Refusal::not_run(Proof::id_never_used(), Reason::Overloaded, "The queue is full.");
+
+    let weaker = refusal.weaken();
+
+    assert_eq!((weaker.verdict(), weaker.reason), (Verdict::MayHaveRun, Reason::Overloaded));
+}
--- /dev/null
+++ b/daemon/src/main.rs
@@ -0,0 +1,5 @@
+//! Daemon of the primrosemux dispatcher.
+
+fn main() -> eyre::Result<()> {
+    Ok(())
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,5 @@
+//! Command-line tool of the primrosemux dispatcher.
+
+fn main() -> eyre::Result<()> {
+    Ok(())
+}
