Tell unknown ids from running ones, and carry the submission time

A node that is asked by id must be able to say that it does not know it. The submission time lets an owner tell a resubmission after a refusal from a delayed copy of an earlier one.

--- a/components/wire/src/datagram.rs
+++ b/components/wire/src/datagram.rs
@@ -16,6 +16,8 @@
         from: NodeId,
         /// First log offset that the entry has not applied.
         next_offset: u64,
+        /// Start of the latest log read that reached that offset.
+        read_at: Timestamp,
         /// Entries that the sender knows.
         entries: Vec<NodeId>,
         /// Some agents of the receiver's group, for handing requests on.
--- a/components/wire/src/message.rs
+++ b/components/wire/src/message.rs
@@ -17,6 +17,8 @@
     Cancel(Cancel),
     /// Asks what became of a request.
     Ask(RequestId),
+    /// Waits for the outcome of a request that an earlier `Execute` brought.
+    Await(RequestId),
     /// Decides whether the job may start and runs it.
     Submit(JobSpec),
     /// Asks what became of a job.
@@ -48,6 +50,10 @@
     pub id: RequestId,
     /// Random number of this submission, the same in all copies of it.
     pub attempt: u64,
+    /// When the caller's request reached its entry.
+    pub submitted: Timestamp,
+    /// Whether the team is over its quota: only an id known already is answered.
+    pub over_quota: bool,
     /// Service that is asked.
     pub service: String,
     /// Kind of the request.
@@ -92,6 +98,10 @@
     pub id: RequestId,
     /// Random number of this submission, the same in all copies of it.
     pub attempt: u64,
+    /// When the caller's request reached its entry.
+    pub submitted: Timestamp,
+    /// Whether the team is over its quota: only an id known already is answered.
+    pub over_quota: bool,
     /// Team of the caller.
     pub team: String,
     /// Urgency class.
@@ -153,8 +163,8 @@
 pub enum Reply {
     /// Result of `Run` and `Execute`.
     Run(RunReply),
-    /// Result of `Cancel` and `Ask`: the outcome, or nothing while it runs.
-    Status(Option<Outcome>),
+    /// Result of `Cancel` and `Ask`, and of `Await` where the id is unknown.
+    Status(Status),
     /// Result of `Submit` and `AskJob`.
     Job(JobStatus),
     /// Result of `StartTask`.
@@ -165,6 +175,17 @@
     Ack,
 }
 
+/// What a node knows of an id.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Status {
+    /// The node has not seen the id, or no longer remembers it.
+    Unknown,
+    /// The request is queued or running.
+    Running,
+    /// The request has its outcome.
+    Ended(Outcome),
+}
+
 /// Result of a request, with news on the node that ran it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RunReply {
