Spread the silence of agents and the zones of entries

At 1,200 agents a refresh of every report through gossip takes tens of seconds within the bound on traffic, so entries which do not hear an agent directly learn of its death by an explicit note. Agents learn which entries stand in their own availability zone from the entries.

--- a/components/wire/src/datagram.rs
+++ b/components/wire/src/datagram.rs
@@ -20,6 +20,8 @@
         read_at: Timestamp,
         /// Entries that the sender knows.
         entries: Vec<NodeId>,
+        /// Those that stand in the receiver's availability zone.
+        near: Vec<NodeId>,
         /// Some agents of the receiver's group, for handing requests on.
         peers: Vec<AgentReport>,
     },
@@ -29,12 +31,16 @@
         from: NodeId,
         /// Its current start.
         incarnation: Incarnation,
+        /// Availability zone that it stands in.
+        availability_zone: String,
         /// First log offset that the entry has not applied.
         next_offset: u64,
         /// Entries that the sender knows.
         entries: Vec<NodeId>,
-        /// Agents that the sender heard from directly.
+        /// News on agents.
         agents: Vec<AgentReport>,
+        /// Agents that the sender believes to be dead.
+        silent: Vec<Silence>,
     },
     /// From the owner of shards to its deputy: asks for a promise.
     PromiseRequest {
@@ -47,6 +53,17 @@
     Promise(Promise),
 }
 
+/// An agent from which nothing newer than a given report was heard.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Silence {
+    /// Agent that is silent.
+    pub node: NodeId,
+    /// Its last known start.
+    pub incarnation: Incarnation,
+    /// Number of the last report.
+    pub sequence: u64,
+}
+
 /// A deputy's promise not to take over the owner's shards for ids made before
 /// a given time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
