Connect nodes over TCP and UDP

Calls are multiplexed on one connection for each peer and matched with their replies by number. A connection that has been silent for a second is given up; its calls fail as lost, or as not sent if no byte of them was written.

--- /dev/null
+++ b/components/link/src/channel.rs
@@ -0,0 +1,168 @@
+//! The two halves of a connection that carries frames.
+
+use std::{
+    io,
+    sync::{
+        Arc,
+        atomic::{AtomicU8, AtomicUsize, Ordering},
+    },
+};
+
+use bytes::Bytes;
+use futures::{SinkExt, StreamExt};
+use tokio::{
+    net::{
+        TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    sync::mpsc,
+};
+use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
+use wire::{Frame, MAX_FRAME_BYTES, decode, encode};
+
+/// Frames that may wait to be written to one connection.
+const MAX_QUEUED_FRAMES: usize = 4096;
+
+/// Bytes that may wait to be written to one connection.
+const MAX_QUEUED_BYTES: usize = 4 * MAX_FRAME_BYTES;
+
+/// Receiving half of a connection.
+pub(crate) struct Reader {
+    frames: FramedRead<OwnedReadHalf, LengthDelimitedCodec>,
+}
+
+/// Sending half of a connection, fed by an [`Outbox`].
+pub(crate) struct Writer {
+    frames: FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
+    queue: mpsc::Receiver<Queued>,
+    queued_bytes: Arc<AtomicUsize>,
+}
+
+/// Bounded queue of the frames that a [`Writer`] has yet to write.
+#[derive(Clone)]
+pub(crate) struct Outbox {
+    queue: mpsc::Sender<Queued>,
+    queued_bytes: Arc<AtomicUsize>,
+}
+
+/// Whether a queued frame may still be taken back.
+#[derive(Clone, Default)]
+pub(crate) struct Ticket(Arc<AtomicU8>);
+
+/// The frame was not queued: the queue is full or closed, or the frame too large.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) struct Refused;
+
+struct Queued {
+    bytes: Bytes,
+    ticket: Ticket,
+}
+
+const WAITING: u8 = 0;
+const WRITTEN: u8 = 1;
+const WITHDRAWN: u8 = 2;
+
+/// Splits a connection into its halves.
+pub(crate) fn split(stream: TcpStream) -> io::Result<(Reader, Writer, Outbox)> {
+    stream.set_nodelay(true)?;
+    let (read, write) = stream.into_split();
+    let (sender, queue) = mpsc::channel(MAX_QUEUED_FRAMES);
+    let queued_bytes = Arc::new(AtomicUsize::new(0));
+    let reader = Reader { frames: FramedRead::new(read, codec()) };
+    let writer = Writer {
+        frames: FramedWrite::new(write, codec()),
+        queue,
+        queued_bytes: Arc::clone(&queued_bytes),
+    };
+    Ok((reader, writer, Outbox { queue: sender, queued_bytes }))
+}
+
+impl Reader {
+    /// Waits for the next frame; `None` at the end of the stream.
+    pub(crate) async fn next(&mut self) -> io::Result<Option<Frame>> {
+        let Some(bytes) = self.frames.next().await else {
+            return Ok(None);
+        };
+        let frame = decode("frame", &bytes?).map_err(io::Error::other)?;
+        Ok(Some(frame))
+    }
+}
+
+impl Writer {
+    /// Writes one frame at once, before the queue is served.
+    pub(crate) async fn write(&mut self, frame: &Frame) -> io::Result<()> {
+        self.frames.send(Bytes::from(encode(frame))).await
+    }
+
+    /// Writes queued frames until the outbox is dropped or the connection fails.
+    pub(crate) async fn run(mut self) -> io::Result<()> {
+        while let Some(first) = self.queue.recv().await {
+            self.feed(first).await?;
+            while let Ok(next) = self.queue.try_recv() {
+                self.feed(next).await?;
+            }
+            SinkExt::<Bytes>::flush(&mut self.frames).await?;
+        }
+        Ok(())
+    }
+
+    async fn feed(&mut self, queued: Queued) -> io::Result<()> {
+        self.queued_bytes.fetch_sub(queued.bytes.len(), Ordering::Relaxed);
+        match queued.ticket.begin() {
+            true => self.frames.feed(queued.bytes).await,
+            false => Ok(()),
+        }
+    }
+}
+
+impl Outbox {
+    /// Queues a frame; the ticket can take it back until it is written.
+    pub(crate) fn push(&self, frame: &Frame) -> Result<Ticket, Refused> {
+        let bytes = Bytes::from(encode(frame));
+        let len = bytes.len();
+        if len > MAX_FRAME_BYTES {
+            return Err(Refused);
+        }
+        if self.queued_bytes.fetch_add(len, Ordering::Relaxed) + len > MAX_QUEUED_BYTES {
+            self.queued_bytes.fetch_sub(len, Ordering::Relaxed);
+            return Err(Refused);
+        }
+        let ticket = Ticket::default();
+        let queued = Queued { bytes, ticket: ticket.clone() };
+        if self.queue.try_send(queued).is_err() {
+            self.queued_bytes.fetch_sub(len, Ordering::Relaxed);
+            return Err(Refused);
+        }
+        Ok(ticket)
+    }
+
+    /// Whether the writer has ended.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.queue.is_closed()
+    }
+}
+
+impl Ticket {
+    /// Takes the frame back; false if writing it has begun.
+    pub(crate) fn withdraw(&self) -> bool {
+        self.leave(WITHDRAWN) != WRITTEN
+    }
+
+    fn begin(&self) -> bool {
+        self.leave(WRITTEN) == WAITING
+    }
+
+    /// Moves on from `WAITING` and returns the state before.
+    fn leave(&self, next: u8) -> u8 {
+        match self.0.compare_exchange(WAITING, next, Ordering::AcqRel, Ordering::Acquire) {
+            Ok(before) | Err(before) => before,
+        }
+    }
+}
+
+fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
+        .length_field_length(4)
+        .max_frame_length(MAX_FRAME_BYTES)
+        .new_codec()
+}
--- /dev/null
+++ b/components/link/src/dial.rs
@@ -0,0 +1,45 @@
+//! Opening connections to peers.
+
+use std::{io, time::Duration};
+
+use ident::{Incarnation, NodeId};
+use tokio::{net::TcpStream, time::timeout};
+use wire::Frame;
+
+use crate::{
+    channel::{Reader, split},
+    connection::Connection,
+};
+
+/// Time that a connection may take until the peer has said hello.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(1000);
+
+/// Opens a connection to `to` and waits until the peer has said who it is.
+///
+/// No call is sent before, so that a call on a path that carries nothing fails
+/// as not sent.
+pub(crate) async fn dial(
+    node: NodeId,
+    incarnation: Incarnation,
+    to: NodeId,
+) -> io::Result<Connection> {
+    timeout(OPEN_TIMEOUT, open(node, incarnation, to)).await?
+}
+
+async fn open(node: NodeId, incarnation: Incarnation, to: NodeId) -> io::Result<Connection> {
+    let stream = TcpStream::connect(to.0).await?;
+    let (mut reader, mut writer, outbox) = split(stream)?;
+    writer.write(&Frame::Hello { node, incarnation }).await?;
+    expect_hello(&mut reader, to).await?;
+    Ok(Connection::start(reader, writer, outbox))
+}
+
+async fn expect_hello(reader: &mut Reader, to: NodeId) -> io::Result<()> {
+    match reader.next().await? {
+        Some(Frame::Hello { node, .. }) if node == to => Ok(()),
+        Some(Frame::Hello { node, .. }) => {
+            Err(io::Error::other(format!("{to} calls itself {node}")))
+        }
+        Some(_) | None => Err(io::Error::other(format!("{to} did not say who it is"))),
+    }
+}
--- /dev/null
+++ b/components/link/src/peers.rs
@@ -0,0 +1,94 @@
+//! Calls to peers over connections that are opened when needed.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use futures::{
+    FutureExt,
+    future::{BoxFuture, Shared},
+};
+use ident::{Incarnation, NodeId};
+use node::LinkError;
+use tokio::time::{Instant, timeout_at};
+use wire::{Call, Reply};
+
+use crate::{connection::Connection, dial::dial};
+
+/// Connections to peers, one for each; clones share them.
+#[derive(Clone)]
+pub struct Peers {
+    node: NodeId,
+    incarnation: Incarnation,
+    connections: Arc<Mutex<HashMap<NodeId, Attempt>>>,
+}
+
+/// An attempt to open a connection, which all callers of the peer wait for.
+type Attempt = Shared<BoxFuture<'static, Option<Connection>>>;
+
+impl Peers {
+    /// Makes calls in the name of `node`; nothing is opened yet.
+    pub fn new(node: NodeId, incarnation: Incarnation) -> Peers {
+        Peers { node, incarnation, connections: Arc::default() }
+    }
+
+    /// Calls a peer and waits for its reply, at most for `timeout`.
+    pub async fn call(
+        &self,
+        to: NodeId,
+        call: Call,
+        timeout: Duration,
+    ) -> Result<Reply, LinkError> {
+        let deadline = Instant::now() + timeout;
+        let attempt = self.attempt(to);
+        let opened = timeout_at(deadline, attempt).await.ok().flatten();
+        let connection = opened.ok_or(LinkError::NotSent)?;
+        let left = deadline.saturating_duration_since(Instant::now());
+        connection.call(call, left).await
+    }
+
+    /// Number of connections that are open.
+    pub fn open_connections(&self) -> usize {
+        let connections = self.connections.lock().unwrap_or_else(PoisonError::into_inner);
+        connections.values().filter(|attempt| is_open(attempt)).count()
+    }
+
+    /// The present attempt to connect to a peer, or a new one if that has failed.
+    fn attempt(&self, to: NodeId) -> Attempt {
+        let mut connections = self.connections.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(attempt) = connections.get(&to)
+            && (attempt.peek().is_none() || is_open(attempt))
+        {
+            return attempt.clone();
+        }
+        connections.retain(|_, attempt| attempt.peek().is_none() || is_open(attempt));
+        let attempt = self.start(to);
+        connections.insert(to, attempt.clone());
+        attempt
+    }
+
+    /// Opens a connection in a task of its own, whoever goes on to wait for it.
+    fn start(&self, to: NodeId) -> Attempt {
+        let task = tokio::spawn(dial(self.node, self.incarnation, to));
+        let result = async move {
+            match task.await {
+                Ok(Ok(connection)) => Some(connection),
+                Ok(Err(err)) => {
+                    log::debug!("no connection to {to}: {err}");
+                    None
+                }
+                Err(_) => None,
+            }
+        };
+        result.boxed().shared()
+    }
+}
+
+fn is_open(attempt: &Attempt) -> bool {
+    match attempt.peek() {
+        Some(Some(connection)) => connection.is_open(),
+        Some(None) | None => false,
+    }
+}
--- /dev/null
+++ b/components/link/src/udp.rs
@@ -0,0 +1,66 @@
+//! Datagrams between nodes.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::atomic::{AtomicU64, Ordering},
+};
+
+use ident::NodeId;
+use tokio::net::UdpSocket;
+use wire::{Datagram, decode, encode};
+
+/// Largest encoded datagram that is sent or received.
+pub const MAX_DATAGRAM_BYTES: usize = 65_507;
+
+/// A socket for datagrams.
+pub struct Socket {
+    socket: UdpSocket,
+    malformed: AtomicU64,
+}
+
+impl Socket {
+    /// Opens a socket at `address`.
+    pub async fn bind(address: SocketAddr) -> io::Result<Socket> {
+        UdpSocket::bind(address).await.map(Socket::new)
+    }
+
+    /// Uses a socket that is open already.
+    pub fn new(socket: UdpSocket) -> Socket {
+        Socket { socket, malformed: AtomicU64::new(0) }
+    }
+
+    /// Address that the socket is bound to.
+    pub fn local_addr(&self) -> io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
+    /// Sends a datagram; success says nothing about its arrival.
+    pub async fn send(&self, to: NodeId, datagram: &Datagram) -> io::Result<()> {
+        let bytes = encode(datagram);
+        if bytes.len() > MAX_DATAGRAM_BYTES {
+            let len = bytes.len();
+            return Err(io::Error::other(format!(
+                "the datagram has {len} bytes; at most {MAX_DATAGRAM_BYTES} fit"
+            )));
+        }
+        self.socket.send_to(&bytes, to.0).await.map(|_| ())
+    }
+
+    /// Waits for the next valid datagram; others are counted and dropped.
+    pub async fn receive(&self) -> io::Result<Datagram> {
+        let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+        loop {
+            let (len, _) = self.socket.recv_from(&mut buffer).await?;
+            match decode("datagram", &buffer[..len]) {
+                Ok(datagram) => return Ok(datagram),
+                Err(_) => self.malformed.fetch_add(1, Ordering::Relaxed),
+            };
+        }
+    }
+
+    /// Number of datagrams that were dropped because they could not be decoded.
+    pub fn malformed(&self) -> u64 {
+        self.malformed.load(Ordering::Relaxed)
+    }
+}
