--- /dev/null
+++ b/components/placement/src/resources.rs
@@ -0,0 +1,55 @@
+//! Amounts of what a worker offers and a task needs.
+
+use std::fmt;
+
+use wire::TaskSpec;
+
+/// Cores, memory and accelerators.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Resources {
+    /// Processor cores.
+    pub cores: u32,
+    /// Memory in MB.
+    pub memory_mb: u32,
+    /// Accelerators.
+    pub accelerators: u32,
+}
+
+impl Resources {
+    /// What the task declares to need.
+    pub fn of(task: &TaskSpec) -> Resources {
+        Resources { cores: task.cores, memory_mb: task.memory_mb, accelerators: task.accelerators }
+    }
+
+    /// Whether all of it is available in `room`.
+    pub fn fits(self, room: Resources) -> bool {
+        self.cores <= room.cores
+            && self.memory_mb <= room.memory_mb
+            && self.accelerators <= room.accelerators
+    }
+
+    /// The sum, at most the largest value of each field.
+    pub fn plus(self, other: Resources) -> Resources {
+        Resources {
+            cores: self.cores.saturating_add(other.cores),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+
+    /// The difference, at least zero in each field.
+    pub fn minus(self, other: Resources) -> Resources {
+        Resources {
+            cores: self.cores.saturating_sub(other.cores),
+            memory_mb: self.memory_mb.saturating_sub(other.memory_mb),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+}
+
+impl fmt::Display for Resources {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Resources { cores, memory_mb, accelerators } = self;
+        write!(f, "{cores} cores, {memory_mb} MB, {accelerators} accelerators")
+    }
+}
