--- /dev/null
+++ b/components/quota/src/bucket.rs
@@ -0,0 +1,63 @@
+//! A token bucket.
+
+use std::time::Duration;
+
+use ident::Timestamp;
+
+/// Longest time to come back that a caller is told.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(60);
+
+/// Tokens that fill up at a steady rate.
+///
+/// The level may go below zero: a taker of several tokens at once needs a
+/// level above zero only, and those after it wait until the debt is paid.
+#[derive(Debug)]
+pub(crate) struct Bucket {
+    rate_per_s: f64,
+    burst: f64,
+    level: f64,
+    filled_at: Timestamp,
+}
+
+impl Bucket {
+    /// Starts full.
+    pub(crate) fn new(rate_per_s: f64, burst: f64, now: Timestamp) -> Bucket {
+        let burst = burst.max(1.0);
+        Bucket { rate_per_s, burst, level: burst, filled_at: now }
+    }
+
+    /// Changes rate and size and keeps the level, up to the new size.
+    pub(crate) fn adjust(&mut self, rate_per_s: f64, burst: f64, now: Timestamp) {
+        self.fill(now);
+        self.rate_per_s = rate_per_s;
+        self.burst = burst.max(1.0);
+        self.level = self.level.min(self.burst);
+    }
+
+    /// Takes `n` tokens, or says when they will be there.
+    pub(crate) fn take(&mut self, n: u32, now: Timestamp) -> Result<(), Duration> {
+        self.fill(now);
+        let needed = f64::from(n).min(self.burst);
+        if self.level < needed {
+            return Err(self.time_to_gain(needed - self.level));
+        }
+        self.level -= f64::from(n);
+        Ok(())
+    }
+
+    /// Puts back `n` tokens that were not used.
+    pub(crate) fn put_back(&mut self, n: u32) {
+        self.level = (self.level + f64::from(n)).min(self.burst);
+    }
+
+    fn fill(&mut self, now: Timestamp) {
+        let gained = now.since(self.filled_at).as_secs_f64() * self.rate_per_s;
+        self.level = (self.level + gained).min(self.burst);
+        self.filled_at = self.filled_at.max(now);
+    }
+
+    fn time_to_gain(&self, tokens: f64) -> Duration {
+        let seconds = tokens / self.rate_per_s;
+        Duration::try_from_secs_f64(seconds).unwrap_or(MAX_RETRY_AFTER).min(MAX_RETRY_AFTER)
+    }
+}
--- /dev/null
+++ b/components/retry/src/backoff.rs
@@ -0,0 +1,19 @@
+//! Waits between attempts.
+
+use std::time::Duration;
+
+use rand::{Rng, RngExt};
+
+/// Longest wait before the first retry.
+const BASE: Duration = Duration::from_millis(10);
+/// Longest wait before any retry.
+const MAX: Duration = Duration::from_secs(1);
+
+/// Wait before retry number `attempt`, which counts from zero.
+///
+/// Evenly spread between zero and an exponentially growing limit, so that
+/// requests that failed together do not come back together.
+pub fn backoff(attempt: u32, rng: &mut impl Rng) -> Duration {
+    let limit = BASE.saturating_mul(1 << attempt.min(16)).min(MAX);
+    rng.random_range(Duration::ZERO..=limit)
+}
--- /dev/null
+++ b/components/retry/src/budget.rs
@@ -0,0 +1,61 @@
+//! Limit on retries as a share of traffic.
+
+use std::time::Duration;
+
+use ident::Timestamp;
+
+/// Retries that may be saved up.
+const MAX_SAVED: f64 = 20.0;
+/// Time after which one retry is granted even without traffic.
+const MIN_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Token bucket that fills by a share of each first attempt.
+#[derive(Debug)]
+pub struct Budget {
+    share: f64,
+    tokens: f64,
+    filled_at: Timestamp,
+}
+
+impl Budget {
+    /// Grants `percent` of the first attempts; none at all if it is zero.
+    pub fn new(percent: u32) -> Budget {
+        Budget { share: share(percent), tokens: 1.0, filled_at: Timestamp::ZERO }
+    }
+
+    /// Changes the percentage and keeps what was saved up.
+    pub fn set_percent(&mut self, percent: u32) {
+        self.share = share(percent);
+    }
+
+    /// Counts a first attempt.
+    pub fn on_request(&mut self) {
+        self.tokens = (self.tokens + self.share).min(MAX_SAVED);
+    }
+
+    /// Takes one retry out of the budget; false if there is none.
+    pub fn try_spend(&mut self, now: Timestamp) -> bool {
+        if self.share == 0.0 {
+            return false;
+        }
+        self.fill(now);
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+
+    /// Grants the minimum that is due by time alone.
+    fn fill(&mut self, now: Timestamp) {
+        if self.tokens < 1.0 {
+            let gained = now.since(self.filled_at).as_secs_f64() / MIN_INTERVAL.as_secs_f64();
+            self.tokens = (self.tokens + gained).min(1.0);
+        }
+        self.filled_at = self.filled_at.max(now);
+    }
+}
+
+fn share(percent: u32) -> f64 {
+    f64::from(percent.min(100)) / 100.0
+}
