--- /dev/null
+++ b/components/front/src/routes.rs
@@ -0,0 +1,95 @@
+//! The paths of the API.
+
+use hyper::Method;
+use ident::RequestId;
+
+use crate::error::RequestError;
+
+/// What a method and path ask for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Route {
+    /// Run a request of a service.
+    Request {
+        /// Service that is asked.
+        service: String,
+        /// Kind of the request.
+        kind: String,
+    },
+    /// Ask for a request's outcome.
+    Ask(RequestId),
+    /// Cancel a request.
+    Cancel(RequestId),
+    /// Run a job.
+    Job,
+    /// Ask for a job's state.
+    AskJob(RequestId),
+    /// Cancel a job.
+    CancelJob(RequestId),
+    /// Ask what the entry knows of the system.
+    Status,
+    /// Ask why a request went where it did.
+    Explain(RequestId),
+    /// Whether the process runs.
+    Health,
+    /// Whether the node can serve requests.
+    Ready,
+    /// Metrics.
+    Metrics,
+}
+
+/// Finds the route of a method and path.
+pub(crate) fn route(method: &Method, path: &str) -> Result<Route, RequestError> {
+    let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
+    match (method.as_str(), parts.as_slice()) {
+        ("POST", ["v1", "services", service, "kinds", kind, "requests"]) => {
+            let service = name("service", service)?;
+            let kind = name("kind", kind)?;
+            Ok(Route::Request { service, kind })
+        }
+        ("GET", ["v1", "requests", id]) => Ok(Route::Ask(request_id(id)?)),
+        ("DELETE", ["v1", "requests", id]) => Ok(Route::Cancel(request_id(id)?)),
+        ("POST", ["v1", "jobs"]) => Ok(Route::Job),
+        ("GET", ["v1", "jobs", id]) => Ok(Route::AskJob(request_id(id)?)),
+        ("DELETE", ["v1", "jobs", id]) => Ok(Route::CancelJob(request_id(id)?)),
+        ("GET", ["v1", "status"]) => Ok(Route::Status),
+        ("GET", ["v1", "explain", id]) => Ok(Route::Explain(request_id(id)?)),
+        ("GET", ["health"]) => Ok(Route::Health),
+        ("GET", ["ready"]) => Ok(Route::Ready),
+        ("GET", ["metrics"]) => Ok(Route::Metrics),
+        _ => Err(RequestError::unknown(
+            "path",
+            format!("{method} {path:?} is not part of the API; see the reference of /v1."),
+        )),
+    }
+}
+
+/// Decodes a name in a path.
+fn name(field: &str, text: &str) -> Result<String, RequestError> {
+    let decoded = percent_decode(text).filter(|name| !name.is_empty());
+    decoded.ok_or_else(|| {
+        RequestError::invalid(
+            field,
+            format!("The path has {text:?} as {field}; give a name in percent-encoded UTF-8."),
+        )
+    })
+}
+
+fn request_id(text: &str) -> Result<RequestId, RequestError> {
+    text.parse().map_err(|err| RequestError::invalid("id", format!("In the path, {err}.")))
+}
+
+fn percent_decode(text: &str) -> Option<String> {
+    let mut bytes = Vec::with_capacity(text.len());
+    let mut rest = text.bytes();
+    while let Some(byte) = rest.next() {
+        match byte {
+            b'%' => bytes.push(hex(rest.next()?)? * 16 + hex(rest.next()?)?),
+            _ => bytes.push(byte),
+        }
+    }
+    String::from_utf8(bytes).ok()
+}
+
+fn hex(digit: u8) -> Option<u8> {
+    char::from(digit).to_digit(16).map(|value| value as u8)
+}
