Add the client of the log and its stand-in

The shell and the command-line tool need the platform's log, and tests need one with faults. The protocol in docs/PLATFORM.md tells a reader whether its page reached the end of the log, since only then a read shows that an owner was still in place.

--- /dev/null
+++ b/components/journal/src/client.rs
@@ -0,0 +1,250 @@
+//! The client itself.
+
+use std::{error::Error, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Request, StatusCode, header::CONTENT_TYPE};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::{TokioExecutor, TokioTimer},
+};
+use ident::Timestamp;
+use register::{Entry, Page, Record, RecordId};
+use serde::de::DeserializeOwned;
+use tokio::time::{sleep, timeout};
+
+use crate::{
+    AppendError, ReadError,
+    protocol::{Appended, RECORDS_PATH, Records},
+};
+
+/// Time for a connection to the log to open.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time after which an append or a read without wait counts as lost.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time for which an unused connection is kept.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Most records that a read asks for.
+const PAGE_RECORDS: usize = 1000;
+/// Largest answer that is read.
+const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+/// Attempts of a checked append.
+const APPEND_ATTEMPTS: u32 = 4;
+/// Longest pause before the first repetition of a checked append; it doubles.
+const REPEAT_PAUSE: Duration = Duration::from_millis(200);
+
+/// Client of the platform's log.
+#[derive(Debug, Clone)]
+pub struct Journal {
+    address: SocketAddr,
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+/// Why a call has no answer.
+enum CallError {
+    /// No byte was sent.
+    NotSent(String),
+    /// The call may have taken effect.
+    Lost(String),
+}
+
+/// A whole HTTP answer.
+struct Answer {
+    status: StatusCode,
+    body: Bytes,
+}
+
+impl Journal {
+    /// Makes a client of the log at `address`; connects with the first call.
+    pub fn new(address: SocketAddr) -> Journal {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .build(connector);
+        Journal { address, client }
+    }
+
+    /// Address of the log.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Appends a record once and returns its offset.
+    pub async fn append(&self, record: &Record) -> Result<u64, AppendError> {
+        let body = serde_json::to_vec(record)
+            .map_err(|err| AppendError::NotAppended(format!("it cannot be encoded: {err}")))?;
+        let request = Request::post(self.url(""))
+            .header(CONTENT_TYPE, "application/json")
+            .body(Full::from(body))
+            .map_err(|err| AppendError::NotAppended(err.to_string()))?;
+        let answer = self.call(request, ANSWER_TIMEOUT).await.map_err(|err| match err {
+            CallError::NotSent(message) => AppendError::NotAppended(message),
+            CallError::Lost(message) => AppendError::Unknown(message),
+        })?;
+        if is_refusal(answer.status) {
+            return Err(AppendError::NotAppended(answer.describe()));
+        }
+        if !answer.status.is_success() {
+            return Err(AppendError::Unknown(answer.describe()));
+        }
+        let appended: Appended = answer.parse().map_err(AppendError::Unknown)?;
+        Ok(appended.offset)
+    }
+
+    /// Appends a record and repeats the append until it is known to be in the log.
+    ///
+    /// `since` is an offset that the log had not yet given out before the call,
+    /// such as the caller's next one to read. After a lost answer the log is
+    /// searched from there for the record's id. A slow append may still arrive
+    /// after the search, so that the record stands in the log twice; the second
+    /// copy of a record is always void.
+    pub async fn append_checked(&self, record: &Record, since: u64) -> Result<u64, AppendError> {
+        let mut doubt = None;
+        let mut pause = REPEAT_PAUSE;
+        let mut attempt = 1;
+        loop {
+            let message = match self.append(record).await {
+                Ok(offset) => return Ok(offset),
+                Err(AppendError::NotAppended(message)) => message,
+                Err(AppendError::Unknown(message)) => {
+                    doubt = Some(message.clone());
+                    message
+                }
+            };
+            if attempt == APPEND_ATTEMPTS {
+                return match doubt {
+                    Some(doubt) => self.resolve(record.id(), since, doubt).await,
+                    None => Err(AppendError::NotAppended(message)),
+                };
+            }
+            sleep(pause.mul_f64(rand::random::<f64>())).await;
+            if doubt.is_some()
+                && let Ok(Some(offset)) = self.find(record.id(), since).await
+            {
+                return Ok(offset);
+            }
+            attempt += 1;
+            pause *= 2;
+        }
+    }
+
+    /// Offset of the first record with the given id at or after `since`.
+    pub async fn find(&self, id: RecordId, since: u64) -> Result<Option<u64>, ReadError> {
+        let mut from = since;
+        loop {
+            let page = self.read(from, Duration::ZERO).await?;
+            let found = page
+                .entries
+                .iter()
+                .find(|entry| entry.record.as_ref().is_some_and(|it| it.id() == id));
+            if let Some(entry) = found {
+                return Ok(Some(entry.offset));
+            }
+            if page.reaches_end() {
+                return Ok(None);
+            }
+            from = page.next;
+        }
+    }
+
+    /// Reads records from offset `from`; waits up to `wait` if there are none.
+    pub async fn read(&self, from: u64, wait: Duration) -> Result<Page, ReadError> {
+        let query = format!("?from={from}&limit={PAGE_RECORDS}&wait_ms={}", wait.as_millis());
+        let request = Request::get(self.url(&query))
+            .body(Full::default())
+            .map_err(|err| ReadError { message: err.to_string() })?;
+        let read_at = Timestamp::now();
+        let answer = self.call(request, wait + ANSWER_TIMEOUT).await.map_err(|err| match err {
+            CallError::NotSent(message) | CallError::Lost(message) => ReadError { message },
+        })?;
+        if !answer.status.is_success() {
+            return Err(ReadError { message: answer.describe() });
+        }
+        let records: Records = answer.parse().map_err(|message| ReadError { message })?;
+        Ok(page(&records, read_at))
+    }
+
+    async fn resolve(&self, id: RecordId, since: u64, doubt: String) -> Result<u64, AppendError> {
+        match self.find(id, since).await {
+            Ok(Some(offset)) => Ok(offset),
+            Ok(None) | Err(_) => Err(AppendError::Unknown(doubt)),
+        }
+    }
+
+    async fn call(
+        &self,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+    ) -> Result<Answer, CallError> {
+        match timeout(limit, self.exchange(request)).await {
+            Ok(result) => result,
+            Err(_) => {
+                let address = self.address;
+                Err(CallError::Lost(format!("{address} did not answer within {limit:?}")))
+            }
+        }
+    }
+
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Answer, CallError> {
+        let address = self.address;
+        let response = self.client.request(request).await.map_err(|err| {
+            let message = format!("{address}: {}", causes(&err));
+            match err.is_connect() {
+                true => CallError::NotSent(message),
+                false => CallError::Lost(message),
+            }
+        })?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
+            .collect()
+            .await
+            .map_err(|err| CallError::Lost(format!("{address}: {err}")))?;
+        Ok(Answer { status, body: body.to_bytes() })
+    }
+
+    fn url(&self, query: &str) -> String {
+        format!("http://{}{RECORDS_PATH}{query}", self.address)
+    }
+}
+
+impl Answer {
+    fn parse<T: DeserializeOwned>(&self) -> Result<T, String> {
+        serde_json::from_slice(&self.body)
+            .map_err(|err| format!("the answer cannot be parsed: {err}"))
+    }
+
+    fn describe(&self) -> String {
+        let text = String::from_utf8_lossy(&self.body);
+        format!("it answered {}: {}", self.status, text.trim())
+    }
+}
+
+fn page(records: &Records, read_at: Timestamp) -> Page {
+    let entries = records.records.iter().map(|it| Entry::parse(it.offset, it.record.get()));
+    Page {
+        first: records.first,
+        next: records.next,
+        end: records.end,
+        entries: entries.collect(),
+        read_at,
+    }
+}
+
+/// Statuses by which the log says that it took nothing.
+fn is_refusal(status: StatusCode) -> bool {
+    status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE
+}
+
+fn causes(err: &dyn Error) -> String {
+    let mut text = err.to_string();
+    let mut source = err.source();
+    while let Some(cause) = source {
+        text = format!("{text}: {cause}");
+        source = cause.source();
+    }
+    text
+}
--- a/components/register/src/lib.rs
+++ b/components/register/src/lib.rs
@@ -5,11 +5,13 @@
 //! [`Applied`]. The state holds the configuration in force and the table of
 //! shard owners.
 
+mod page;
 mod record;
 mod state;
 mod table;
 
 pub use crate::{
+    page::{Entry, Page},
     record::{Record, RecordId},
     state::{Applied, Config, State, Void},
     table::{Assignment, Table},
--- a/components/register/src/record.rs
+++ b/components/register/src/record.rs
@@ -41,3 +41,14 @@
         state: Box<State>,
     },
 }
+
+impl Record {
+    /// Id of the record.
+    pub fn id(&self) -> RecordId {
+        match self {
+            Record::Config { record, .. }
+            | Record::Assign { record, .. }
+            | Record::Snapshot { record, .. } => *record,
+        }
+    }
+}
