Add stand-ins for executors and workers

Tests need endpoints that fail as real ones do: fail everything, lag, go silent, go down or answer late.

--- /dev/null
+++ b/components/standin/src/serve.rs
@@ -0,0 +1,102 @@
+//! HTTP server of an endpoint with a bounded number of connections.
+
+use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, Response, StatusCode, body::Incoming, server::conn::http1};
+use hyper_util::rt::TokioIo;
+use serde::Serialize;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Semaphore,
+    task::JoinSet,
+};
+
+use crate::fault::Faults;
+
+/// Time between attempts to bind the port again.
+const REBIND_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Answers the requests of an endpoint.
+pub(crate) trait Handler: Send + Sync + 'static {
+    /// Answers one request.
+    fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> impl Future<Output = Response<Full<Bytes>>> + Send;
+}
+
+/// Serves for ever; connections above `connections` are closed at once.
+pub(crate) async fn serve<H: Handler>(
+    listener: TcpListener,
+    connections: usize,
+    faults: Arc<Faults>,
+    handler: Arc<H>,
+) {
+    let address = listener.local_addr().expect("a bound listener has an address");
+    let permits = Arc::new(Semaphore::new(connections));
+    let mut listener = listener;
+    loop {
+        accept_until_down(&listener, &permits, &faults, &handler).await;
+        drop(listener);
+        faults.up().await;
+        listener = rebind(address).await;
+    }
+}
+
+/// Response with a JSON body.
+pub(crate) fn json<T: Serialize>(status: StatusCode, body: &T) -> Response<Full<Bytes>> {
+    let body = serde_json::to_vec(body).expect("bodies have only types that JSON can hold");
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    response
+}
+
+/// Accepts connections; closes all of them on return.
+async fn accept_until_down<H: Handler>(
+    listener: &TcpListener,
+    permits: &Arc<Semaphore>,
+    faults: &Arc<Faults>,
+    handler: &Arc<H>,
+) {
+    let mut tasks = JoinSet::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            Some(_) = tasks.join_next() => continue,
+            () = faults.down() => return,
+        };
+        let Ok((stream, _)) = accepted else { continue };
+        let Ok(permit) = Arc::clone(permits).try_acquire_owned() else { continue };
+        let (faults, handler) = (Arc::clone(faults), Arc::clone(handler));
+        tasks.spawn(async move {
+            serve_connection(stream, faults, handler).await;
+            drop(permit);
+        });
+    }
+}
+
+async fn serve_connection<H: Handler>(stream: TcpStream, faults: Arc<Faults>, handler: Arc<H>) {
+    let connection = faults.next_connection();
+    let service = hyper::service::service_fn(|request| {
+        let (faults, handler) = (Arc::clone(&faults), Arc::clone(&handler));
+        async move {
+            if faults.is_silenced(connection) {
+                std::future::pending::<()>().await;
+            }
+            Ok::<_, Infallible>(handler.handle(request).await)
+        }
+    });
+    // An error means that the client closed the connection, which is its right.
+    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+}
+
+async fn rebind(address: SocketAddr) -> TcpListener {
+    loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => return listener,
+            Err(_) => tokio::time::sleep(REBIND_INTERVAL).await,
+        }
+    }
+}
--- a/components/standin/src/worker.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Under construction.
