--- /dev/null
+++ b/components/members/src/members.rs
@@ -0,0 +1,271 @@
+//! The view of one node.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
+
+use ident::{Group, Incarnation, NodeId, Timestamp};
+use wire::{AgentReport, Silence};
+
+use crate::{Change, HEARTBEAT_ENTRIES, Liveness, Member, Peer, agent::Source, rumour::Rumours};
+
+/// Silence after which an agent that sends its heartbeats here is suspected.
+const SUSPECT_AFTER: Duration = Duration::from_millis(3500);
+/// Time between suspicion and the belief that the agent is gone.
+const GONE_AFTER: Duration = Duration::from_millis(2500);
+/// Additional silence per known agent for reports that are passed on.
+const RELAY_TIME_PER_AGENT: Duration = Duration::from_millis(100);
+/// Time for which agents that are gone are remembered.
+const TOMBSTONE_TIME: Duration = Duration::from_secs(600);
+/// Silence after which an entry is forgotten.
+const ENTRY_TIMEOUT: Duration = Duration::from_secs(5);
+/// Additional silence per known entry.
+const ENTRY_TIME_PER_ENTRY: Duration = Duration::from_secs(2);
+/// Unanswered heartbeats after which an agent turns to another entry.
+const MAX_UNANSWERED: u32 = 3;
+
+/// Agents and entries that a node knows.
+#[derive(Debug)]
+pub struct Members {
+    pub(crate) node: NodeId,
+    pub(crate) zone: String,
+    pub(crate) agents: BTreeMap<NodeId, Member>,
+    pub(crate) entries: HashMap<NodeId, Peer>,
+    pub(crate) rumours: Rumours,
+    pub(crate) cursor: Option<NodeId>,
+    turn: usize,
+}
+
+/// What the passing of time changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Event {
+    /// The agent has been silent for a while.
+    Suspected(NodeId),
+    /// The agent has been silent for long.
+    Gone(NodeId),
+    /// The entry has been silent for long and is forgotten.
+    EntryGone(NodeId),
+}
+
+impl Members {
+    /// View of `node`, which stands in `zone` and knows the entries in `seeds`.
+    pub fn new(node: NodeId, zone: impl Into<String>, seeds: &[NodeId]) -> Members {
+        let mut members = Members {
+            node,
+            zone: zone.into(),
+            agents: BTreeMap::new(),
+            entries: HashMap::new(),
+            rumours: Rumours::default(),
+            cursor: None,
+            turn: 0,
+        };
+        members.on_entries(seeds, Timestamp::ZERO);
+        for entry in members.entries.values_mut() {
+            entry.seed = true;
+        }
+        members
+    }
+
+    /// Takes in a heartbeat from the agent itself.
+    pub fn on_heartbeat(&mut self, report: &AgentReport, now: Timestamp) -> Change {
+        self.update(report, Source::Direct, now)
+    }
+
+    /// Takes in a report that another node passed on.
+    pub fn on_report(&mut self, report: &AgentReport, now: Timestamp) -> Change {
+        self.update(report, Source::Relayed, now)
+    }
+
+    /// Takes in an entry's note that an agent is silent.
+    pub fn on_silence(&mut self, silence: &Silence, now: Timestamp) -> Option<Event> {
+        let member = self.agents.get_mut(&silence.node)?;
+        if !member.agrees(silence) {
+            self.rumours.raise(silence.node);
+            return None;
+        }
+        if member.liveness != Liveness::Alive {
+            return None;
+        }
+        member.set_liveness(Liveness::Suspected, now);
+        self.rumours.raise(silence.node);
+        Some(Event::Suspected(silence.node))
+    }
+
+    /// Takes in gossip from an entry.
+    pub fn on_entry(
+        &mut self,
+        node: NodeId,
+        incarnation: Incarnation,
+        zone: &str,
+        next_offset: u64,
+        now: Timestamp,
+    ) {
+        if let Some(entry) = self.entry(node, now) {
+            entry.incarnation = entry.incarnation.max(incarnation);
+            entry.zone = zone.to_owned();
+            entry.on_message(next_offset, now);
+        }
+    }
+
+    /// Takes in an entry's answer to a heartbeat.
+    pub fn on_ack(&mut self, node: NodeId, next_offset: u64, now: Timestamp) {
+        if let Some(entry) = self.entry(node, now) {
+            entry.on_message(next_offset, now);
+        }
+    }
+
+    /// Takes in the names of entries that another entry has heard from.
+    pub fn on_entries(&mut self, nodes: &[NodeId], now: Timestamp) {
+        for node in nodes {
+            if let Some(entry) = self.entry(*node, now) {
+                entry.on_listed(now);
+            }
+        }
+    }
+
+    /// Takes in the names of entries that stand in this node's availability zone.
+    pub fn on_near(&mut self, nodes: &[NodeId], now: Timestamp) {
+        self.on_entries(nodes, now);
+        for node in nodes {
+            if let Some(entry) = self.entries.get_mut(node) {
+                entry.zone.clone_from(&self.zone);
+            }
+        }
+    }
+
+    /// Draws conclusions from silence.
+    pub fn tick(&mut self, now: Timestamp) -> Vec<Event> {
+        let mut events = Vec::new();
+        let relay_time = RELAY_TIME_PER_AGENT * self.agents.len() as u32;
+        for (node, member) in &mut self.agents {
+            let silent = now.since(member.heard_at);
+            let limit = match member.source {
+                Source::Direct => SUSPECT_AFTER,
+                Source::Relayed => SUSPECT_AFTER + relay_time,
+            };
+            match member.liveness {
+                Liveness::Alive if silent > limit => {
+                    member.set_liveness(Liveness::Suspected, now);
+                    if member.source == Source::Direct {
+                        self.rumours.raise(*node);
+                    }
+                    events.push(Event::Suspected(*node));
+                }
+                Liveness::Suspected if now.since(member.changed_at) > GONE_AFTER => {
+                    member.set_liveness(Liveness::Gone, now);
+                    events.push(Event::Gone(*node));
+                }
+                Liveness::Alive | Liveness::Suspected | Liveness::Gone => {}
+            }
+        }
+        self.agents.retain(|_, member| {
+            member.liveness != Liveness::Gone || now.since(member.changed_at) < TOMBSTONE_TIME
+        });
+        self.forget_entries(now, &mut events);
+        events
+    }
+
+    /// Agents of the group that are alive and take new work.
+    pub fn alive(&self, group: &Group) -> Vec<NodeId> {
+        let of_group = self.agents.values().filter(|it| it.serves(group) && it.is_available());
+        of_group.map(|it| it.report.node).collect()
+    }
+
+    /// What is known of the agent.
+    pub fn get(&self, node: NodeId) -> Option<&Member> {
+        self.agents.get(&node)
+    }
+
+    /// Every agent that is known, also those that are gone.
+    pub fn iter(&self) -> impl Iterator<Item = &Member> {
+        self.agents.values()
+    }
+
+    /// Entries that were heard from, in order, without this node.
+    pub fn entries(&self) -> Vec<NodeId> {
+        let heard = self.entries.values().filter(|it| it.heard_at.is_some());
+        let mut nodes: Vec<NodeId> = heard.map(|it| it.node).collect();
+        nodes.sort_unstable();
+        nodes
+    }
+
+    /// What is known of each entry.
+    pub fn peers(&self) -> impl Iterator<Item = &Peer> {
+        self.entries.values()
+    }
+
+    /// Entry that has applied more of the log than `next_offset`, the furthest one.
+    pub fn ahead(&self, next_offset: u64) -> Option<NodeId> {
+        let ahead = self.entries.values().filter(|it| it.next_offset > next_offset);
+        ahead.max_by_key(|it| (it.next_offset, it.node)).map(|it| it.node)
+    }
+
+    /// Entries that an agent sends its heartbeats to: one of its own
+    /// availability zone if there is one, and others by rendezvous hashing.
+    pub fn heartbeat_entries(&self) -> Vec<NodeId> {
+        let mut eligible: Vec<&Peer> =
+            self.entries.values().filter(|it| it.unanswered < MAX_UNANSWERED).collect();
+        if eligible.is_empty() {
+            eligible = self.entries.values().collect();
+        }
+        eligible.sort_by_key(|it| it.rank(self.node));
+        let nearest = eligible.iter().position(|it| it.zone == self.zone).unwrap_or(0);
+        if nearest < eligible.len() {
+            eligible[..=nearest].rotate_right(1);
+        }
+        eligible.iter().take(HEARTBEAT_ENTRIES).map(|it| it.node).collect()
+    }
+
+    /// Entry that gets the next heartbeat of an agent.
+    pub fn next_heartbeat(&mut self) -> Option<NodeId> {
+        let targets = self.heartbeat_entries();
+        self.turn = self.turn.wrapping_add(1);
+        let node = *targets.get(self.turn % targets.len().max(1))?;
+        if let Some(entry) = self.entries.get_mut(&node) {
+            entry.unanswered = entry.unanswered.saturating_add(1);
+        }
+        Some(node)
+    }
+
+    fn update(&mut self, report: &AgentReport, source: Source, now: Timestamp) -> Change {
+        if report.node == self.node {
+            return Change::Stale;
+        }
+        let change = match self.agents.get_mut(&report.node) {
+            Some(member) => member.update(report, source, now),
+            None => {
+                self.agents.insert(report.node, Member::new(report, source, now));
+                Change::Joined
+            }
+        };
+        match change {
+            Change::Joined | Change::Restarted | Change::Leaving | Change::Recovered => {
+                self.rumours.raise(report.node);
+            }
+            Change::Updated | Change::Stale => {}
+        }
+        change
+    }
+
+    fn entry(&mut self, node: NodeId, now: Timestamp) -> Option<&mut Peer> {
+        if node == self.node {
+            return None;
+        }
+        Some(self.entries.entry(node).or_insert_with(|| Peer::new(node, now)))
+    }
+
+    fn forget_entries(&mut self, now: Timestamp, events: &mut Vec<Event>) {
+        let limit = ENTRY_TIMEOUT + ENTRY_TIME_PER_ENTRY * self.entries.len() as u32;
+        for entry in self.entries.values_mut() {
+            let is_silent = entry.heard_at.is_some_and(|at| now.since(at) > limit);
+            if is_silent {
+                entry.heard_at = None;
+                events.push(Event::EntryGone(entry.node));
+            }
+        }
+        self.entries.retain(|_, entry| {
+            entry.seed || entry.heard_at.is_some() || now.since(entry.known_at()) <= limit
+        });
+    }
+}
