Read settings, write log lines and count metrics

Each setting is a flag with a fallback to the environment and one form of error. Decisions are log lines with their figures as attributes. Metrics are counted from the events and effects that pass by a core.

--- a/components/logs/src/lib.rs
+++ b/components/logs/src/lib.rs
@@ -1,1 +1,9 @@
-//! Under construction.
+//! Log lines in JSON, one for each routing or placement decision among them.
+
+mod decision;
+mod setup;
+
+pub use crate::{
+    decision::{DECISION_TARGET, decision},
+    setup::{init_file, init_stdout},
+};
--- /dev/null
+++ b/components/metrics/src/names.rs
@@ -0,0 +1,44 @@
+//! Names of message types in the metrics.
+
+use wire::{Call, Datagram, Reply};
+
+/// Name of a call.
+pub(crate) fn call_name(call: &Call) -> &'static str {
+    match call {
+        Call::Run(_) => "run",
+        Call::Execute(_) => "execute",
+        Call::Cancel(_) => "cancel",
+        Call::Ask(_) => "ask",
+        Call::Await(_) => "await",
+        Call::Submit(_) => "submit",
+        Call::AskJob(_) => "ask_job",
+        Call::StartTask(_) => "start_task",
+        Call::RenewTasks { .. } => "renew_tasks",
+        Call::StopTasks { .. } => "stop_tasks",
+        Call::Fetch(_) => "fetch",
+        Call::HandOver(_) => "hand_over",
+    }
+}
+
+/// Name of a reply.
+pub(crate) fn reply_name(reply: &Reply) -> &'static str {
+    match reply {
+        Reply::Run(_) => "run_reply",
+        Reply::Status(_) => "status_reply",
+        Reply::Job(_) => "job_reply",
+        Reply::Task(_) => "task_reply",
+        Reply::State(_) => "state_reply",
+        Reply::Ack => "ack",
+    }
+}
+
+/// Name of a datagram.
+pub(crate) fn datagram_name(datagram: &Datagram) -> &'static str {
+    match datagram {
+        Datagram::Heartbeat(_) => "heartbeat",
+        Datagram::HeartbeatAck { .. } => "heartbeat_ack",
+        Datagram::Gossip { .. } => "gossip",
+        Datagram::PromiseRequest { .. } => "promise_request",
+        Datagram::Promise(_) => "promise",
+    }
+}
--- /dev/null
+++ b/components/settings/src/flags.rs
@@ -0,0 +1,158 @@
+//! The command line of the daemon.
+
+use argh::FromArgs;
+
+use crate::{
+    AgentSettings, Command, EntrySettings, NodeSettings, SettingError, StartError,
+    source::{Environment, Setting},
+    value,
+};
+
+/// Parses the arguments behind the program's name, with `env` as fallback.
+pub fn parse(args: &[&str], env: Environment<'_>) -> Result<Command, StartError> {
+    let flags = Flags::from_args(&["primrosemuxd"], args).map_err(|exit| match exit.status {
+        Ok(()) => StartError::Help(exit.output),
+        Err(()) => StartError::Usage(exit.output),
+    })?;
+    let command = match flags.role {
+        Role::Entry(flags) => entry(flags, env),
+        Role::Agent(flags) => agent(flags, env),
+    };
+    command.map_err(StartError::Setting)
+}
+
+/// Dispatcher of sub-second tasks.
+#[derive(FromArgs)]
+#[argh(
+    note = "Each setting may also stand in the environment: --availability-zone as \
+            PRIMROSEMUX_AVAILABILITY_ZONE, and so on. A flag goes before its variable.",
+    error_code(0, "Stopped as asked; no request in progress was cut off."),
+    error_code(1, "Failed; the reason is in the log and on the standard error."),
+    error_code(2, "A setting is missing or not accepted."),
+    error_code(3, "Stopped by a second signal, which cut off requests in progress.")
+)]
+struct Flags {
+    #[argh(subcommand)]
+    role: Role,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Role {
+    Entry(EntryFlags),
+    Agent(AgentFlags),
+}
+
+/// Run an entry, which takes the requests of callers.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "entry")]
+struct EntryFlags {
+    /// address for callers' HTTP requests
+    #[argh(option)]
+    listen: Option<String>,
+    /// address of this node for its peers (TCP and UDP)
+    #[argh(option)]
+    node: Option<String>,
+    /// availability zone that it stands in
+    #[argh(option)]
+    availability_zone: Option<String>,
+    /// address of the platform's log
+    #[argh(option)]
+    log: Option<String>,
+    /// other entries, separated by commas
+    #[argh(option)]
+    seeds: Option<String>,
+    /// file for log lines instead of the standard output
+    #[argh(option)]
+    log_file: Option<String>,
+    /// check the settings and exit
+    #[argh(switch)]
+    check_settings: bool,
+}
+
+/// Run an agent beside an executor or worker.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "agent")]
+struct AgentFlags {
+    /// name of the endpoint in the inventory
+    #[argh(option)]
+    name: Option<String>,
+    /// service of the executor beside it
+    #[argh(option)]
+    service: Option<String>,
+    /// the endpoint beside it is a worker
+    #[argh(switch)]
+    workers: bool,
+    /// address of the executor or worker
+    #[argh(option)]
+    endpoint: Option<String>,
+    /// address of this node for its peers (TCP and UDP)
+    #[argh(option)]
+    node: Option<String>,
+    /// availability zone that it stands in
+    #[argh(option)]
+    availability_zone: Option<String>,
+    /// address of the platform's log
+    #[argh(option)]
+    log: Option<String>,
+    /// entries to announce itself to, separated by commas
+    #[argh(option)]
+    seeds: Option<String>,
+    /// address for the pages /health, /ready and /metrics; none by default
+    #[argh(option)]
+    metrics: Option<String>,
+    /// file for log lines instead of the standard output
+    #[argh(option)]
+    log_file: Option<String>,
+    /// check the settings and exit
+    #[argh(switch)]
+    check_settings: bool,
+}
+
+fn entry(flags: EntryFlags, env: Environment<'_>) -> Result<Command, SettingError> {
+    let find = |name, flag| Setting::find(name, flag, env);
+    let settings = EntrySettings {
+        listen: value::address(&find("listen", flags.listen))?,
+        node: NodeSettings {
+            node: value::node(&find("node", flags.node))?,
+            availability_zone: value::name(&find("availability-zone", flags.availability_zone))?,
+            log: value::address(&find("log", flags.log))?,
+            seeds: value::optional_seeds(&find("seeds", flags.seeds))?,
+            log_target: value::log_target(&find("log-file", flags.log_file)),
+        },
+    };
+    let check = value::switch(&find("check-settings", given(flags.check_settings)))?;
+    Ok(match check {
+        true => Command::Checked,
+        false => Command::Entry(settings),
+    })
+}
+
+fn agent(flags: AgentFlags, env: Environment<'_>) -> Result<Command, SettingError> {
+    let find = |name, flag| Setting::find(name, flag, env);
+    let service = find("service", flags.service);
+    let workers = find("workers", given(flags.workers));
+    let settings = AgentSettings {
+        name: value::name(&find("name", flags.name))?,
+        group: value::group(&service, &workers)?,
+        endpoint: value::address(&find("endpoint", flags.endpoint))?,
+        node: NodeSettings {
+            node: value::node(&find("node", flags.node))?,
+            availability_zone: value::name(&find("availability-zone", flags.availability_zone))?,
+            log: value::address(&find("log", flags.log))?,
+            seeds: value::seeds(&find("seeds", flags.seeds))?,
+            log_target: value::log_target(&find("log-file", flags.log_file)),
+        },
+        metrics: value::optional_address(&find("metrics", flags.metrics))?,
+    };
+    let check = value::switch(&find("check-settings", given(flags.check_settings)))?;
+    Ok(match check {
+        true => Command::Checked,
+        false => Command::Agent(settings),
+    })
+}
+
+/// The text of a switch that stands on the command line.
+fn given(switch: bool) -> Option<String> {
+    switch.then(|| "true".to_owned())
+}
