--- /dev/null
+++ b/components/routing/src/agent.rs
@@ -0,0 +1,135 @@
+//! What a router knows of one agent.
+
+use std::time::Duration;
+
+use ident::Timestamp;
+use wire::{AgentReport, Load};
+
+use crate::health::{Health, Phase};
+
+/// Time between two trial requests to an agent on probation.
+const TRIAL_INTERVAL: Duration = Duration::from_millis(250);
+/// Power by which the risk of a wait grows with the share of busy slots.
+const RISK_POWER: i32 = 4;
+
+/// An agent with its load, as far as it is known here.
+#[derive(Debug)]
+pub(crate) struct Agent {
+    pub(crate) report: AgentReport,
+    pub(crate) health: Health,
+    pub(crate) suspected: bool,
+    load: Load,
+    load_at: Timestamp,
+    sent: Vec<Sent>,
+    sent_at: Timestamp,
+}
+
+/// Whether an agent should get requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Standing {
+    /// It should.
+    Active,
+    /// Only if no other agent can.
+    Doubtful,
+}
+
+/// A request that was sent and not answered yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Sent {
+    at: Timestamp,
+    expected: Duration,
+}
+
+impl Agent {
+    pub(crate) fn new(report: &AgentReport, now: Timestamp) -> Agent {
+        Agent {
+            report: report.clone(),
+            health: Health::default(),
+            suspected: false,
+            load: report.load,
+            load_at: now,
+            sent: Vec::new(),
+            sent_at: Timestamp::ZERO,
+        }
+    }
+
+    /// Adopts a newer report.
+    pub(crate) fn on_report(&mut self, report: &AgentReport, now: Timestamp) {
+        if !self.is_older_than(report) {
+            return;
+        }
+        if report.incarnation > self.report.incarnation {
+            *self = Agent::new(report, now);
+            return;
+        }
+        let leaving = self.report.leaving || report.leaving;
+        self.report = AgentReport { leaving, ..report.clone() };
+        self.set_load(report.load, now);
+    }
+
+    /// Whether the report is newer than the present one.
+    pub(crate) fn is_older_than(&self, report: &AgentReport) -> bool {
+        let known = (self.report.incarnation, self.report.sequence);
+        known < (report.incarnation, report.sequence)
+    }
+
+    pub(crate) fn set_load(&mut self, load: Load, now: Timestamp) {
+        self.load = load;
+        self.load_at = now;
+    }
+
+    pub(crate) fn on_sent(&mut self, expected: Duration, now: Timestamp) {
+        self.sent_at = now;
+        self.sent.push(Sent { at: now, expected });
+    }
+
+    pub(crate) fn on_end(&mut self, expected: Duration, sent_at: Timestamp) {
+        let sent = Sent { at: sent_at, expected };
+        if let Some(index) = self.sent.iter().position(|it| *it == sent) {
+            self.sent.swap_remove(index);
+        }
+    }
+
+    /// Whether the agent should get requests.
+    pub(crate) fn standing(&self) -> Standing {
+        match self.doubt() {
+            None => Standing::Active,
+            Some(_) => Standing::Doubtful,
+        }
+    }
+
+    /// Why the agent gets requests only if no other can.
+    pub(crate) fn doubt(&self) -> Option<&'static str> {
+        if self.suspected {
+            return Some("is silent");
+        }
+        match self.health.phase {
+            Phase::Active => None,
+            Phase::Ejected { .. } => Some("is ejected"),
+            Phase::Probation { .. } => Some("is on probation"),
+        }
+    }
+
+    /// Whether an agent on probation should get a trial request.
+    pub(crate) fn is_due_for_trial(&self, now: Timestamp) -> bool {
+        !self.suspected && self.sent.is_empty() && now.since(self.sent_at) >= TRIAL_INTERVAL
+    }
+
+    /// Time that a request sent now would wait for a slot.
+    pub(crate) fn predicted_wait(&self) -> Duration {
+        let slots = f64::from(self.load.slots.max(1));
+        let unseen = self.sent.iter().filter(|it| it.at >= self.load_at);
+        let (count, work) = unseen
+            .fold((0u32, Duration::ZERO), |(count, work), it| (count + 1, work + it.expected));
+        let requests = f64::from(self.load.busy + self.load.queued + count);
+        if requests == 0.0 {
+            return Duration::ZERO;
+        }
+        let mean = (self.load.work + work).as_secs_f64() / requests;
+        let ahead = match requests < slots {
+            true => (requests / slots).powi(RISK_POWER),
+            false => requests - slots + 1.0,
+        };
+        Duration::from_secs_f64(mean * ahead / slots)
+    }
+}
--- /dev/null
+++ b/components/routing/src/choose.rs
@@ -0,0 +1,135 @@
+//! Comparison of agents for one request.
+
+use std::time::Duration;
+
+use ident::{Group, NodeId, Timestamp};
+use node::Candidate;
+use rand::{Rng, seq::IteratorRandom};
+
+use crate::{
+    agent::{Agent, Standing},
+    pool::Pool,
+    router::Router,
+};
+
+/// Time that a request to another availability zone takes longer.
+const ZONE_LATENCY: Duration = Duration::from_millis(2);
+/// Time that a failed attempt costs.
+const FAILURE_COST: Duration = Duration::from_secs(2);
+/// Difference in time that does not count, as a share of the expected run time.
+const TOLERANCE: f64 = 0.02;
+
+/// A request that looks for an agent.
+#[derive(Debug, Clone, Copy)]
+pub struct Want<'a> {
+    /// Kind of the request.
+    pub kind: &'a str,
+    /// Expected run time.
+    pub expected: Duration,
+    /// Agents that are not asked again.
+    pub exclude: &'a [NodeId],
+}
+
+/// An agent chosen for a request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Choice {
+    /// The agent.
+    pub node: NodeId,
+    /// Predicted wait for a slot there.
+    pub wait: Duration,
+    /// Agents that were compared.
+    pub candidates: Vec<Candidate>,
+}
+
+/// An agent that could be chosen.
+#[derive(Debug, Clone, Copy)]
+struct Score {
+    node: NodeId,
+    wait: Duration,
+    cost: f64,
+}
+
+impl Router {
+    /// Chooses an agent of the group, at random among about equally good ones.
+    pub fn choose(
+        &mut self,
+        group: &Group,
+        want: &Want<'_>,
+        now: Timestamp,
+        rng: &mut impl Rng,
+    ) -> Option<Choice> {
+        self.review(group, now);
+        let pool = self.pools.get(group)?;
+        if let Some(choice) = self.trial(pool, want, now) {
+            return Some(choice);
+        }
+        let mut nodes = pool.sample(rng);
+        let mut scores = self.scores(&nodes, want, Standing::Active);
+        if scores.is_empty() {
+            nodes = pool.nodes().collect();
+            scores = self.scores(&nodes, want, Standing::Active);
+        }
+        if scores.is_empty() {
+            scores = self.scores(&nodes, want, Standing::Doubtful);
+        }
+        let best = pick(&scores, want.expected, rng)?;
+        let candidates = nodes.iter().map(|node| self.candidate(*node, want)).collect();
+        Some(Choice { node: best.node, wait: best.wait, candidates })
+    }
+
+    /// An agent on probation that is due for a trial request.
+    fn trial(&self, pool: &Pool, want: &Want<'_>, now: Timestamp) -> Option<Choice> {
+        let node = pool.probation.iter().copied().find(|node| {
+            let agent = &self.agents[node];
+            self.objection(agent, want).is_none() && agent.is_due_for_trial(now)
+        })?;
+        let wait = self.agents[&node].predicted_wait();
+        Some(Choice { node, wait, candidates: vec![self.candidate(node, want)] })
+    }
+
+    fn scores(&self, nodes: &[NodeId], want: &Want<'_>, standing: Standing) -> Vec<Score> {
+        let agents = nodes.iter().filter_map(|node| self.agents.get(node));
+        let able = agents.filter(|agent| self.objection(agent, want).is_none());
+        let of_standing = able.filter(|agent| match standing {
+            Standing::Active => agent.standing() == Standing::Active,
+            Standing::Doubtful => true,
+        });
+        of_standing.map(|agent| self.score(agent, want)).collect()
+    }
+
+    fn score(&self, agent: &Agent, want: &Want<'_>) -> Score {
+        let wait = agent.predicted_wait();
+        let run_time = want.expected.mul_f64(agent.health.lag);
+        let latency = match agent.report.availability_zone == self.zone {
+            true => Duration::ZERO,
+            false => ZONE_LATENCY,
+        };
+        let failure = FAILURE_COST.mul_f64(agent.health.failures);
+        let cost = (wait + run_time + latency + failure).as_secs_f64();
+        Score { node: agent.report.node, wait, cost }
+    }
+
+    fn candidate(&self, node: NodeId, want: &Want<'_>) -> Candidate {
+        let Some(agent) = self.agents.get(&node) else {
+            return Candidate { node, wait_ms: 0.0, excluded: None };
+        };
+        let wait_ms = agent.predicted_wait().as_secs_f64() * 1000.0;
+        let excluded = self.objection(agent, want).or(agent.doubt()).map(str::to_owned);
+        Candidate { node, wait_ms, excluded }
+    }
+
+    /// Why the agent must not get the request.
+    fn objection(&self, agent: &Agent, want: &Want<'_>) -> Option<&'static str> {
+        if want.exclude.contains(&agent.report.node) {
+            return Some("was asked before");
+        }
+        self.declared.objection(&agent.report)
+    }
+}
+
+/// One of the best at random; each that lies within the tolerance counts alike.
+fn pick(scores: &[Score], expected: Duration, rng: &mut impl Rng) -> Option<Score> {
+    let least = scores.iter().map(|it| it.cost).min_by(f64::total_cmp)?;
+    let limit = least + expected.as_secs_f64() * TOLERANCE;
+    scores.iter().copied().filter(|it| it.cost <= limit).choose(rng)
+}
--- /dev/null
+++ b/components/routing/src/review.rs
@@ -0,0 +1,74 @@
+//! Ejection of outliers.
+
+use std::time::Duration;
+
+use ident::{Group, NodeId, Timestamp};
+
+use crate::{health::Phase, router::Router};
+
+/// Time between two reviews of a group.
+const INTERVAL: Duration = Duration::from_millis(200);
+
+impl Router {
+    /// Ejects and readmits agents of the group, if it is time for it.
+    pub(crate) fn review(&mut self, group: &Group, now: Timestamp) {
+        let Some(pool) = self.pools.get_mut(group) else {
+            return;
+        };
+        if now.since(pool.reviewed_at) < INTERVAL {
+            return;
+        }
+        pool.reviewed_at = now;
+        let nodes: Vec<NodeId> = pool.nodes().collect();
+        for node in &nodes {
+            if let Some(agent) = self.agents.get_mut(node) {
+                agent.health.tick(now);
+            }
+        }
+        self.eject(&nodes, now);
+        let on_probation =
+            |node: &NodeId| self.agents.get(node).is_some_and(|it| it.health.is_on_probation());
+        let probation = nodes.iter().copied().filter(on_probation).collect();
+        if let Some(pool) = self.pools.get_mut(group) {
+            pool.probation = probation;
+        }
+    }
+
+    /// Ejects the worst outliers, as far as the limit allows.
+    fn eject(&mut self, nodes: &[NodeId], now: Timestamp) {
+        let health = || nodes.iter().filter_map(|node| Some(&self.agents.get(node)?.health));
+        let failures = median(health().map(|it| it.failures));
+        let lag = median(health().map(|it| it.lag));
+        let out = health().filter(|it| it.phase != Phase::Active).count();
+        let room = max_ejected(nodes.len(), self.eject_percent).saturating_sub(out);
+        let is_outlier = |node: &&NodeId| {
+            let health = &self.agents[*node].health;
+            health.phase == Phase::Active && health.is_outlier(failures, lag)
+        };
+        let mut outliers: Vec<NodeId> = nodes.iter().filter(is_outlier).copied().collect();
+        outliers.sort_by(|a, b| {
+            let rate = |node: &NodeId| self.agents[node].health.failures;
+            rate(b).total_cmp(&rate(a))
+        });
+        for node in outliers.iter().take(room) {
+            if let Some(agent) = self.agents.get_mut(node) {
+                agent.health.eject(now);
+            }
+        }
+    }
+}
+
+/// Agents of a group of `total` that may be out at a time: at least one of
+/// several, unless ejection is turned off.
+fn max_ejected(total: usize, percent: u32) -> usize {
+    if percent == 0 || total < 2 {
+        return 0;
+    }
+    (total * percent.min(100) as usize / 100).max(1)
+}
+
+fn median(values: impl Iterator<Item = f64>) -> f64 {
+    let mut values: Vec<f64> = values.collect();
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied().unwrap_or_default()
+}
--- /dev/null
+++ b/components/routing/src/router.rs
@@ -0,0 +1,138 @@
+//! The state of a router.
+
+use std::{collections::HashMap, time::Duration};
+
+use config::Inventory;
+use ident::{Group, NodeId, Timestamp};
+use wire::AgentReport;
+
+use crate::{
+    Sample, SampleOutcome, agent::Agent, inventory::Declared, pool::Pool, run_time::RunTimes,
+};
+
+/// Agents with their loads and health, and learnt run times.
+#[derive(Debug)]
+pub struct Router {
+    pub(crate) zone: String,
+    pub(crate) agents: HashMap<NodeId, Agent>,
+    pub(crate) pools: HashMap<Group, Pool>,
+    pub(crate) declared: Declared,
+    pub(crate) eject_percent: u32,
+    run_times: RunTimes,
+}
+
+impl Router {
+    /// Knows no agents yet; `zone` is the availability zone of this node.
+    pub fn new(zone: impl Into<String>) -> Router {
+        Router {
+            zone: zone.into(),
+            agents: HashMap::new(),
+            pools: HashMap::new(),
+            declared: Declared::default(),
+            eject_percent: 0,
+            run_times: RunTimes::default(),
+        }
+    }
+
+    /// Adopts the inventory in force; agents that it does not name get nothing.
+    pub fn set_inventory(&mut self, inventory: &Inventory) {
+        self.declared = Declared::new(inventory);
+        self.eject_percent = inventory.rules.eject_percent;
+        for kind in &inventory.kinds {
+            let run_time = Duration::from_millis(kind.run_ms);
+            self.run_times.publish(&kind.service, &kind.name, run_time);
+        }
+    }
+
+    /// Takes in a report; older ones than the present one are ignored.
+    pub fn on_report(&mut self, report: &AgentReport, now: Timestamp) {
+        let is_same_place = |agent: &Agent| {
+            agent.report.group == report.group
+                && agent.report.availability_zone == report.availability_zone
+        };
+        match self.agents.get_mut(&report.node) {
+            Some(agent) if is_same_place(agent) => agent.on_report(report, now),
+            Some(agent) if agent.is_older_than(report) => {
+                self.remove(report.node);
+                self.add(report, now);
+            }
+            Some(_) => {}
+            None => self.add(report, now),
+        }
+    }
+
+    /// Notes whether the agent has been silent for a while.
+    pub fn set_suspected(&mut self, node: NodeId, suspected: bool) {
+        if let Some(agent) = self.agents.get_mut(&node) {
+            agent.suspected = suspected;
+        }
+    }
+
+    /// Forgets an agent.
+    pub fn remove(&mut self, node: NodeId) {
+        self.agents.remove(&node);
+        for pool in self.pools.values_mut() {
+            pool.remove(node);
+        }
+    }
+
+    /// Counts a request that is sent to the agent.
+    pub fn on_sent(&mut self, node: NodeId, expected: Duration, now: Timestamp) {
+        if let Some(agent) = self.agents.get_mut(&node) {
+            agent.on_sent(expected, now);
+        }
+    }
+
+    /// Learns from the end of a request that was sent to the agent.
+    pub fn on_reply(&mut self, node: NodeId, sample: &Sample<'_>, now: Timestamp) {
+        let Some(agent) = self.agents.get_mut(&node) else {
+            return;
+        };
+        agent.on_end(sample.expected, sample.sent_at);
+        if let Some(load) = sample.load {
+            agent.set_load(load, now);
+        }
+        let has_run = sample.outcome == SampleOutcome::Healthy && !sample.run_time.is_zero();
+        let lag = has_run.then(|| ratio(sample.run_time, sample.expected));
+        agent.health.on_sample(sample.outcome, lag, now);
+        if let Group::Service(service) = &agent.report.group
+            && has_run
+        {
+            let times = &mut self.run_times;
+            times.learn(service, sample.kind, sample.declared, sample.run_time, now);
+            times.learn_response(service, sample.kind, now.since(sample.sent_at));
+        }
+    }
+
+    /// Run time to expect of a request.
+    pub fn expected(
+        &self,
+        service: &str,
+        kind: &str,
+        declared: Option<Duration>,
+        now: Timestamp,
+    ) -> Duration {
+        self.run_times.expected(service, kind, declared, now)
+    }
+
+    /// Time after which a response is late enough for a hedge, once known.
+    pub fn hedge_delay(&self, service: &str, kind: &str) -> Option<Duration> {
+        self.run_times.hedge_delay(service, kind)
+    }
+
+    /// Time that a request sent to the agent now would wait for a slot there.
+    pub fn predicted_wait(&self, node: NodeId) -> Duration {
+        self.agents.get(&node).map_or(Duration::ZERO, Agent::predicted_wait)
+    }
+
+    fn add(&mut self, report: &AgentReport, now: Timestamp) {
+        let is_near = report.availability_zone == self.zone;
+        let pool = self.pools.entry(report.group.clone()).or_default();
+        pool.add(report.node, is_near);
+        self.agents.insert(report.node, Agent::new(report, now));
+    }
+}
+
+fn ratio(run_time: Duration, expected: Duration) -> f64 {
+    run_time.as_secs_f64() / expected.as_secs_f64().max(1e-6)
+}
