Send requests to executors and workers over HTTP

An idle connection can go silent without notice, and a request that isn't idempotent can't be sent again to find out.

Each request holds a connection of its own. One that has been idle for 200 ms must answer GET /health within 100 ms before it takes a request, or it is closed together with the other idle ones. An error says NotSent only if the request was not handed to the connection; a refused start (409) is told apart. Commands to a worker are idempotent and are sent once more when their answer is lost.

--- /dev/null
+++ b/components/endpoint/src/connection.rs
@@ -0,0 +1,100 @@
+//! One HTTP/1.1 connection.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{
+    Request, Response, Uri,
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+    header::{HOST, HeaderValue},
+};
+use hyper_util::rt::TokioIo;
+use node::LinkError;
+use tokio::{
+    net::TcpStream,
+    task::JoinHandle,
+    time::{Instant, timeout},
+};
+use verdict::Answer;
+
+/// Largest body of an answer.
+const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+/// Time for which a connection that has answered counts as alive.
+const PROOF_TERM: Duration = Duration::from_millis(200);
+/// Time within which a connection must answer a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// A connection with at most one request on it; it is closed when dropped.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    host: HeaderValue,
+    sender: SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+    proven: Instant,
+}
+
+impl Connection {
+    /// Connects; an error means that nothing was written.
+    pub(crate) async fn open(address: SocketAddr) -> Result<Connection, LinkError> {
+        let host = HeaderValue::try_from(address.to_string()).map_err(|_| LinkError::NotSent)?;
+        let stream = TcpStream::connect(address).await.map_err(|_| LinkError::NotSent)?;
+        stream.set_nodelay(true).map_err(|_| LinkError::NotSent)?;
+        let (sender, connection) =
+            http1::handshake(TokioIo::new(stream)).await.map_err(|_| LinkError::NotSent)?;
+        let driver = tokio::spawn(async move {
+            // Its errors also reach the request that waits for an answer.
+            let _ = connection.await;
+        });
+        Ok(Connection { host, sender, driver, proven: Instant::now() })
+    }
+
+    /// Whether it has answered recently.
+    pub(crate) fn is_proven(&self) -> bool {
+        self.proven.elapsed() < PROOF_TERM
+    }
+
+    /// Whether it can take a request; asks the endpoint if it has been idle.
+    pub(crate) async fn prove(&mut self) -> bool {
+        if self.sender.is_closed() {
+            return false;
+        }
+        if self.is_proven() {
+            return true;
+        }
+        let mut probe = Request::new(Full::default());
+        *probe.uri_mut() = Uri::from_static("/health");
+        matches!(timeout(PROBE_TIMEOUT, self.send(probe)).await, Ok(Ok(_)))
+    }
+
+    /// Sends a request and waits for its whole answer.
+    pub(crate) async fn send(
+        &mut self,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<Answer, LinkError> {
+        request.headers_mut().insert(HOST, self.host.clone());
+        self.sender.ready().await.map_err(|_| LinkError::NotSent)?;
+        let sent = self.sender.try_send_request(request).await;
+        let response = sent.map_err(|mut err| match err.take_message() {
+            Some(_) => LinkError::NotSent,
+            None => LinkError::Lost,
+        })?;
+        let answer = read_whole(response).await?;
+        self.proven = Instant::now();
+        Ok(answer)
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+async fn read_whole(response: Response<Incoming>) -> Result<Answer, LinkError> {
+    let status = response.status().as_u16();
+    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+    let body = body.collect().await.map_err(|_| LinkError::Lost)?;
+    Ok(Answer { status, body: body.to_bytes().to_vec() })
+}
--- a/components/endpoint/src/lib.rs
+++ b/components/endpoint/src/lib.rs
@@ -5,7 +5,9 @@
 //! proves itself alive before it takes another one. An error says whether any
 //! byte of the request may have reached the endpoint.
 
+mod connection;
 mod executor;
+mod pool;
 mod worker;
 
 pub use crate::{
--- a/components/endpoint/src/worker.rs
+++ b/components/endpoint/src/worker.rs
@@ -1,17 +1,31 @@
 //! Client of a worker.
 
-use std::{fmt, net::SocketAddr, time::Duration};
+use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
 
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, Uri, header::CONTENT_TYPE};
 use ident::RequestId;
 use node::LinkError;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
 use verdict::Answer;
-use wire::StartTask;
+use wire::{StartTask, TaskSpec};
+
+use crate::pool::Pool;
+
+/// Connections kept for renewing, stopping and asking.
+const CONTROL_CONNECTIONS: usize = 4;
+/// Time within which the worker must answer a command.
+const CONTROL_TIMEOUT: Duration = Duration::from_millis(250);
+/// Status of a worker that has not started a task.
+const NOT_STARTED: u16 = 409;
 
 /// Client of a worker.
 #[derive(Debug, Clone)]
 pub struct Worker {
-    _address: SocketAddr,
+    tasks: Arc<Pool>,
+    control: Arc<Pool>,
 }
 
 /// Why a task has no answer.
@@ -54,50 +68,140 @@
     pub tasks: u32,
 }
 
+/// Body of `POST /tasks`.
+#[derive(Debug, Serialize)]
+struct StartBody<'a> {
+    job: RequestId,
+    index: u32,
+    #[serde(flatten)]
+    task: &'a TaskSpec,
+    lease_ms: u64,
+}
+
+/// Body of `POST /tasks/{job}/{index}/lease`.
+#[derive(Debug, Serialize)]
+struct LeaseBody {
+    lease_ms: u64,
+}
+
+/// Body of `POST /tasks/{job}/{index}/stop`.
+#[derive(Debug, Serialize)]
+struct StopBody {
+    checkpoint: bool,
+}
+
+/// Body of `POST /tasks/{job}/{index}/throttle`.
+#[derive(Debug, Serialize)]
+struct ThrottleBody {
+    percent: u32,
+}
+
 impl Worker {
     /// Uses at most `connections` connections for tasks at a time, and a few for control.
-    pub fn new(address: SocketAddr, _connections: usize) -> Worker {
-        Worker { _address: address }
+    pub fn new(address: SocketAddr, connections: usize) -> Worker {
+        Worker {
+            tasks: Arc::new(Pool::new(address, connections)),
+            control: Arc::new(Pool::new(address, CONTROL_CONNECTIONS)),
+        }
     }
 
     /// Starts a task and waits for its answer until its budget has passed.
-    pub async fn start(&self, _start: &StartTask) -> Result<Answer, StartError> {
-        Err(StartError::NotSent)
+    pub async fn start(&self, start: &StartTask) -> Result<Answer, StartError> {
+        let body = StartBody {
+            job: start.job,
+            index: start.index,
+            task: &start.task,
+            lease_ms: millis(start.lease),
+        };
+        let request = post("/tasks".to_owned(), &body);
+        let answer = self.tasks.send(&request, Instant::now() + start.budget).await?;
+        match answer.status {
+            NOT_STARTED => Err(StartError::Refused(text(&answer))),
+            _ => Ok(answer),
+        }
     }
 
     /// Prolongs a task's lease to `lease` from now.
     pub async fn renew(
         &self,
-        _job: RequestId,
-        _index: u32,
-        _lease: Duration,
+        job: RequestId,
+        index: u32,
+        lease: Duration,
     ) -> Result<(), WorkerError> {
-        Err(WorkerError::UnknownTask)
+        self.command(job, index, "lease", &LeaseBody { lease_ms: millis(lease) }).await
     }
 
     /// Stops a task without a checkpoint.
-    pub async fn stop(&self, _job: RequestId, _index: u32) -> Result<(), WorkerError> {
-        Err(WorkerError::UnknownTask)
+    pub async fn stop(&self, job: RequestId, index: u32) -> Result<(), WorkerError> {
+        self.command(job, index, "stop", &StopBody { checkpoint: false }).await
     }
 
     /// Stops a task after a checkpoint.
-    pub async fn checkpoint(&self, _job: RequestId, _index: u32) -> Result<(), WorkerError> {
-        Err(WorkerError::UnknownTask)
+    pub async fn checkpoint(&self, job: RequestId, index: u32) -> Result<(), WorkerError> {
+        self.command(job, index, "stop", &StopBody { checkpoint: true }).await
     }
 
     /// Slows a task down to `percent` of its speed.
     pub async fn throttle(
         &self,
-        _job: RequestId,
-        _index: u32,
-        _percent: u32,
+        job: RequestId,
+        index: u32,
+        percent: u32,
     ) -> Result<(), WorkerError> {
-        Err(WorkerError::UnknownTask)
+        self.command(job, index, "throttle", &ThrottleBody { percent }).await
     }
 
     /// What the worker reports to be in use.
     pub async fn usage(&self) -> Result<Usage, WorkerError> {
-        Err(WorkerError::UnknownTask)
+        let mut request = Request::new(Full::default());
+        *request.uri_mut() = Uri::from_static("/usage");
+        let answer = self.control(&request).await?;
+        match answer.status {
+            200 => serde_json::from_slice(&answer.body).map_err(|_| unexpected(&answer)),
+            _ => Err(unexpected(&answer)),
+        }
+    }
+
+    /// Sends a command about a task.
+    async fn command<T: Serialize>(
+        &self,
+        job: RequestId,
+        index: u32,
+        verb: &str,
+        body: &T,
+    ) -> Result<(), WorkerError> {
+        let request = post(format!("/tasks/{job}/{index}/{verb}"), body);
+        let answer = self.control(&request).await?;
+        match answer.status {
+            200 => Ok(()),
+            404 => Err(WorkerError::UnknownTask),
+            _ => Err(unexpected(&answer)),
+        }
+    }
+
+    /// Sends a command, once more if its answer is lost; commands are idempotent.
+    async fn control(&self, request: &Request<Full<Bytes>>) -> Result<Answer, LinkError> {
+        match self.control.send(request, Instant::now() + CONTROL_TIMEOUT).await {
+            Err(LinkError::Lost) => {
+                self.control.send(request, Instant::now() + CONTROL_TIMEOUT).await
+            }
+            ended => ended,
+        }
+    }
+}
+
+impl From<LinkError> for StartError {
+    fn from(err: LinkError) -> StartError {
+        match err {
+            LinkError::NotSent => StartError::NotSent,
+            LinkError::Lost => StartError::Lost,
+        }
+    }
+}
+
+impl From<LinkError> for WorkerError {
+    fn from(err: LinkError) -> WorkerError {
+        WorkerError::Link(err)
     }
 }
 
@@ -138,3 +242,23 @@
 }
 
 impl std::error::Error for WorkerError {}
+
+fn post<T: Serialize>(path: String, body: &T) -> Request<Full<Bytes>> {
+    let body = serde_json::to_vec(body).expect("bodies have only types that JSON can hold");
+    Request::post(path)
+        .header(CONTENT_TYPE, "application/json")
+        .body(Full::new(Bytes::from(body)))
+        .expect("paths are made of ids and fixed words")
+}
+
+fn unexpected(answer: &Answer) -> WorkerError {
+    WorkerError::Unexpected { status: answer.status, body: text(answer) }
+}
+
+fn text(answer: &Answer) -> String {
+    String::from_utf8_lossy(&answer.body).into_owned()
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
