--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -13,6 +13,6 @@
     frame::{CallId, Frame, MAX_FRAME_BYTES, WireError, decode, encode},
     message::{
         Call, Cancel, Fetch, HandOver, JobSpec, JobStatus, Load, Reply, Run, RunReply, Snapshot,
-        StartTask, TaskSpec,
+        StartTask, Status, TaskSpec,
     },
 };
