Remember ids with their outcomes in a bounded ledger

Cause: an owner must know which ids it has let start, with memory that is bounded in waves of cancellations and refusals. Change: entries are ordered by the time inside the id; what is forgotten lies before a cutoff that only grows, and ids before it are refused.

--- /dev/null
+++ b/components/ledger/src/refused.rs
@@ -0,0 +1,68 @@
+//! Refused attempts at an id.
+
+use ident::Timestamp;
+use serde::{Deserialize, Serialize};
+use verdict::Refusal;
+
+use crate::entry::Attempt;
+
+/// Refused attempts that are remembered one by one for each id.
+const MAX_ATTEMPTS: usize = 4;
+
+/// Refused attempts at one id, none of which may start later.
+///
+/// The latest few are remembered by number. Those before them are covered by the
+/// time of the latest among them: what was submitted until then can't start.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Refused {
+    attempts: Vec<RefusedAttempt>,
+    until: Option<Timestamp>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct RefusedAttempt {
+    attempt: Attempt,
+    refusal: Refusal,
+}
+
+impl Refused {
+    /// Remembers that `attempt` must never start.
+    pub(crate) fn add(&mut self, attempt: Attempt, refusal: Refusal) {
+        if self.attempts.iter().any(|it| it.attempt.number == attempt.number) {
+            return;
+        }
+        self.attempts.push(RefusedAttempt { attempt, refusal });
+        if self.attempts.len() > MAX_ATTEMPTS {
+            let oldest = self.attempts.remove(0);
+            self.until = self.until.max(Some(oldest.attempt.submitted));
+        }
+    }
+
+    /// Refusal that `attempt` gets again, if it must not start.
+    pub(crate) fn find(&self, attempt: Attempt) -> Option<&Refusal> {
+        let known = self.attempts.iter().find(|it| it.attempt.number == attempt.number);
+        match known {
+            Some(known) => Some(&known.refusal),
+            None if Some(attempt.submitted) <= self.until => self.latest(),
+            None => None,
+        }
+    }
+
+    /// The latest refusal.
+    pub(crate) fn latest(&self) -> Option<&Refusal> {
+        self.attempts.last().map(|it| &it.refusal)
+    }
+
+    /// Adds what another ledger remembers of the same id.
+    pub(crate) fn merge(&mut self, other: Refused) {
+        self.until = self.until.max(other.until);
+        for refused in other.attempts {
+            self.add(refused.attempt, refused.refusal);
+        }
+    }
+
+    /// Whether no attempt was refused.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.attempts.is_empty()
+    }
+}
