Decide ownership by numbers in ids, promises and the log

Cause: at most one node may decide for an id, through pauses, restarts, lost answers and outages of the log. Change: tenure of shards with deputies' promises, takeover, replacement of deputies, graceful hand-over. Promises name the start of the owner that asked and the log offset that the deputy has applied; requests name the owner's start.

--- /dev/null
+++ b/components/tenure/src/assign.rs
@@ -0,0 +1,129 @@
+//! Assignments that this node appends to the log.
+
+use std::time::Duration;
+
+use ident::{NodeId, Shard, Timestamp};
+use register::Assignment;
+
+use crate::{Duty, TABLE_TERM, Tenure, rendezvous, tenure::is_vacant};
+
+/// Age of the table up to which an assignment may be based on it.
+const FRESH_TERM: Duration = Duration::from_secs(2);
+
+/// Time by which each node lets the one before it go first.
+const RANK_DELAY: Duration = Duration::from_secs(2);
+
+/// Most nodes that are waited for.
+const MAX_RANK: u32 = 5;
+
+/// Time after which an owner is given up that no deputy can replace.
+const ABANDON_AFTER: Duration = Duration::from_secs(10);
+
+/// An assignment to append.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Plan {
+    pub shard: Shard,
+    pub assignment: Assignment,
+    /// Owner that this node succeeds, if it does.
+    pub replaces: Option<NodeId>,
+}
+
+impl Tenure {
+    /// Appends what is due; returns whether that waits for a newer table.
+    pub(crate) fn propose(&mut self, now: Timestamp, duties: &mut Vec<Duty>) -> bool {
+        if self.released.is_some() || !self.is_ready() {
+            return false;
+        }
+        let plans = self.plans(now);
+        if plans.is_empty() && !self.proposals.is_due(now) {
+            return false;
+        }
+        if now > self.read_at + FRESH_TERM + self.skew {
+            return true;
+        }
+        let mut shards = self.proposals.repeat(now);
+        shards.extend(self.record(plans, now));
+        if !shards.is_empty() {
+            duties.push(Duty::Assign(shards));
+        }
+        false
+    }
+
+    /// Notes the plans as proposals.
+    pub(crate) fn record(&mut self, plans: Vec<Plan>, now: Timestamp) -> Vec<(Shard, Assignment)> {
+        let mut shards = Vec::new();
+        for plan in plans {
+            if self.proposals.add(plan.shard, plan.assignment, plan.replaces, now) {
+                shards.push((plan.shard, plan.assignment));
+            }
+        }
+        shards
+    }
+
+    fn plans(&self, now: Timestamp) -> Vec<Plan> {
+        let mut plans = self.plan_deputies(now);
+        plans.extend(self.plan_takeovers(now));
+        plans.extend(self.plan_accepted(now));
+        if self.is_my_turn(now) {
+            plans.extend(self.plan_first(now));
+            plans.extend(self.plan_abandoned(now));
+        }
+        plans
+    }
+
+    fn is_my_turn(&self, now: Timestamp) -> bool {
+        let rank = self.presence.rank(self.node).min(MAX_RANK);
+        self.presence.settled_for(now).is_some_and(|settled| settled >= rank * RANK_DELAY)
+    }
+
+    /// Owners for shards that have none.
+    fn plan_first(&self, now: Timestamp) -> Vec<Plan> {
+        let unassigned = self.table.unassigned(&self.group).into_iter();
+        let free = unassigned.filter(|shard| self.proposals.of(*shard).is_empty());
+        free.filter_map(|shard| self.plan_owner(shard, 1, now)).collect()
+    }
+
+    /// Gives up owners that nobody else can replace, in two steps: first nobody
+    /// decides, then a node decides for ids that no older table reaches.
+    fn plan_abandoned(&self, now: Timestamp) -> Vec<Plan> {
+        let group = self.table.group(&self.group);
+        let free = group.filter(|(shard, _)| self.proposals.of(*shard).is_empty());
+        free.filter_map(|(shard, present)| match is_vacant(present) {
+            true => self.plan_owner(shard, present.epoch + 1, now + TABLE_TERM + self.skew),
+            false => {
+                self.is_abandoned(shard, present, now).then(|| self.plan_vacant(shard, present))
+            }
+        })
+        .collect()
+    }
+
+    fn plan_owner(&self, shard: Shard, epoch: u64, from: Timestamp) -> Option<Plan> {
+        let owner = rendezvous::choose(shard, self.presence.alive())?;
+        let others = self.presence.alive().filter(|node| *node != owner);
+        let deputy = rendezvous::choose(shard, others);
+        let assignment = Assignment { epoch, owner, deputy, from, grace: from };
+        Some(Plan { shard, assignment, replaces: None })
+    }
+
+    fn plan_vacant(&self, shard: Shard, present: &Assignment) -> Plan {
+        let assignment = Assignment {
+            epoch: present.epoch + 1,
+            owner: self.node,
+            deputy: None,
+            from: Timestamp::MAX,
+            grace: Timestamp::MAX,
+        };
+        Plan { shard, assignment, replaces: None }
+    }
+
+    fn is_abandoned(&self, shard: Shard, present: &Assignment, now: Timestamp) -> bool {
+        let is_missing = |node| self.presence.missing_for(node, now) >= ABANDON_AFTER;
+        let is_unarmed = || self.deputed.get(&shard).is_some_and(|it| !it.armed);
+        let has_successor = match present.deputy {
+            Some(deputy) if deputy == self.node => !is_unarmed(),
+            Some(deputy) => !is_missing(deputy),
+            None => false,
+        };
+        is_missing(present.owner) && !has_successor
+    }
+}
--- /dev/null
+++ b/components/tenure/src/hand_over.rs
@@ -0,0 +1,166 @@
+//! Graceful hand-over of shards from a stopping owner to their deputies.
+
+use std::collections::BTreeMap;
+
+use ident::{Incarnation, NodeId, RequestId, Shard, Timestamp};
+use ledger::{Export, Ledger};
+use register::Assignment;
+use serde::{Deserialize, Serialize};
+use wire::WireError;
+
+use crate::{Duty, Tenure, assign::Plan, rendezvous};
+
+/// Shards that a stopping owner passes to one deputy.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Transfer {
+    /// Deputy that continues.
+    pub to: NodeId,
+    /// Start of the owner that gives up its shards.
+    incarnation: Incarnation,
+    /// Start of the deputy that must receive them.
+    receiver: Incarnation,
+    shards: BTreeMap<Shard, Handed>,
+}
+
+/// A shard that is handed over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Handed {
+    /// Owner that gives it up.
+    pub owner: NodeId,
+    /// Epoch of the assignment that the owner knows.
+    pub epoch: u64,
+    /// The ledger is complete for ids made at or after this time.
+    pub from: Timestamp,
+}
+
+/// What became of a hand-over.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Accepted {
+    /// What the receiver must do.
+    pub duties: Vec<Duty>,
+    /// Ids that the predecessor ran and whose outcomes are now in the ledger.
+    pub ended: Vec<RequestId>,
+}
+
+/// What [`wire::HandOver::ledger`] encodes.
+#[derive(Serialize, Deserialize)]
+struct Message {
+    incarnation: Incarnation,
+    receiver: Incarnation,
+    shards: BTreeMap<Shard, Handed>,
+    ledger: Export,
+}
+
+impl Transfer {
+    /// Encodes the transfer with the ledger of its shards.
+    pub fn encode(&self, ledger: &Ledger) -> Vec<u8> {
+        let export = ledger.export(|id| self.shards.contains_key(&Shard::of(id)));
+        let mut shards = self.shards.clone();
+        for handed in shards.values_mut() {
+            handed.from = handed.from.max(export.since);
+        }
+        let Transfer { incarnation, receiver, .. } = *self;
+        wire::encode(&Message { incarnation, receiver, shards, ledger: export })
+    }
+
+    /// Shards that are passed on.
+    pub fn shards(&self) -> impl Iterator<Item = Shard> {
+        self.shards.keys().copied()
+    }
+}
+
+impl Tenure {
+    /// Stops deciding for good and tells which deputy gets which shards.
+    ///
+    /// A shard without a deputy that has answered is not passed on: whoever takes
+    /// it over later does so as after the death of this node.
+    pub fn release(&mut self, _now: Timestamp) -> Vec<Transfer> {
+        if let Some(transfers) = &self.released {
+            return transfers.clone();
+        }
+        let mut transfers: Vec<Transfer> = Vec::new();
+        for (shard, holding) in &self.held {
+            let present = self.table.get(&self.group, *shard);
+            let Some(to) = present.and_then(|it| it.deputy) else { continue };
+            let Some(receiver) = self.promises.incarnation(to) else { continue };
+            if !self.is_ready() || !self.proposals.of(*shard).is_empty() {
+                continue;
+            }
+            let handed = Handed { owner: self.node, epoch: holding.epoch, from: holding.lower };
+            match transfers.iter_mut().find(|it| it.to == to) {
+                Some(transfer) => {
+                    transfer.shards.insert(*shard, handed);
+                }
+                None => transfers.push(Transfer {
+                    to,
+                    incarnation: self.incarnation,
+                    receiver,
+                    shards: BTreeMap::from([(*shard, handed)]),
+                }),
+            }
+        }
+        self.released = Some(transfers.clone());
+        transfers
+    }
+
+    /// The transfers of [`Tenure::release`], to be sent again when the outcomes of
+    /// the last requests are known.
+    pub fn released(&self) -> Vec<Transfer> {
+        self.released.clone().unwrap_or_default()
+    }
+
+    /// Takes over the shards of a stopping owner together with their ledger.
+    ///
+    /// This node decides for them once its assignment is in the log.
+    pub fn accept(
+        &mut self,
+        from: NodeId,
+        message: &[u8],
+        ledger: &mut Ledger,
+        now: Timestamp,
+    ) -> Result<Accepted, WireError> {
+        let message: Message = wire::decode("hand-over", message)?;
+        let ended = ledger.import(message.ledger);
+        let given = self.promises.given(from);
+        let is_outdated = message.receiver != self.incarnation
+            || given.is_some_and(|it| it.incarnation > message.incarnation);
+        if is_outdated || !self.is_ready() || self.released.is_some() {
+            return Ok(Accepted { duties: Vec::new(), ended });
+        }
+        for (shard, handed) in message.shards {
+            let epoch = self.table.get(&self.group, shard).map_or(0, |it| it.epoch);
+            if handed.owner == from && handed.epoch >= epoch {
+                self.accepted.entry(shard).or_insert(handed);
+            }
+        }
+        let plans = self.plan_accepted(now);
+        let shards = self.record(plans, now);
+        let duties = match shards.is_empty() {
+            true => Vec::new(),
+            false => vec![Duty::Assign(shards)],
+        };
+        Ok(Accepted { duties, ended })
+    }
+
+    /// Assignments for the shards whose ledger this node has accepted.
+    pub(crate) fn plan_accepted(&self, now: Timestamp) -> Vec<Plan> {
+        let free = self.accepted.iter().filter(|(shard, _)| self.proposals.of(**shard).is_empty());
+        free.filter_map(|(shard, handed)| self.plan_handed(*shard, handed, now)).collect()
+    }
+
+    fn plan_handed(&self, shard: Shard, handed: &Handed, now: Timestamp) -> Option<Plan> {
+        let present = self.table.get(&self.group, shard)?;
+        let is_current = present.epoch == handed.epoch
+            && present.owner == handed.owner
+            && present.deputy == Some(self.node);
+        let others = self.presence.alive().filter(|it| *it != self.node && *it != handed.owner);
+        let assignment = Assignment {
+            epoch: present.epoch + 1,
+            owner: self.node,
+            deputy: rendezvous::choose(shard, others),
+            from: handed.from,
+            grace: handed.from.max(self.past_all_decided(now)),
+        };
+        is_current.then_some(Plan { shard, assignment, replaces: Some(handed.owner) })
+    }
+}
--- /dev/null
+++ b/components/tenure/src/owner.rs
@@ -0,0 +1,75 @@
+//! What the owner of a shard does about its deputy.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use ident::{NodeId, Shard, Timestamp};
+use register::Assignment;
+
+use crate::{Tenure, assign::Plan, rendezvous};
+
+/// Time that a candidate's promise must still last when it is appointed.
+const CANDIDATE_TERM: Duration = Duration::from_millis(500);
+
+/// Time for which the group must be unchanged before a shard goes without deputy.
+const LONE_AFTER: Duration = Duration::from_secs(1);
+
+impl Tenure {
+    /// Nodes whose promises this node needs.
+    pub(crate) fn deputies(&self, now: Timestamp) -> BTreeSet<NodeId> {
+        let mut deputies: BTreeSet<NodeId> = self.proposals.deputies(self.node).collect();
+        for shard in self.held.keys().filter(|shard| self.holding(**shard).is_some()) {
+            deputies.extend(self.table.get(&self.group, *shard).and_then(|it| it.deputy));
+            if self.needs_deputy(*shard, now) {
+                deputies.extend(self.candidate(*shard, now));
+            }
+        }
+        deputies
+    }
+
+    /// New deputies for shards whose deputy is silent or gone.
+    pub(crate) fn plan_deputies(&self, now: Timestamp) -> Vec<Plan> {
+        let held = self.held.keys().copied();
+        let needing = held.filter(|shard| self.needs_deputy(*shard, now));
+        needing.filter_map(|shard| self.plan_deputy(shard, now)).collect()
+    }
+
+    fn plan_deputy(&self, shard: Shard, now: Timestamp) -> Option<Plan> {
+        let present = self.table.get(&self.group, shard)?;
+        let deputy = self.candidate(shard, now);
+        let is_possible = match deputy {
+            Some(candidate) => self.promises.received(candidate) > now + CANDIDATE_TERM,
+            None => present.deputy.is_some() && self.is_alone(now),
+        };
+        let past = self.past_all_decided(now);
+        let assignment = Assignment {
+            epoch: present.epoch + 1,
+            deputy,
+            grace: past.max(present.from),
+            ..*present
+        };
+        is_possible.then_some(Plan { shard, assignment, replaces: None })
+    }
+
+    fn needs_deputy(&self, shard: Shard, now: Timestamp) -> bool {
+        let Some(present) = self.table.get(&self.group, shard) else { return false };
+        let pending = self.proposals.of(shard);
+        let latest = pending.last().map_or(present.deputy, |it| it.assignment.deputy);
+        match latest {
+            Some(deputy) => self.is_unavailable(deputy, now),
+            None => pending.is_empty() && self.presence.settled_for(now).is_some(),
+        }
+    }
+
+    fn candidate(&self, shard: Shard, now: Timestamp) -> Option<NodeId> {
+        let others = self.presence.alive().filter(|node| *node != self.node);
+        rendezvous::choose(shard, others.filter(|node| !self.is_unavailable(*node, now)))
+    }
+
+    fn is_alone(&self, now: Timestamp) -> bool {
+        self.presence.settled_for(now).is_some_and(|settled| settled >= LONE_AFTER)
+    }
+
+    fn is_unavailable(&self, node: NodeId, now: Timestamp) -> bool {
+        self.promises.is_silent(node, now) || self.presence.is_gone(node)
+    }
+}
--- /dev/null
+++ b/components/tenure/src/presence.rs
@@ -0,0 +1,101 @@
+//! Which nodes of the group are held alive, and for how long that has stood.
+
+use std::{
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
+
+use ident::{NodeId, Timestamp};
+
+/// Time for which the group must stay unchanged before shards move.
+const SETTLE_TIME: Duration = Duration::from_secs(1);
+
+/// Gap between two ticks that counts as a pause of this process.
+const PAUSE: Duration = Duration::from_secs(1);
+
+/// Nodes that membership holds alive, sorted.
+#[derive(Debug)]
+pub(crate) struct Presence {
+    alive: Vec<NodeId>,
+    seen: HashSet<NodeId>,
+    changed_at: Timestamp,
+    ticked_at: Timestamp,
+    resumed_at: Timestamp,
+    missing: HashMap<NodeId, Timestamp>,
+}
+
+impl Presence {
+    pub(crate) fn new(start: Timestamp) -> Presence {
+        Presence {
+            alive: Vec::new(),
+            seen: HashSet::new(),
+            changed_at: start,
+            ticked_at: start,
+            resumed_at: start,
+            missing: HashMap::new(),
+        }
+    }
+
+    /// Takes the nodes held alive; a pause of this process counts as a change.
+    pub(crate) fn update(&mut self, alive: &[NodeId], now: Timestamp) {
+        let mut alive = alive.to_vec();
+        alive.sort_unstable();
+        alive.dedup();
+        if alive != self.alive {
+            self.changed_at = now;
+        }
+        if now.since(self.ticked_at) > PAUSE {
+            self.changed_at = now;
+            self.resumed_at = now;
+            self.missing.clear();
+        }
+        self.ticked_at = now;
+        self.seen.extend(alive.iter().copied());
+        self.alive = alive;
+    }
+
+    /// Notes which of the nodes in the table are missing.
+    pub(crate) fn note(&mut self, nodes: impl Iterator<Item = NodeId>, now: Timestamp) {
+        for node in nodes {
+            self.missing.entry(node).or_insert(now);
+        }
+        let alive = &self.alive;
+        self.missing.retain(|node, _| !alive.contains(node));
+    }
+
+    /// Nodes held alive.
+    pub(crate) fn alive(&self) -> impl Iterator<Item = NodeId> {
+        self.alive.iter().copied()
+    }
+
+    /// Whether `node` is held alive.
+    pub(crate) fn holds(&self, node: NodeId) -> bool {
+        self.alive.binary_search(&node).is_ok()
+    }
+
+    /// Whether `node` was held alive earlier and is not now.
+    pub(crate) fn is_gone(&self, node: NodeId) -> bool {
+        self.seen.contains(&node) && !self.holds(node)
+    }
+
+    /// Whether this process has run long enough to have heard from its peers.
+    pub(crate) fn is_awake(&self, now: Timestamp) -> bool {
+        now.since(self.resumed_at) >= SETTLE_TIME
+    }
+
+    /// Time for which `node` has been missing.
+    pub(crate) fn missing_for(&self, node: NodeId, now: Timestamp) -> Duration {
+        self.missing.get(&node).map_or(Duration::ZERO, |since| now.since(*since))
+    }
+
+    /// Time that has passed since the group settled; `None` while it changes.
+    pub(crate) fn settled_for(&self, now: Timestamp) -> Option<Duration> {
+        now.since(self.changed_at).checked_sub(SETTLE_TIME)
+    }
+
+    /// Position of `node` among the nodes held alive.
+    pub(crate) fn rank(&self, node: NodeId) -> u32 {
+        let before = self.alive.iter().filter(|it| **it < node).count();
+        u32::try_from(before).unwrap_or(u32::MAX)
+    }
+}
--- /dev/null
+++ b/components/tenure/src/rendezvous.rs
@@ -0,0 +1,18 @@
+//! Rendezvous hashing: spreads shards over nodes evenly, and moves few of them
+//! when nodes come or go.
+
+use std::fmt::Write as _;
+
+use ident::{NodeId, Shard};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Picks a node for the shard.
+pub(crate) fn choose(shard: Shard, nodes: impl Iterator<Item = NodeId>) -> Option<NodeId> {
+    nodes.max_by_key(|node| (weight(shard, *node), *node))
+}
+
+fn weight(shard: Shard, node: NodeId) -> u64 {
+    let mut key = String::new();
+    write!(key, "{shard} {node}").expect("writing to a string does not fail");
+    xxh3_64(key.as_bytes())
+}
--- a/components/wire/src/datagram.rs
+++ b/components/wire/src/datagram.rs
@@ -46,6 +46,8 @@
     PromiseRequest {
         /// Owner that asks.
         owner: NodeId,
+        /// Its current start.
+        incarnation: Incarnation,
         /// First log offset that the owner has not applied.
         next_offset: u64,
     },
@@ -72,6 +74,10 @@
     pub deputy: NodeId,
     /// Its current start.
     pub incarnation: Incarnation,
+    /// Start of the owner that asked.
+    pub to: Incarnation,
+    /// First log offset that the deputy has not applied.
+    pub next_offset: u64,
     /// The deputy will decide no id of the owner's made before this time.
     pub until: Timestamp,
 }
