Place tasks on workers and run jobs at their owner

A job is whole or failed, so one lost worker loses it: its tasks are packed on as few workers as hold them, on the tightest that holds all, and load is spread between jobs by comparing 16 workers from a random position on. Workers that fail two jobs in a row are ejected and return by probation; stragglers and accelerators for tasks that need none are a last resort.

--- /dev/null
+++ b/components/jobs/src/decision.rs
@@ -0,0 +1,50 @@
+//! Decisions about jobs, as they are logged.
+
+use node::{Decision, Step};
+use placement::{Choice, Resources};
+use verdict::Refusal;
+
+use crate::{job::Job, refusal::Cause};
+
+/// A task was placed on a worker.
+pub(crate) fn placed(job: &Job, index: u32, choice: Choice) -> Decision {
+    let size = Resources::of(&job.spec.tasks[index as usize]);
+    Decision {
+        id: job.spec.id,
+        step: Step::Place,
+        node: Some(choice.node),
+        reason: None,
+        verdict: None,
+        candidates: Vec::new(),
+        detail: format!(
+            "task {index} of {} ({size}); the worker has {} left",
+            job.total(),
+            choice.left
+        ),
+    }
+}
+
+/// A job was refused, or has failed.
+pub(crate) fn refused(job: &Job, cause: &Cause, refusal: &Refusal) -> Decision {
+    let step = match cause {
+        Cause::Cancelled => Step::Cancel,
+        Cause::Invalid(_)
+        | Cause::CannotFit(_)
+        | Cause::TooLong { .. }
+        | Cause::Overloaded { .. }
+        | Cause::NoRoom { .. }
+        | Cause::Failed { .. }
+        | Cause::Lost { .. }
+        | Cause::TooLarge
+        | Cause::DeadlineMissed => Step::Refuse,
+    };
+    Decision {
+        id: job.spec.id,
+        step,
+        node: None,
+        reason: Some(refusal.reason),
+        verdict: Some(refusal.verdict()),
+        candidates: Vec::new(),
+        detail: refusal.message.clone(),
+    }
+}
--- a/components/jobs/src/jobs.rs
+++ b/components/jobs/src/jobs.rs
@@ -1,22 +1,52 @@
 //! All jobs that an agent coordinates.
 
+use std::{collections::HashMap, time::Duration};
+
 use config::Inventory;
 use ident::{RequestId, Timestamp};
 use placement::Placer;
-use wire::{JobSpec, JobStatus};
+use verdict::{Answer, Outcome};
+use wire::{JobSpec, JobStatus, TaskSpec};
+
+use crate::{
+    Action, TaskResult,
+    decision::{placed, refused},
+    job::{Job, LEASE, Started},
+    refusal::{Cause, refuse},
+    results,
+    waiting::Waiting,
+    wakes::Wakes,
+};
 
-use crate::{Action, TaskResult};
+/// Workers that may refuse a task before its job fails.
+const MAX_REFUSALS: u32 = 8;
+/// Waiting jobs that are tried whenever room may have been freed.
+const PLACED_JOBS: usize = 8;
+/// Jobs that may wait for workers.
+const MAX_WAITING_JOBS: usize = 1_000;
+/// Rank of an urgency that the inventory does not declare.
+const UNKNOWN_RANK: u8 = u8::MAX;
 
 /// All jobs that an agent coordinates.
 #[derive(Debug)]
 pub struct Jobs {
     placer: Placer,
+    ranks: HashMap<String, u8>,
+    jobs: HashMap<RequestId, Job>,
+    waiting: Waiting,
+    wakes: Wakes,
 }
 
 impl Jobs {
     /// Starts with no jobs; tasks go where `placer` says.
     pub fn new(placer: Placer) -> Jobs {
-        Jobs { placer }
+        Jobs {
+            placer,
+            ranks: HashMap::new(),
+            jobs: HashMap::new(),
+            waiting: Waiting::default(),
+            wakes: Wakes::default(),
+        }
     }
 
     /// The placer, to be told of reports and of nodes that are gone.
@@ -27,46 +57,242 @@
     /// Takes over workers and urgencies of a new inventory.
     pub fn set_inventory(&mut self, inventory: &Inventory) {
         self.placer.set_inventory(inventory);
+        self.ranks = inventory.urgencies.iter().map(|it| (it.name.clone(), it.rank)).collect();
     }
 
     /// Starts a job that its owner has decided to start; a job that runs is left alone.
-    pub fn submit(&mut self, _spec: JobSpec, _now: Timestamp) -> Vec<Action> {
-        Vec::new()
+    pub fn submit(&mut self, spec: JobSpec, now: Timestamp) -> Vec<Action> {
+        let id = spec.id;
+        if self.jobs.contains_key(&id) {
+            return Vec::new();
+        }
+        let rank = self.ranks.get(&spec.urgency).copied().unwrap_or(UNKNOWN_RANK);
+        let job = Job::new(spec, rank, now);
+        let refused = self.check(&job);
+        self.jobs.insert(id, job);
+        if let Some(cause) = refused {
+            return self.fail(id, &cause);
+        }
+        self.update(id);
+        let mut actions = self.place_waiting(now);
+        if let Some(wait) = self.hopeless_wait(id, now) {
+            actions.extend(self.fail(id, &Cause::Overloaded { wait }));
+        }
+        actions
     }
 
     /// Takes the result of a task that was started.
     pub fn on_task(
         &mut self,
-        _job: RequestId,
-        _index: u32,
-        _result: TaskResult,
-        _now: Timestamp,
+        job: RequestId,
+        index: u32,
+        result: TaskResult,
+        now: Timestamp,
     ) -> Vec<Action> {
-        Vec::new()
+        let Some(running) = self.jobs.get(&job) else { return Vec::new() };
+        let Some(started) = running.started(index) else { return Vec::new() };
+        self.placer.release(started.node, &running.spec.tasks[index as usize]);
+        match result {
+            TaskResult::Done(answer) if is_success(&answer) => {
+                self.on_done(job, index, started, answer, now)
+            }
+            TaskResult::Done(answer) => {
+                self.placer.on_failed(started.node, job, now);
+                let status = answer.status;
+                self.fail(job, &Cause::Failed { index, node: started.node, status })
+            }
+            TaskResult::Refused => self.on_refused(job, index, started, now),
+            TaskResult::Lost => {
+                self.placer.on_failed(started.node, job, now);
+                self.fail(job, &Cause::Lost { index, node: started.node })
+            }
+        }
     }
 
     /// Ends a job and stops its tasks.
-    pub fn cancel(&mut self, _job: RequestId, _now: Timestamp) -> Vec<Action> {
-        Vec::new()
+    pub fn cancel(&mut self, job: RequestId, _now: Timestamp) -> Vec<Action> {
+        self.fail(job, &Cause::Cancelled)
     }
 
     /// Ends jobs whose deadline has passed, renews leases and starts waiting tasks.
-    pub fn tick(&mut self, _now: Timestamp) -> Vec<Action> {
-        Vec::new()
+    pub fn tick(&mut self, now: Timestamp) -> Vec<Action> {
+        let mut actions = Vec::new();
+        while let Some(id) = self.wakes.next_due(now) {
+            actions.extend(self.wake(id, now));
+        }
+        actions.extend(self.place_waiting(now));
+        actions
     }
 
     /// State of a job that runs.
-    pub fn status(&self, _job: RequestId) -> Option<JobStatus> {
-        None
+    pub fn status(&self, job: RequestId) -> Option<JobStatus> {
+        self.jobs.get(&job).map(Job::status)
     }
 
     /// Number of jobs that run.
     pub fn len(&self) -> usize {
-        0
+        self.jobs.len()
     }
 
     /// Whether no job runs.
     pub fn is_empty(&self) -> bool {
-        self.len() == 0
+        self.jobs.is_empty()
+    }
+
+    /// Why the job cannot be started at all, if so.
+    fn check(&self, job: &Job) -> Option<Cause> {
+        if let Some(message) = job.invalid() {
+            return Some(Cause::Invalid(message));
+        }
+        for (index, task) in job.spec.tasks.iter().enumerate() {
+            if let Err(err) = self.placer.can_ever_fit(task) {
+                return Some(Cause::CannotFit(format!("tasks[{index}].{err}")));
+            }
+        }
+        let declared = job.longest_run();
+        if declared.min(self.placer.expected_run(declared)) > job.spec.budget {
+            return Some(Cause::TooLong { declared });
+        }
+        if self.waiting.len() >= MAX_WAITING_JOBS {
+            return Some(Cause::Overloaded { wait: self.waiting_time(job.submitted) });
+        }
+        None
+    }
+
+    /// How long the job would wait, if that leaves too little time for its tasks.
+    fn hopeless_wait(&self, id: RequestId, now: Timestamp) -> Option<Duration> {
+        let job = self.jobs.get(&id)?;
+        let wait = self.waiting_time(now);
+        let too_long = wait + job.longest_run() > job.spec.budget;
+        (job.never_started() && !wait.is_zero() && too_long).then_some(wait)
+    }
+
+    /// Time that the first waiting job has waited.
+    fn waiting_time(&self, now: Timestamp) -> Duration {
+        let first = self.waiting.first(1).into_iter().next();
+        let job = first.and_then(|id| self.jobs.get(&id));
+        job.map_or(Duration::ZERO, |job| now.since(job.submitted))
+    }
+
+    fn on_done(
+        &mut self,
+        id: RequestId,
+        index: u32,
+        started: Started,
+        answer: Answer,
+        now: Timestamp,
+    ) -> Vec<Action> {
+        let Some(job) = self.jobs.get_mut(&id) else { return Vec::new() };
+        let declared = Duration::from_millis(job.spec.tasks[index as usize].run_ms);
+        self.placer.on_done(started.node, id, declared, now.since(started.at), now);
+        job.finish(index, answer);
+        let mut actions = match job.answers() {
+            Some(answers) => match results::join(&answers) {
+                Some(answer) => self.complete(id, answer),
+                None => self.fail(id, &Cause::TooLarge),
+            },
+            None => Vec::new(),
+        };
+        self.update(id);
+        actions.extend(self.place_waiting(now));
+        actions
+    }
+
+    fn on_refused(
+        &mut self,
+        id: RequestId,
+        index: u32,
+        started: Started,
+        now: Timestamp,
+    ) -> Vec<Action> {
+        let Some(job) = self.jobs.get_mut(&id) else { return Vec::new() };
+        self.placer.on_refused(started.node, now);
+        if job.refuse(index) >= MAX_REFUSALS {
+            return self.fail(id, &Cause::NoRoom { index });
+        }
+        self.update(id);
+        self.place_waiting(now)
+    }
+
+    /// Ends the job if its deadline has passed, else renews its leases.
+    fn wake(&mut self, id: RequestId, now: Timestamp) -> Vec<Action> {
+        let Some(job) = self.jobs.get_mut(&id) else { return Vec::new() };
+        if job.deadline <= now {
+            return self.fail(id, &Cause::DeadlineMissed);
+        }
+        let due = job.renew(now);
+        self.update(id);
+        due.into_iter().map(|node| Action::Renew { node, job: id, lease: LEASE }).collect()
+    }
+
+    /// Starts tasks of the first waiting jobs.
+    fn place_waiting(&mut self, now: Timestamp) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for id in self.waiting.first(PLACED_JOBS) {
+            actions.extend(self.place(id, now));
+            let Some(job) = self.jobs.get(&id) else { continue };
+            if job.is_waiting() && job.used_half(now) {
+                // Smaller jobs must not keep this one from its room any longer.
+                break;
+            }
+        }
+        actions
+    }
+
+    /// Starts the waiting tasks of a job for which there is room.
+    fn place(&mut self, id: RequestId, now: Timestamp) -> Vec<Action> {
+        let Some(job) = self.jobs.get_mut(&id) else { return Vec::new() };
+        let waiting: Vec<u32> = job.waiting().collect();
+        let tasks: Vec<&TaskSpec> =
+            waiting.iter().map(|index| &job.spec.tasks[*index as usize]).collect();
+        let placement = self.placer.place(&tasks, now);
+        let mut actions = Vec::new();
+        for (index, choice) in waiting.into_iter().zip(placement.choices) {
+            let Some(choice) = choice else { continue };
+            actions.push(Action::Decide(placed(job, index, choice)));
+            let start = job.start(index, choice.node, now);
+            actions.push(Action::Start { node: choice.node, start });
+        }
+        self.update(id);
+        actions
+    }
+
+    fn complete(&mut self, id: RequestId, answer: Answer) -> Vec<Action> {
+        self.remove(id);
+        vec![Action::Ended { job: id, outcome: Outcome::Done(answer) }]
     }
+
+    /// Ends a job without an answer and stops what may run of it.
+    fn fail(&mut self, id: RequestId, cause: &Cause) -> Vec<Action> {
+        let Some(job) = self.remove(id) else { return Vec::new() };
+        let refusal = refuse(&job, cause);
+        for (index, started) in job.running() {
+            self.placer.release(started.node, &job.spec.tasks[index as usize]);
+        }
+        let decision = Action::Decide(refused(&job, cause, &refusal));
+        let ended = Action::Ended { job: id, outcome: Outcome::Refused(refusal) };
+        let stops = job.nodes().map(|node| Action::Stop { node, job: id });
+        [decision, ended].into_iter().chain(stops).collect()
+    }
+
+    fn remove(&mut self, id: RequestId) -> Option<Job> {
+        let job = self.jobs.remove(&id)?;
+        self.waiting.remove(job.entry());
+        self.wakes.remove(id);
+        Some(job)
+    }
+
+    /// Puts the job where its present state belongs.
+    fn update(&mut self, id: RequestId) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        self.wakes.set(id, job.wake_at());
+        match job.is_waiting() {
+            true => self.waiting.add(job.entry()),
+            false => self.waiting.remove(job.entry()),
+        }
+    }
+}
+
+fn is_success(answer: &Answer) -> bool {
+    (200..300).contains(&answer.status)
 }
--- a/components/jobs/src/lib.rs
+++ b/components/jobs/src/lib.rs
@@ -5,9 +5,19 @@
 //! stopped. A task that may have been started is never started again. The
 //! caller of this crate records an outcome in its ledger before it answers, and
 //! asks the ledger, not [`Jobs`], about jobs that have ended.
+//!
+//! Tasks that find no room wait. Jobs wait in the order of their urgency and
+//! age; a smaller job may overtake one that finds no room, until that one has
+//! used up half of its time.
 
 mod action;
+mod decision;
+mod job;
 mod jobs;
+mod refusal;
+mod results;
+mod waiting;
+mod wakes;
 
 pub use crate::{
     action::{Action, TaskResult},
--- /dev/null
+++ b/components/jobs/src/results.rs
@@ -0,0 +1,47 @@
+//! Answer of a job, built from the answers of its tasks.
+
+use serde::Serialize;
+use verdict::Answer;
+
+/// Largest body of a job's answer.
+pub(crate) const MAX_ANSWER_BYTES: usize = wire::MAX_FRAME_BYTES / 2;
+
+/// Body of a job's answer.
+#[derive(Debug)]
+#[derive(Serialize)]
+struct Results<'a> {
+    results: Vec<TaskResult<'a>>,
+}
+
+/// Answer of one task.
+#[derive(Debug)]
+#[derive(Serialize)]
+struct TaskResult<'a> {
+    status: u16,
+    #[serde(flatten)]
+    body: Body<'a>,
+}
+
+#[derive(Debug)]
+#[derive(Serialize)]
+#[serde(rename_all = "snake_case")]
+enum Body<'a> {
+    /// A body in UTF-8.
+    Body(&'a str),
+    /// Any other body, byte by byte.
+    Bytes(&'a [u8]),
+}
+
+/// Joins the answers, which stand in task order, if the result is not too long.
+pub(crate) fn join(answers: &[&Answer]) -> Option<Answer> {
+    let results = answers.iter().map(|answer| TaskResult {
+        status: answer.status,
+        body: match std::str::from_utf8(&answer.body) {
+            Ok(text) => Body::Body(text),
+            Err(_) => Body::Bytes(&answer.body),
+        },
+    });
+    let results = Results { results: results.collect() };
+    let body = serde_json::to_vec(&results).expect("results have only types that JSON can hold");
+    (body.len() <= MAX_ANSWER_BYTES).then_some(Answer { status: 200, body })
+}
--- a/components/placement/src/health.rs
+++ b/components/placement/src/health.rs
@@ -1,48 +1,70 @@
-//! Ejects workers that fail what they start.
+//! Circuit breaker for workers that fail or delay what they start.
 
 use std::time::Duration;
 
 use ident::{RequestId, Timestamp};
 
-/// Failed jobs in a row, without a success between, that eject a worker.
-const EJECT_FAILURES: u32 = 2;
-/// Time for which a worker is first ejected; it doubles with each return.
+/// Jobs in a row, without a good one between, that condemn a worker.
+const BAD_JOBS: u32 = 2;
+/// Time of the first ejection; each one in a row doubles it.
 const FIRST_EJECTION: Duration = Duration::from_secs(1);
-/// Longest time for which a worker is ejected.
-const LONGEST_EJECTION: Duration = Duration::from_secs(32);
+/// Doublings of the ejection time.
+const MAX_DOUBLINGS: u32 = 5;
+/// Time for which a straggler is avoided.
+const SLOW_TERM: Duration = Duration::from_secs(5);
 
 /// Circuit breaker over the tasks of one worker.
 ///
-/// The worker's own agent sees all that it starts and ejects it soonest; a
+/// A job counts once, so that one job with a bad input condemns nobody. The
+/// worker's own agent sees all that it starts and can refuse starts soonest; a
 /// coordinator sees only its own jobs.
 #[derive(Debug, Clone, Default)]
 pub struct Health {
-    failures: u32,
-    last_failed: Option<RequestId>,
+    failed: Streak,
+    slow: Streak,
     ejections: u32,
     ejected_until: Timestamp,
+    slow_until: Timestamp,
+}
+
+/// Different jobs in a row.
+#[derive(Debug, Clone, Default)]
+struct Streak {
+    jobs: u32,
+    last: Option<RequestId>,
 }
 
 impl Health {
     /// Records that a task succeeded, which ends an ejection or probation.
     pub fn on_done(&mut self) {
-        *self = Health::default();
+        self.failed = Streak::default();
+        self.ejections = 0;
+        self.ejected_until = Timestamp::ZERO;
     }
 
-    /// Records that a task of `job` failed; a job counts once.
+    /// Records that a task of `job` failed.
     pub fn on_failed(&mut self, job: RequestId, now: Timestamp) {
-        if self.last_failed == Some(job) {
-            return;
-        }
-        self.last_failed = Some(job);
-        self.failures += 1;
-        if self.failures >= EJECT_FAILURES {
-            let term = FIRST_EJECTION * 2u32.saturating_pow(self.ejections.min(16));
-            self.ejected_until = now + term.min(LONGEST_EJECTION);
+        let counted = self.failed.add(job);
+        if counted && self.failed.jobs >= BAD_JOBS {
+            self.ejected_until = now + FIRST_EJECTION * (1 << self.ejections.min(MAX_DOUBLINGS));
             self.ejections += 1;
         }
     }
 
+    /// Records that a task took as long as others do.
+    pub fn on_prompt(&mut self) {
+        self.slow = Streak::default();
+        self.slow_until = Timestamp::ZERO;
+    }
+
+    /// Records that a task of `job` took many times as long as others do.
+    pub fn on_slow(&mut self, job: RequestId, now: Timestamp) {
+        let counted = self.slow.add(job);
+        if counted && self.slow.jobs >= BAD_JOBS {
+            self.slow_until = now + SLOW_TERM;
+        }
+    }
+
     /// Whether the worker takes no tasks at present.
     pub fn is_ejected(&self, now: Timestamp) -> bool {
         now < self.ejected_until
@@ -52,4 +74,21 @@
     pub fn on_probation(&self, now: Timestamp) -> bool {
         self.ejections > 0 && !self.is_ejected(now)
     }
+
+    /// Whether the worker is a straggler at present.
+    pub fn is_slow(&self, now: Timestamp) -> bool {
+        now < self.slow_until
+    }
+}
+
+impl Streak {
+    /// Counts the job, unless it was the last one counted.
+    fn add(&mut self, job: RequestId) -> bool {
+        if self.last == Some(job) {
+            return false;
+        }
+        self.last = Some(job);
+        self.jobs += 1;
+        true
+    }
 }
--- /dev/null
+++ b/components/placement/src/pending.rs
@@ -0,0 +1,74 @@
+//! Tasks of a job that wait for a worker.
+
+use wire::TaskSpec;
+
+use crate::Resources;
+
+/// Tasks without a worker, the largest first.
+#[derive(Debug, Default)]
+pub(crate) struct Pending {
+    tasks: Vec<PendingTask>,
+    total: Resources,
+}
+
+/// A task without a worker.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct PendingTask {
+    /// Position among the tasks to place.
+    pub(crate) index: usize,
+    pub(crate) size: Resources,
+}
+
+impl Pending {
+    /// Sorts the tasks by size.
+    pub(crate) fn new(tasks: &[&TaskSpec]) -> Pending {
+        let sizes = tasks.iter().map(|task| Resources::of(task)).enumerate();
+        let mut tasks: Vec<PendingTask> =
+            sizes.map(|(index, size)| PendingTask { index, size }).collect();
+        tasks.sort_by_key(|task| {
+            let Resources { cores, memory_mb, accelerators } = task.size;
+            std::cmp::Reverse((accelerators, cores, memory_mb))
+        });
+        let total = tasks.iter().fold(Resources::default(), |sum, task| sum.plus(task.size));
+        Pending { tasks, total }
+    }
+
+    /// Whether every task has a worker.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.tasks.is_empty()
+    }
+
+    /// Size of the largest task.
+    pub(crate) fn largest(&self) -> Option<Resources> {
+        self.tasks.first().map(|task| task.size)
+    }
+
+    /// Size of all tasks together.
+    pub(crate) fn total(&self) -> Resources {
+        self.total
+    }
+
+    /// Takes out the tasks for which `fits` is true, the largest first.
+    pub(crate) fn take(&mut self, mut fits: impl FnMut(Resources) -> bool) -> Vec<PendingTask> {
+        let mut taken = Vec::new();
+        self.tasks.retain(|task| {
+            let take = fits(task.size);
+            if take {
+                taken.push(*task);
+            }
+            !take
+        });
+        for task in &taken {
+            self.total = self.total.minus(task.size);
+        }
+        taken
+    }
+
+    /// Puts tasks back that were taken out.
+    pub(crate) fn put_back(&mut self, tasks: Vec<PendingTask>) {
+        for task in &tasks {
+            self.total = self.total.plus(task.size);
+        }
+        self.tasks.extend(tasks);
+    }
+}
--- a/components/placement/src/placer.rs
+++ b/components/placement/src/placer.rs
@@ -1,16 +1,57 @@
 //! Reservations and the choice of workers.
 
-use config::Inventory;
+use std::{collections::HashMap, time::Duration};
+
+use config::{Inventory, State};
 use ident::{NodeId, RequestId, Timestamp};
-use std::time::Duration;
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use slotmap::{SlotMap, new_key_type};
 use wire::{AgentReport, TaskSpec};
 
-use crate::{CannotFit, Resources};
+use crate::{
+    CannotFit, Resources,
+    fit::Shapes,
+    pending::{Pending, PendingTask},
+    score::Score,
+    worker::{Tier, Worker},
+};
+
+/// Workers with room that are compared in each availability zone.
+const CANDIDATES: usize = 16;
+/// Time for which a worker that refused a start is passed over; it doubles with
+/// each refusal in a row.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(50);
+/// Doublings of the pause.
+const MAX_PAUSE_DOUBLINGS: u32 = 6;
+/// Time for which a report of busy cores counts.
+const REPORT_TERM: Duration = Duration::from_secs(1);
+/// Multiple of the usual run time from which a task was slow.
+const SLOW_RATIO: f64 = 4.0;
+/// Weight of a new run time in the average.
+const PACE_WEIGHT: f64 = 0.02;
+/// Declared run times below this one are too short to compare.
+const MIN_DECLARED: Duration = Duration::from_millis(10);
+/// Memory of a worker is declared in GB, that of a task in MB.
+const MB_PER_GB: u32 = 1024;
+
+new_key_type! {
+    struct WorkerKey;
+}
 
 /// Workers, what is known of their load, and reservations on them.
 #[derive(Debug)]
 pub struct Placer {
-    _zone: String,
+    zone: String,
+    rng: SmallRng,
+    workers: SlotMap<WorkerKey, Worker>,
+    names: HashMap<String, WorkerKey>,
+    nodes: HashMap<NodeId, WorkerKey>,
+    /// Workers of the own availability zone, then the others.
+    order: [Vec<WorkerKey>; 2],
+    shapes: Shapes,
+    eject_percent: u32,
+    /// Usual ratio of real to declared run time.
+    pace: f64,
 }
 
 /// Worker chosen for a task.
@@ -31,38 +72,240 @@
 
 impl Placer {
     /// Starts with no workers; `availability_zone` is preferred, `seed` breaks ties.
-    pub fn new(availability_zone: &str, _seed: u64) -> Placer {
-        Placer { _zone: availability_zone.to_owned() }
+    pub fn new(availability_zone: &str, seed: u64) -> Placer {
+        Placer {
+            zone: availability_zone.to_owned(),
+            rng: SmallRng::seed_from_u64(seed),
+            workers: SlotMap::with_key(),
+            names: HashMap::new(),
+            nodes: HashMap::new(),
+            order: [Vec::new(), Vec::new()],
+            shapes: Shapes::default(),
+            eject_percent: 0,
+            pace: 1.0,
+        }
     }
 
     /// Takes over the workers of a new inventory and keeps what is known of the old ones.
-    pub fn set_inventory(&mut self, _inventory: &Inventory) {}
+    pub fn set_inventory(&mut self, inventory: &Inventory) {
+        self.eject_percent = inventory.rules.eject_percent;
+        self.shapes = Shapes::default();
+        self.order = [Vec::new(), Vec::new()];
+        let mut old = std::mem::take(&mut self.names);
+        for declared in &inventory.workers {
+            let key =
+                old.remove(&declared.name).unwrap_or_else(|| self.workers.insert(Worker::new()));
+            let zone = inventory.rack_zone(&declared.rack).unwrap_or_default();
+            let worker = &mut self.workers[key];
+            worker.capacity = capacity(declared);
+            worker.rack.clone_from(&declared.rack);
+            worker.zone = zone.to_owned();
+            worker.state = declared.state;
+            if declared.state == State::Active {
+                self.shapes.add(worker.capacity, &declared.name);
+            }
+            self.order[usize::from(zone != self.zone)].push(key);
+            self.names.insert(declared.name.clone(), key);
+        }
+        for key in old.into_values() {
+            self.workers.remove(key);
+        }
+        self.nodes.retain(|_, key| self.workers.contains_key(*key));
+    }
 
-    /// Learns where a worker is reached and how many of its cores are busy (`load`).
-    pub fn on_report(&mut self, _report: &AgentReport, _now: Timestamp) {}
+    /// Learns where a worker is reached and how many of its cores are busy.
+    pub fn on_report(&mut self, report: &AgentReport, now: Timestamp) {
+        let Some(key) = self.names.get(&report.name) else { return };
+        let worker = &mut self.workers[*key];
+        let moved_from = worker.node.replace(report.node).filter(|node| *node != report.node);
+        worker.leaving = report.leaving;
+        worker.others = report.load.busy.saturating_sub(worker.reserved.cores);
+        worker.others_until = now + REPORT_TERM;
+        if let Some(node) = moved_from {
+            self.nodes.remove(&node);
+        }
+        self.nodes.insert(report.node, *key);
+    }
 
     /// Stops placing on a node that left or died.
-    pub fn remove(&mut self, _node: NodeId) {}
+    pub fn remove(&mut self, node: NodeId) {
+        let Some(key) = self.nodes.remove(&node) else { return };
+        let worker = &mut self.workers[key];
+        worker.node = None;
+        worker.reserved = Resources::default();
+        worker.others = 0;
+    }
 
     /// Whether some active worker of the inventory is large enough for the task.
-    pub fn can_ever_fit(&self, _task: &TaskSpec) -> Result<(), CannotFit> {
-        Ok(())
+    pub fn can_ever_fit(&self, task: &TaskSpec) -> Result<(), CannotFit> {
+        self.shapes.check(Resources::of(task))
     }
 
     /// Chooses workers for tasks of one job and reserves room on them.
-    pub fn place(&mut self, tasks: &[&TaskSpec], _now: Timestamp) -> Placement {
-        Placement { choices: vec![None; tasks.len()] }
+    pub fn place(&mut self, tasks: &[&TaskSpec], now: Timestamp) -> Placement {
+        let mut pending = Pending::new(tasks);
+        let mut placement = Placement { choices: vec![None; tasks.len()] };
+        let mut racks = Vec::new();
+        for tier in [Tier::Preferred, Tier::LastResort, Tier::Ejected] {
+            if pending.is_empty() || (tier == Tier::Ejected && !self.too_many_ejected(now)) {
+                break;
+            }
+            self.place_on(tier, &mut pending, &mut placement, &mut racks, now);
+        }
+        placement
     }
 
     /// Gives back the room that a task had reserved.
-    pub fn release(&mut self, _node: NodeId, _task: &TaskSpec) {}
+    pub fn release(&mut self, node: NodeId, task: &TaskSpec) {
+        if let Some(worker) = self.at(node) {
+            worker.reserved = worker.reserved.minus(Resources::of(task));
+        }
+    }
 
     /// Records that the worker refused a start, so that others are tried first.
-    pub fn on_refused(&mut self, _node: NodeId, _now: Timestamp) {}
+    pub fn on_refused(&mut self, node: NodeId, now: Timestamp) {
+        if let Some(worker) = self.at(node) {
+            worker.paused_until = now + REFUSAL_PAUSE * (1 << worker.refusals);
+            worker.refusals = MAX_PAUSE_DOUBLINGS.min(worker.refusals + 1);
+        }
+    }
 
-    /// Records that a task succeeded in `took`, where `declared` was expected.
-    pub fn on_done(&mut self, _node: NodeId, _declared: Duration, _took: Duration) {}
+    /// Records that a task of `job` succeeded in `took`, where `declared` was expected.
+    pub fn on_done(
+        &mut self,
+        node: NodeId,
+        job: RequestId,
+        declared: Duration,
+        took: Duration,
+        now: Timestamp,
+    ) {
+        let usual = self.pace;
+        let ratio = took.as_secs_f64() / declared.max(MIN_DECLARED).as_secs_f64();
+        self.pace += PACE_WEIGHT * (ratio.min(usual * SLOW_RATIO) - usual);
+        let Some(worker) = self.at(node) else { return };
+        worker.refusals = 0;
+        worker.health.on_done();
+        match ratio > usual * SLOW_RATIO {
+            true => worker.health.on_slow(job, now),
+            false => worker.health.on_prompt(),
+        }
+    }
 
     /// Records that a task of `job` failed.
-    pub fn on_failed(&mut self, _node: NodeId, _job: RequestId, _now: Timestamp) {}
+    pub fn on_failed(&mut self, node: NodeId, job: RequestId, now: Timestamp) {
+        if let Some(worker) = self.at(node) {
+            worker.health.on_failed(job, now);
+        }
+    }
+
+    /// Run time to expect of a task that declares `declared`.
+    pub fn expected_run(&self, declared: Duration) -> Duration {
+        declared.max(MIN_DECLARED).mul_f64(self.pace)
+    }
+
+    fn at(&mut self, node: NodeId) -> Option<&mut Worker> {
+        self.workers.get_mut(*self.nodes.get(&node)?)
+    }
+
+    fn too_many_ejected(&self, now: Timestamp) -> bool {
+        let open = self.workers.values().filter(|worker| worker.takes_work());
+        let ejected = open.clone().filter(|worker| worker.health.is_ejected(now)).count();
+        ejected * 100 > open.count() * self.eject_percent as usize
+    }
+
+    /// Places what fits on the workers of one tier.
+    fn place_on(
+        &mut self,
+        tier: Tier,
+        pending: &mut Pending,
+        placement: &mut Placement,
+        racks: &mut Vec<String>,
+        now: Timestamp,
+    ) {
+        let mut unplaced = Vec::new();
+        while let Some(largest) = pending.largest() {
+            match self.best(tier, largest, pending.total(), racks, now) {
+                Some(key) => {
+                    self.fill(key, tier, pending, placement, now);
+                    racks.push(self.workers[key].rack.clone());
+                }
+                None => {
+                    let ceiling = self.ceiling(tier, largest, now);
+                    unplaced.extend(pending.take(|size| {
+                        size == largest || (size.is_like(largest) && !size.fits(ceiling))
+                    }));
+                }
+            }
+        }
+        pending.put_back(unplaced);
+    }
+
+    /// Worker of the tier that suits best and has room for the largest task.
+    fn best(
+        &mut self,
+        tier: Tier,
+        largest: Resources,
+        total: Resources,
+        racks: &[String],
+        now: Timestamp,
+    ) -> Option<WorkerKey> {
+        let mut best: Option<(Score, WorkerKey)> = None;
+        for keys in &self.order {
+            let start = self.rng.random_range(0..keys.len().max(1));
+            let (before, after) = keys.split_at(start.min(keys.len()));
+            let scores = after.iter().chain(before).filter_map(|key| {
+                let worker = &self.workers[*key];
+                let room = worker.room(now);
+                let fits = largest.fits(room) && worker.tier(largest, now) == tier;
+                fits.then(|| (Score::new(room, total, racks.contains(&worker.rack)), *key))
+            });
+            for (score, key) in scores.take(CANDIDATES) {
+                if best.is_none_or(|(best, _)| score > best) {
+                    best = Some((score, key));
+                }
+            }
+            if let Some((Score::All { .. }, _)) = best {
+                break;
+            }
+        }
+        best.map(|(_, key)| key)
+    }
+
+    /// Most room of each kind that workers of the tier have for such tasks.
+    fn ceiling(&self, tier: Tier, size: Resources, now: Timestamp) -> Resources {
+        let workers = self.workers.values().filter(|worker| worker.tier(size, now) == tier);
+        workers.fold(Resources::default(), |most, worker| most.max(worker.room(now)))
+    }
+
+    /// Reserves room on the worker for as many tasks as fit.
+    fn fill(
+        &mut self,
+        key: WorkerKey,
+        tier: Tier,
+        pending: &mut Pending,
+        placement: &mut Placement,
+        now: Timestamp,
+    ) {
+        let worker = &mut self.workers[key];
+        let Some(node) = worker.node else { return };
+        let taken = pending.take(|size| {
+            let fits = size.fits(worker.room(now)) && worker.tier(size, now) == tier;
+            if fits {
+                worker.reserved = worker.reserved.plus(size);
+            }
+            fits
+        });
+        let left = worker.room(now);
+        for PendingTask { index, .. } in taken {
+            placement.choices[index] = Some(Choice { node, left });
+        }
+    }
+}
+
+fn capacity(worker: &config::Worker) -> Resources {
+    Resources {
+        cores: worker.cores,
+        memory_mb: worker.memory_gb.saturating_mul(MB_PER_GB),
+        accelerators: worker.accelerators,
+    }
 }
--- a/components/placement/src/resources.rs
+++ b/components/placement/src/resources.rs
@@ -28,6 +28,20 @@
             && self.accelerators <= room.accelerators
     }
 
+    /// Whether both or neither need accelerators.
+    pub fn is_like(self, other: Resources) -> bool {
+        (self.accelerators > 0) == (other.accelerators > 0)
+    }
+
+    /// The greater of both in each field.
+    pub fn max(self, other: Resources) -> Resources {
+        Resources {
+            cores: self.cores.max(other.cores),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
     /// The sum, at most the largest value of each field.
     pub fn plus(self, other: Resources) -> Resources {
         Resources {
