--- a/components/front/src/server.rs
+++ b/components/front/src/server.rs
@@ -20,7 +20,7 @@
 use node::{CallerReply, CallerRequest, CallerToken};
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot},
+    sync::{OwnedSemaphorePermit, Semaphore, oneshot},
     time::{sleep, timeout},
 };
 use verdict::{Reason, Refusal};
@@ -71,24 +71,32 @@
 }
 
 /// HTTP side of a node; clones share it.
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 pub struct Front {
     shared: Arc<Shared>,
 }
 
-#[derive(Debug)]
+/// Where reports of callers' connections go.
+type Sink = Box<dyn Fn(FromCaller) + Send + Sync>;
+
 struct Shared {
-    callers: Option<mpsc::UnboundedSender<FromCaller>>,
+    sink: Option<Sink>,
     pages: Pages,
     limits: Limits,
     next_token: AtomicU64,
 }
 
 impl Front {
-    /// Serves the API and the pages. The channel is bounded by the limit on
-    /// connections, since each has at most one request in progress.
-    pub fn new(callers: mpsc::UnboundedSender<FromCaller>, pages: Pages, limits: Limits) -> Front {
-        Front::with(Some(callers), pages, limits)
+    /// Serves the API and the pages.
+    ///
+    /// Each connection has at most one request in progress, so that the limit on
+    /// connections bounds what goes to `sink`.
+    pub fn new(
+        sink: impl Fn(FromCaller) + Send + Sync + 'static,
+        pages: Pages,
+        limits: Limits,
+    ) -> Front {
+        Front::with(Some(Box::new(sink)), pages, limits)
     }
 
     /// Serves the pages only.
@@ -96,13 +104,9 @@
         Front::with(None, pages, limits)
     }
 
-    fn with(
-        callers: Option<mpsc::UnboundedSender<FromCaller>>,
-        pages: Pages,
-        limits: Limits,
-    ) -> Front {
+    fn with(sink: Option<Sink>, pages: Pages, limits: Limits) -> Front {
         let next_token = AtomicU64::new(0);
-        Front { shared: Arc::new(Shared { callers, pages, limits, next_token }) }
+        Front { shared: Arc::new(Shared { sink, pages, limits, next_token }) }
     }
 }
 
@@ -242,15 +246,13 @@
     /// Passes a request to the core and waits for the reply.
     async fn ask(&self, request: CallerRequest) -> Response<Full<Bytes>> {
         let id = id_of(&request);
-        let Some(callers) = &self.shared.callers else {
+        let Some(sink) = &self.shared.sink else {
             return render_error(&RequestError::unknown("path", "This node takes no requests."));
         };
         let token = CallerToken(self.shared.next_token.fetch_add(1, Ordering::Relaxed));
         let (reply, receiver) = oneshot::channel();
-        if callers.send(FromCaller::Request { token, request, reply }).is_err() {
-            return render_refusal(id, None, &stopped());
-        }
-        let mut gone = Gone { token, callers, armed: true };
+        sink(FromCaller::Request { token, request, reply });
+        let mut gone = Gone { token, sink, armed: true };
         let reply = receiver.await;
         gone.armed = false;
         match reply {
@@ -263,14 +265,14 @@
 /// Reports a caller whose connection closes before the reply.
 struct Gone<'a> {
     token: CallerToken,
-    callers: &'a mpsc::UnboundedSender<FromCaller>,
+    sink: &'a Sink,
     armed: bool,
 }
 
 impl Drop for Gone<'_> {
     fn drop(&mut self) {
         if self.armed {
-            let _ = self.callers.send(FromCaller::Gone { token: self.token });
+            (self.sink)(FromCaller::Gone { token: self.token });
         }
     }
 }
--- a/components/link/src/channel.rs
+++ b/components/link/src/channel.rs
@@ -26,6 +26,9 @@
 /// Bytes that may wait to be written to one connection.
 const MAX_QUEUED_BYTES: usize = 4 * MAX_FRAME_BYTES;
 
+/// Frames that are written before the socket is flushed.
+const MAX_BATCH_FRAMES: usize = 64;
+
 /// Receiving half of a connection.
 pub(crate) struct Reader {
     frames: FramedRead<OwnedReadHalf, LengthDelimitedCodec>,
@@ -97,21 +100,24 @@
     /// Writes queued frames until the outbox is dropped or the connection fails.
     pub(crate) async fn run(mut self) -> io::Result<()> {
         while let Some(first) = self.queue.recv().await {
-            self.feed(first).await?;
-            while let Ok(next) = self.queue.try_recv() {
-                self.feed(next).await?;
+            let mut written = self.feed(first).await?;
+            for _ in 1..MAX_BATCH_FRAMES {
+                let Ok(next) = self.queue.try_recv() else { break };
+                written += self.feed(next).await?;
             }
             SinkExt::<Bytes>::flush(&mut self.frames).await?;
+            self.queued_bytes.fetch_sub(written, Ordering::Relaxed);
         }
         Ok(())
     }
 
-    async fn feed(&mut self, queued: Queued) -> io::Result<()> {
-        self.queued_bytes.fetch_sub(queued.bytes.len(), Ordering::Relaxed);
-        match queued.ticket.begin() {
-            true => self.frames.feed(queued.bytes).await,
-            false => Ok(()),
+    /// Passes a frame to the socket unless it was taken back; returns its size.
+    async fn feed(&mut self, queued: Queued) -> io::Result<usize> {
+        let len = queued.bytes.len();
+        if queued.ticket.begin() {
+            self.frames.feed(queued.bytes).await?;
         }
+        Ok(len)
     }
 }
 
@@ -136,6 +142,11 @@
         Ok(ticket)
     }
 
+    /// Whether every queued frame has been passed to the socket.
+    pub(crate) fn is_flushed(&self) -> bool {
+        self.queued_bytes.load(Ordering::Relaxed) == 0
+    }
+
     /// Whether the writer has ended.
     pub(crate) fn is_closed(&self) -> bool {
         self.queue.is_closed()
--- a/components/link/src/connection.rs
+++ b/components/link/src/connection.rs
@@ -12,6 +12,7 @@
 
 use node::LinkError;
 use tokio::sync::oneshot;
+use tokio_util::sync::CancellationToken;
 use wire::{Call, CallId, Frame, Reply};
 
 use crate::{
@@ -23,7 +24,7 @@
 const SILENCE_LIMIT: Duration = Duration::from_millis(1000);
 
 /// Time without a call after which a connection is closed.
-const IDLE_LIMIT: Duration = Duration::from_secs(30);
+const IDLE_LIMIT: Duration = Duration::from_secs(5);
 
 /// An open connection; clones share it.
 #[derive(Clone)]
@@ -57,13 +58,22 @@
 
 impl Connection {
     /// Starts the tasks of a connection on which both sides have said hello.
-    pub(crate) fn start(reader: Reader, writer: Writer, outbox: Outbox) -> Connection {
+    pub(crate) fn start(
+        reader: Reader,
+        writer: Writer,
+        outbox: Outbox,
+        closing: CancellationToken,
+    ) -> Connection {
         let shared = Arc::new(Shared {
             next_call: AtomicU64::new(0),
             waiting: Mutex::new(Waiting::default()),
         });
         let connection = Connection { shared: Arc::clone(&shared), outbox: outbox.clone() };
-        tokio::spawn(drive(shared, reader, writer, outbox));
+        let driven = Arc::clone(&shared);
+        tokio::spawn(async move {
+            closing.run_until_cancelled(drive(&driven, reader, writer, outbox)).await;
+            driven.close();
+        });
         connection
     }
 
@@ -138,17 +148,16 @@
 }
 
 /// Runs the connection until it ends, is silent for too long or idle.
-async fn drive(shared: Arc<Shared>, reader: Reader, writer: Writer, outbox: Outbox) {
+async fn drive(shared: &Shared, reader: Reader, writer: Writer, outbox: Outbox) {
     let pulse = Pulse::default();
     let result = tokio::select! {
-        result = read(&shared, reader, &outbox, &pulse) => result,
+        result = read(shared, reader, &outbox, &pulse) => result,
         result = writer.run() => result,
-        () = watch(&shared, &outbox, &pulse) => Ok(()),
+        () = watch(shared, &outbox, &pulse) => Ok(()),
     };
     if let Err(err) = result {
         log::debug!("a connection to a peer failed: {err}");
     }
-    shared.close();
 }
 
 async fn read(
--- a/components/link/src/dial.rs
+++ b/components/link/src/dial.rs
@@ -4,10 +4,11 @@
 
 use ident::{Incarnation, NodeId};
 use tokio::{net::TcpStream, time::timeout};
+use tokio_util::sync::CancellationToken;
 use wire::Frame;
 
 use crate::{
-    channel::{Reader, split},
+    channel::{Outbox, Reader, Writer, split},
     connection::Connection,
 };
 
@@ -22,16 +23,22 @@
     node: NodeId,
     incarnation: Incarnation,
     to: NodeId,
+    closing: CancellationToken,
 ) -> io::Result<Connection> {
-    timeout(OPEN_TIMEOUT, open(node, incarnation, to)).await?
+    let (reader, writer, outbox) = timeout(OPEN_TIMEOUT, open(node, incarnation, to)).await??;
+    Ok(Connection::start(reader, writer, outbox, closing))
 }
 
-async fn open(node: NodeId, incarnation: Incarnation, to: NodeId) -> io::Result<Connection> {
+async fn open(
+    node: NodeId,
+    incarnation: Incarnation,
+    to: NodeId,
+) -> io::Result<(Reader, Writer, Outbox)> {
     let stream = TcpStream::connect(to.0).await?;
     let (mut reader, mut writer, outbox) = split(stream)?;
     writer.write(&Frame::Hello { node, incarnation }).await?;
     expect_hello(&mut reader, to).await?;
-    Ok(Connection::start(reader, writer, outbox))
+    Ok((reader, writer, outbox))
 }
 
 async fn expect_hello(reader: &mut Reader, to: NodeId) -> io::Result<()> {
--- a/components/link/src/peers.rs
+++ b/components/link/src/peers.rs
@@ -13,16 +13,20 @@
 use ident::{Incarnation, NodeId};
 use node::LinkError;
 use tokio::time::{Instant, timeout_at};
+use tokio_util::sync::{CancellationToken, DropGuard};
 use wire::{Call, Reply};
 
 use crate::{connection::Connection, dial::dial};
 
-/// Connections to peers, one for each; clones share them.
+/// Connections to peers, one for each; clones share them, and the last one
+/// closes them.
 #[derive(Clone)]
 pub struct Peers {
     node: NodeId,
     incarnation: Incarnation,
     connections: Arc<Mutex<HashMap<NodeId, Attempt>>>,
+    closing: CancellationToken,
+    _guard: Arc<DropGuard>,
 }
 
 /// An attempt to open a connection, which all callers of the peer wait for.
@@ -31,7 +35,9 @@
 impl Peers {
     /// Makes calls in the name of `node`; nothing is opened yet.
     pub fn new(node: NodeId, incarnation: Incarnation) -> Peers {
-        Peers { node, incarnation, connections: Arc::default() }
+        let closing = CancellationToken::new();
+        let guard = Arc::new(closing.clone().drop_guard());
+        Peers { node, incarnation, connections: Arc::default(), closing, _guard: guard }
     }
 
     /// Calls a peer and waits for its reply, at most for `timeout`.
@@ -71,7 +77,7 @@
 
     /// Opens a connection in a task of its own, whoever goes on to wait for it.
     fn start(&self, to: NodeId) -> Attempt {
-        let task = tokio::spawn(dial(self.node, self.incarnation, to));
+        let task = tokio::spawn(dial(self.node, self.incarnation, to, self.closing.clone()));
         let result = async move {
             match task.await {
                 Ok(Ok(connection)) => Some(connection),
--- a/components/link/src/server.rs
+++ b/components/link/src/server.rs
@@ -34,6 +34,9 @@
 /// Time to wait after the listener has failed, for example for lack of files.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Time between two looks at replies that have yet to be written.
+const FLUSH_PAUSE: Duration = Duration::from_millis(5);
+
 /// A call that a peer has made.
 #[derive(Debug)]
 pub struct Incoming {
@@ -92,6 +95,16 @@
         }
     }
 
+    /// Waits until every reply has been passed to its socket, at most for `limit`.
+    pub async fn flush(&self, limit: Duration) {
+        let flushed = async {
+            while !self.lock().values().all(|accepted| accepted.outbox.is_flushed()) {
+                sleep(FLUSH_PAUSE).await;
+            }
+        };
+        let _ = timeout(limit, flushed).await;
+    }
+
     /// Number of connections that are open.
     pub fn open_connections(&self) -> usize {
         self.lock().len()
