--- /dev/null
+++ b/components/agent/src/coordinate.rs
@@ -0,0 +1,150 @@
+//! Jobs whose ids this agent owns.
+
+use std::{collections::HashMap, time::Duration};
+
+use ident::{NodeId, RequestId};
+use jobs::{Action, TaskResult};
+use ledger::{Admit, Entry};
+use node::{LinkError, ReplyTo};
+use verdict::{Outcome, Proof, Reason, Refusal};
+use wire::{Call, JobSpec, JobStatus, Reply, Status};
+
+use crate::{Agent, awaiting::Asked, work::Pending};
+
+/// Time that a worker has beyond the job's deadline to report the end of a task.
+const TASK_GRACE: Duration = Duration::from_secs(5);
+
+/// Time after which a call that only informs a peer counts as lost.
+const NOTICE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Callers that wait for the end of jobs.
+#[derive(Debug, Default)]
+pub struct JobWaiters {
+    by_job: HashMap<RequestId, Vec<ReplyTo>>,
+}
+
+impl JobWaiters {
+    fn add(&mut self, job: RequestId, waiter: ReplyTo) {
+        self.by_job.entry(job).or_default().push(waiter);
+    }
+
+    fn take(&mut self, job: RequestId) -> Vec<ReplyTo> {
+        self.by_job.remove(&job).unwrap_or_default()
+    }
+}
+
+impl Agent {
+    /// Decides whether a job may start; answers when it has ended.
+    pub(crate) fn on_submit(&mut self, from: ReplyTo, spec: JobSpec) {
+        let id = spec.id;
+        if self.jobs.status(id).is_some() {
+            return self.job_waiters.add(id, from);
+        }
+        if let Some(Entry::Finished(outcome)) = self.ledger.get(id) {
+            return self.reply(from, Reply::Job(JobStatus::Ended(outcome)));
+        }
+        if let Err(refusal) = self.check_authority(id) {
+            return self.refuse_job(from, refusal);
+        }
+        match self.ledger.admit(id, spec.attempt, spec.submitted, self.now) {
+            Admit::Start if spec.over_quota => {
+                let message = format!("Team {:?} has used up its quota.", spec.team);
+                let proof = Proof::owner_never_started();
+                let refusal = Refusal::not_run(proof, Reason::OverQuota, message)
+                    .with_retry_after(Duration::from_secs(1));
+                self.ledger.refuse(id, spec.attempt, refusal.clone(), self.now);
+                self.refuse_job(from, refusal);
+            }
+            Admit::Start => {
+                self.job_waiters.add(id, from);
+                let actions = self.jobs.submit(spec, self.now);
+                self.act(actions);
+            }
+            Admit::Attach => self.await_predecessor(from, Asked::Job, id, spec.budget),
+            Admit::Repeat(outcome) => self.reply(from, Reply::Job(JobStatus::Ended(outcome))),
+            Admit::Refused(refusal) => self.refuse_job(from, refusal),
+        }
+    }
+
+    fn refuse_job(&mut self, to: ReplyTo, refusal: Refusal) {
+        self.reply(to, Reply::Job(JobStatus::Ended(Outcome::Refused(refusal))));
+    }
+
+    /// Tells how far a job is.
+    pub(crate) fn on_ask_job(&mut self, from: ReplyTo, id: RequestId) {
+        if let Some(status) = self.jobs.status(id) {
+            return self.reply(from, Reply::Job(status));
+        }
+        match self.ledger.get(id) {
+            Some(Entry::Finished(outcome)) => {
+                self.reply(from, Reply::Job(JobStatus::Ended(outcome)));
+            }
+            Some(Entry::Running | Entry::Refused(_)) | None => {
+                self.reply(from, Reply::Status(Status::Unknown));
+            }
+        }
+    }
+
+    /// Ends a job that runs and stops its tasks.
+    pub(crate) fn cancel_job(&mut self, from: ReplyTo, id: RequestId) {
+        let actions = self.jobs.cancel(id, self.now);
+        self.act(actions);
+        let status = match self.ledger.get(id) {
+            Some(Entry::Finished(outcome)) => Status::Ended(outcome),
+            Some(Entry::Running | Entry::Refused(_)) | None => Status::Running,
+        };
+        self.reply(from, Reply::Status(status));
+    }
+
+    /// Advances the jobs' deadlines and leases.
+    pub(crate) fn tick_jobs(&mut self) {
+        let actions = self.jobs.tick(self.now);
+        self.act(actions);
+    }
+
+    /// Takes the result of a task that runs beside another agent.
+    pub(crate) fn on_task_reply(
+        &mut self,
+        job: RequestId,
+        index: u32,
+        _node: NodeId,
+        reply: Result<Reply, LinkError>,
+    ) {
+        let result = match reply {
+            Ok(Reply::Task(outcome)) => TaskResult::from(outcome),
+            Err(LinkError::NotSent) => TaskResult::Refused,
+            Ok(_) | Err(LinkError::Lost) => TaskResult::Lost,
+        };
+        let actions = self.jobs.on_task(job, index, result, self.now);
+        self.act(actions);
+    }
+
+    fn act(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Start { node, start } => {
+                    let pending = Pending::Task { job: start.job, index: start.index, node };
+                    let timeout = start.budget + TASK_GRACE;
+                    self.call(pending, node, Call::StartTask(start), timeout);
+                }
+                Action::Renew { node, job, lease } => {
+                    let call = Call::RenewTasks { job, lease };
+                    self.call(Pending::Notice, node, call, NOTICE_TIMEOUT);
+                }
+                Action::Stop { node, job } => {
+                    let call = Call::StopTasks { job };
+                    self.call(Pending::Notice, node, call, NOTICE_TIMEOUT);
+                }
+                Action::Ended { job, outcome } => self.end_job(job, outcome),
+                Action::Decide(decision) => self.decide(decision),
+            }
+        }
+    }
+
+    fn end_job(&mut self, job: RequestId, outcome: Outcome) {
+        self.ledger.finish(job, outcome.clone(), self.now);
+        for waiter in self.job_waiters.take(job) {
+            self.reply(waiter, Reply::Job(JobStatus::Ended(outcome.clone())));
+        }
+    }
+}
--- /dev/null
+++ b/components/agent/src/delegate.rs
@@ -0,0 +1,151 @@
+//! Requests that another agent has handed on to this one, and the answers to
+//! those that this one has handed on.
+
+use std::time::Duration;
+
+use ident::{NodeId, Timestamp};
+use ledger::Admit;
+use node::{LinkError, PeerToken, ReplyTo};
+use routing::{Sample, SampleOutcome};
+use verdict::{Outcome, Proof, Reason, Refusal, Verdict};
+use wire::{Call, Reply, Run, RunReply, Status};
+
+use crate::{
+    Agent, call_key,
+    place::run_timeout,
+    work::{Origin, Pending, WorkKey},
+};
+
+/// Times that a silent delegate is asked by id before the request counts as lost.
+const MAX_ASKED: u32 = 3;
+
+impl Agent {
+    /// Runs a request whose owner has decided to start it.
+    pub(crate) fn on_execute(&mut self, from: ReplyTo, run: Run) {
+        if self.attach(from, run.id) {
+            return;
+        }
+        if !self.takes_work() {
+            let message = format!("{} takes no new requests.", self.me.node);
+            let proof = Proof::attempt_never_started();
+            let refusal = Refusal::not_run(proof, Reason::NoEndpoint, message);
+            return self.refuse(from, run.id, refusal);
+        }
+        match self.delegated.admit(run.id, run.attempt, run.submitted, self.now) {
+            Admit::Start => self.begin(from, run, Origin::Delegate),
+            Admit::Attach => self.reply(from, Reply::Status(Status::Unknown)),
+            Admit::Repeat(outcome) => self.reply_outcome(from, outcome),
+            Admit::Refused(refusal) => self.refuse(from, run.id, refusal),
+        }
+    }
+
+    /// Takes the end of a call to a peer.
+    pub(crate) fn on_peer_replied(&mut self, token: PeerToken, reply: Result<Reply, LinkError>) {
+        let Some(pending) = self.calls.remove(call_key(token)) else { return };
+        match pending {
+            Pending::HandOn { work, node, sent, asked } => {
+                self.on_handed_on(work, node, sent, asked, reply);
+            }
+            Pending::Task { job, index, node } => self.on_task_reply(job, index, node, reply),
+            Pending::HandOver => self.on_handed_over(reply),
+            Pending::Notice => {}
+        }
+    }
+
+    fn on_handed_on(
+        &mut self,
+        key: WorkKey,
+        node: NodeId,
+        sent: Timestamp,
+        asked: u32,
+        reply: Result<Reply, LinkError>,
+    ) {
+        match reply {
+            Ok(Reply::Run(reply)) => self.on_delegate_answer(key, node, sent, reply),
+            Err(LinkError::NotSent) if asked == 0 => self.offer_elsewhere(key, node, sent),
+            Ok(Reply::Status(Status::Unknown)) => self.lose(key, node, sent),
+            Ok(_) | Err(LinkError::Lost | LinkError::NotSent) => {
+                self.ask_again(key, node, sent, asked);
+            }
+        }
+    }
+
+    fn on_delegate_answer(&mut self, key: WorkKey, node: NodeId, sent: Timestamp, reply: RunReply) {
+        let Some(work) = self.works.get(key) else { return };
+        let end = match &reply.outcome {
+            Outcome::Done(answer) if answer.status >= 500 => SampleOutcome::Failed,
+            Outcome::Done(_) => SampleOutcome::Healthy,
+            Outcome::Refused(refusal) => match refusal.verdict() {
+                Verdict::NotRun => SampleOutcome::Refused,
+                Verdict::MayHaveRun | Verdict::Done => SampleOutcome::Lost,
+            },
+        };
+        let sample = Sample {
+            kind: &work.run.kind,
+            declared: work.run.declared,
+            expected: work.expected,
+            sent_at: sent,
+            run_time: reply.run_time,
+            outcome: end,
+            load: Some(reply.load),
+        };
+        self.router.on_reply(node, &sample, self.now);
+        match reply.outcome.verdict() {
+            Verdict::NotRun => {
+                let work = &mut self.works[key];
+                work.tried.push(node);
+                self.place(key);
+            }
+            Verdict::MayHaveRun | Verdict::Done => {
+                self.finish(key, reply.outcome, reply.ran_on, reply.run_time);
+            }
+        }
+    }
+
+    fn offer_elsewhere(&mut self, key: WorkKey, node: NodeId, sent: Timestamp) {
+        self.observe_failure(key, node, sent, SampleOutcome::Lost);
+        let Some(work) = self.works.get_mut(key) else { return };
+        work.tried.push(node);
+        self.place(key);
+    }
+
+    fn observe_failure(
+        &mut self,
+        key: WorkKey,
+        node: NodeId,
+        sent: Timestamp,
+        outcome: SampleOutcome,
+    ) {
+        let Some(work) = self.works.get(key) else { return };
+        let sample = Sample {
+            kind: &work.run.kind,
+            declared: work.run.declared,
+            expected: work.expected,
+            sent_at: sent,
+            run_time: Duration::ZERO,
+            outcome,
+            load: None,
+        };
+        self.router.on_reply(node, &sample, self.now);
+    }
+
+    /// Asks a silent delegate by id over a new connection; the request itself is
+    /// never sent a second time.
+    fn ask_again(&mut self, key: WorkKey, node: NodeId, sent: Timestamp, asked: u32) {
+        if asked >= MAX_ASKED {
+            return self.lose(key, node, sent);
+        }
+        let Some(work) = self.works.get(key) else { return };
+        let id = work.run.id;
+        let timeout = run_timeout(work.expected, self.time_left(work.deadline));
+        let pending = Pending::HandOn { work: key, node, sent, asked: asked + 1 };
+        self.call(pending, node, Call::Await(id), timeout);
+    }
+
+    fn lose(&mut self, key: WorkKey, node: NodeId, sent: Timestamp) {
+        self.observe_failure(key, node, sent, SampleOutcome::Lost);
+        let message = format!("{node} was given the request and has been lost; it may have run.");
+        let refusal = Refusal::may_have_run(Reason::ConnectionLost, message);
+        self.finish(key, Outcome::Refused(refusal), Some(node), Duration::ZERO);
+    }
+}
--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -1,41 +1,190 @@
 //! Core of the process beside an endpoint.
+//!
+//! An agent decides for the shards that it owns whether an id may start, queues
+//! requests in front of its endpoint, hands them on to other agents of its
+//! group when its endpoint is busy, and answers whoever asked. It is pure: an
+//! [`Event`] and a time go in, [`Effect`]s come out.
 
-use ident::{Group, Incarnation, NodeId, Timestamp};
-use node::{Effect, Event};
-
-/// What an agent is told at its start.
-#[derive(Debug, Clone)]
-pub struct Options {
-    /// Address that it listens on for its peers.
-    pub node: NodeId,
-    /// Its current start.
-    pub incarnation: Incarnation,
-    /// Name of its endpoint in the inventory.
-    pub name: String,
-    /// Group that it serves.
-    pub group: Group,
-    /// Availability zone that it stands in.
-    pub availability_zone: String,
-    /// Entries to announce itself to.
-    pub seeds: Vec<NodeId>,
-    /// Seed of its randomness.
-    pub seed: u64,
-}
+mod awaiting;
+mod coordinate;
+mod delegate;
+mod membership;
+mod options;
+mod own;
+mod place;
+mod stop;
+mod tasks;
+mod work;
+
+use std::{collections::HashMap, sync::Arc};
+
+use config::Inventory;
+use ident::{Group, RequestId, Timestamp};
+use jobs::Jobs;
+use ledger::Ledger;
+use members::Members;
+use node::{Decision, Effect, Event, ExecToken, PeerToken, ReplyTo, TaskToken};
+use placement::Placer;
+use queue::Queue;
+use rand::{SeedableRng, rngs::StdRng};
+use register::State;
+use routing::Router;
+use slotmap::{Key, KeyData, SlotMap};
+use tenure::Tenure;
+use wire::{Call, Reply};
+
+pub use crate::options::Options;
+use crate::{
+    awaiting::Awaiting,
+    coordinate::JobWaiters,
+    stop::Phase,
+    tasks::LocalTask,
+    work::{CallKey, Pending, Work, WorkKey},
+};
 
 /// State of an agent.
-#[derive(Debug)]
 pub struct Agent {
-    _options: Options,
+    me: Options,
+    now: Timestamp,
+    effects: Vec<Effect>,
+    rng: StdRng,
+    state: Arc<State>,
+    read_at: Timestamp,
+    phase: Phase,
+    tenure: Tenure,
+    ledger: Ledger,
+    delegated: Ledger,
+    queue: Queue<WorkKey>,
+    works: SlotMap<WorkKey, Work>,
+    by_id: HashMap<RequestId, WorkKey>,
+    calls: SlotMap<CallKey, Pending>,
+    router: Router,
+    members: Members,
+    sequence: u64,
+    beat_at: Timestamp,
+    expire_at: Timestamp,
+    jobs: Jobs,
+    job_waiters: JobWaiters,
+    awaiting: Awaiting,
+    tasks: SlotMap<tasks::TaskKey, LocalTask>,
 }
 
 impl Agent {
     /// Starts an agent that knows nothing yet.
     pub fn new(options: Options) -> Agent {
-        Agent { _options: options }
+        let inventory = Inventory::default();
+        let rules = &inventory.rules;
+        Agent {
+            now: Timestamp::ZERO,
+            effects: Vec::new(),
+            rng: StdRng::seed_from_u64(options.seed),
+            state: Arc::new(State::default()),
+            read_at: Timestamp::ZERO,
+            phase: Phase::Running,
+            tenure: Tenure::new(
+                options.node,
+                options.incarnation,
+                options.group.clone(),
+                rules.skew(),
+            ),
+            ledger: Ledger::new(work::ledger_limits(rules)),
+            delegated: Ledger::new(work::ledger_limits(rules)),
+            queue: Queue::new(0, place::QUEUE_LIMIT),
+            works: SlotMap::with_key(),
+            by_id: HashMap::new(),
+            calls: SlotMap::with_key(),
+            router: Router::new(options.availability_zone.clone()),
+            members: Members::new(options.node, options.availability_zone.clone(), &options.seeds),
+            sequence: 0,
+            beat_at: Timestamp::ZERO,
+            expire_at: Timestamp::ZERO,
+            jobs: Jobs::new(Placer::new(&options.availability_zone, options.seed)),
+            job_waiters: JobWaiters::default(),
+            awaiting: Awaiting::default(),
+            tasks: SlotMap::with_key(),
+            me: options,
+        }
     }
 
     /// Reacts to an event.
-    pub fn handle(&mut self, _now: Timestamp, _event: Event) -> Vec<Effect> {
-        Vec::new()
+    pub fn handle(&mut self, now: Timestamp, event: Event) -> Vec<Effect> {
+        self.now = now;
+        match event {
+            Event::Call { from, call, .. } => self.on_call(from, call),
+            Event::PeerReplied { token, reply } => self.on_peer_replied(token, reply),
+            Event::Executed { token, result, took } => self.on_executed(token, result, took),
+            Event::TaskEnded { token, result, took } => self.on_task_ended(token, result, took),
+            Event::Datagram(datagram) => self.on_datagram(datagram),
+            Event::State { state, read_at } => self.on_state(state, read_at),
+            Event::Tick => self.on_tick(),
+            Event::Stop => self.on_stop(),
+            Event::Caller { .. } | Event::CallerGone { .. } | Event::Explain { .. } => {}
+        }
+        self.start_queued();
+        self.finish_stop();
+        std::mem::take(&mut self.effects)
+    }
+
+    fn on_call(&mut self, from: ReplyTo, call: Call) {
+        match call {
+            Call::Run(run) => self.on_run(from, run),
+            Call::Execute(run) => self.on_execute(from, run),
+            Call::Cancel(cancel) => self.on_cancel(from, cancel.id),
+            Call::Ask(id) => self.on_ask(from, id),
+            Call::Await(id) => self.on_await(from, id),
+            Call::Submit(spec) => self.on_submit(from, spec),
+            Call::AskJob(id) => self.on_ask_job(from, id),
+            Call::StartTask(start) => self.on_start_task(from, start),
+            Call::RenewTasks { job, lease } => self.on_renew_tasks(from, job, lease),
+            Call::StopTasks { job } => self.on_stop_tasks(from, job),
+            Call::Fetch(fetch) => self.on_fetch(from, fetch),
+            Call::HandOver(hand_over) => self.on_hand_over(from, &hand_over),
+        }
+    }
+
+    fn on_tick(&mut self) {
+        self.refuse_late();
+        self.tick_membership();
+        self.tick_tenure();
+        self.tick_jobs();
+        self.tick_awaiting();
+        self.expire();
+    }
+
+    fn reply(&mut self, to: ReplyTo, reply: Reply) {
+        self.effects.push(Effect::Reply { to, reply });
+    }
+
+    fn decide(&mut self, decision: Decision) {
+        self.effects.push(Effect::Decide(decision));
+    }
+
+    /// Group whose shards this agent shares.
+    fn group(&self) -> &Group {
+        &self.me.group
     }
 }
+
+fn exec_token(key: WorkKey) -> ExecToken {
+    ExecToken(key.data().as_ffi())
+}
+
+fn work_key(token: ExecToken) -> WorkKey {
+    KeyData::from_ffi(token.0).into()
+}
+
+fn peer_token(key: CallKey) -> PeerToken {
+    PeerToken(key.data().as_ffi())
+}
+
+fn call_key(token: PeerToken) -> CallKey {
+    KeyData::from_ffi(token.0).into()
+}
+
+fn task_token(key: tasks::TaskKey) -> TaskToken {
+    TaskToken(key.data().as_ffi())
+}
+
+fn task_key(token: TaskToken) -> tasks::TaskKey {
+    KeyData::from_ffi(token.0).into()
+}
--- /dev/null
+++ b/components/agent/src/membership.rs
@@ -0,0 +1,186 @@
+//! Heartbeats, the replicated state, and ownership of shards.
+
+use std::sync::Arc;
+
+use ident::{NodeId, Timestamp};
+use members::HEARTBEAT_INTERVAL;
+use node::{Effect, ReplyTo};
+use rand::RngExt;
+use register::{Record, State};
+use tenure::Duty;
+use uuid::Builder;
+use wire::{AgentReport, Datagram, Fetch, Reply, Snapshot};
+
+use crate::{Agent, stop::Phase, work};
+
+impl Agent {
+    /// Takes a datagram.
+    pub(crate) fn on_datagram(&mut self, datagram: Datagram) {
+        match datagram {
+            Datagram::HeartbeatAck { from, next_offset, read_at, entries, near, peers } => {
+                self.members.on_ack(from, next_offset, self.now);
+                self.members.on_entries(&entries, self.now);
+                self.members.on_near(&near, self.now);
+                self.on_offset(from, next_offset, read_at);
+                for peer in peers {
+                    self.on_peer(&peer);
+                }
+            }
+            Datagram::PromiseRequest { owner, incarnation, next_offset } => {
+                let tenure = &mut self.tenure;
+                let promise = tenure.on_promise_request(owner, incarnation, next_offset, self.now);
+                if let Some(promise) = promise {
+                    self.send(owner, Datagram::Promise(promise));
+                }
+            }
+            Datagram::Promise(promise) => self.tenure.on_promise(&promise, self.now),
+            Datagram::Heartbeat(_) | Datagram::Gossip { .. } => {}
+        }
+    }
+
+    fn on_offset(&mut self, entry: NodeId, next_offset: u64, read_at: Timestamp) {
+        if next_offset > self.state.next_offset {
+            self.effects.push(Effect::Refresh { peer: Some(entry) });
+        } else if read_at > self.read_at {
+            self.read_at = read_at;
+            self.tenure.on_state(&self.state.table, self.state.next_offset, read_at, self.now);
+        }
+    }
+
+    fn on_peer(&mut self, report: &AgentReport) {
+        if report.node == self.me.node {
+            return;
+        }
+        self.members.on_report(report, self.now);
+        self.router.on_report(report, self.now);
+        self.router.set_suspected(report.node, false);
+        self.jobs.placer().on_report(report, self.now);
+    }
+
+    /// Takes newer state.
+    pub(crate) fn on_state(&mut self, state: Arc<State>, read_at: Timestamp) {
+        if state.next_offset < self.state.next_offset {
+            return;
+        }
+        let changed = state.version() != self.state.version();
+        self.state = state;
+        self.read_at = self.read_at.max(read_at);
+        if changed {
+            self.apply_config();
+        }
+        let next_offset = self.state.next_offset;
+        self.tenure.on_state(&self.state.table, next_offset, self.read_at, self.now);
+    }
+
+    fn apply_config(&mut self) {
+        let Some(config) = self.state.config.clone() else { return };
+        let inventory = &config.inventory;
+        let rules = &inventory.rules;
+        self.tenure.set_skew(rules.skew());
+        self.ledger.set_limits(work::ledger_limits(rules));
+        self.delegated.set_limits(work::ledger_limits(rules));
+        self.router.set_inventory(inventory);
+        self.jobs.set_inventory(inventory);
+        if let Some(executor) = inventory.executor(&self.me.name) {
+            self.queue.set_slots(executor.slots);
+        }
+    }
+
+    /// Sends the state to a peer that is behind.
+    pub(crate) fn on_fetch(&mut self, from: ReplyTo, fetch: Fetch) {
+        let snapshot = (fetch.have < self.state.next_offset).then(|| Snapshot {
+            next_offset: self.state.next_offset,
+            read_at: self.read_at,
+            state: self.state.encode(),
+        });
+        self.reply(from, Reply::State(snapshot));
+    }
+
+    /// Sends heartbeats that are due and forgets peers that are gone.
+    pub(crate) fn tick_membership(&mut self) {
+        if self.now >= self.beat_at {
+            self.beat_at = self.now + HEARTBEAT_INTERVAL;
+            self.send_heartbeats();
+        }
+        for event in self.members.tick(self.now) {
+            match event {
+                members::Event::Suspected(node) => {
+                    self.router.set_suspected(node, true);
+                    self.jobs.placer().remove(node);
+                }
+                members::Event::Gone(node) => {
+                    self.router.remove(node);
+                    self.jobs.placer().remove(node);
+                }
+                members::Event::EntryGone(_) => {}
+            }
+        }
+    }
+
+    /// Announces this agent to its entries.
+    pub(crate) fn send_heartbeats(&mut self) {
+        self.sequence += 1;
+        let report = AgentReport {
+            node: self.me.node,
+            incarnation: self.me.incarnation,
+            sequence: self.sequence,
+            name: self.me.name.clone(),
+            group: self.me.group.clone(),
+            availability_zone: self.me.availability_zone.clone(),
+            leaving: self.phase != Phase::Running,
+            load: self.load(),
+            next_offset: self.state.next_offset,
+        };
+        self.router.on_report(&report, self.now);
+        self.jobs.placer().on_report(&report, self.now);
+        let targets = match self.phase {
+            Phase::Running => self.members.next_heartbeat().into_iter().collect(),
+            Phase::Stopping | Phase::HandingOver | Phase::Stopped => {
+                self.members.heartbeat_entries()
+            }
+        };
+        for entry in targets {
+            self.send(entry, Datagram::Heartbeat(report.clone()));
+        }
+    }
+
+    /// Carries out what ownership of shards demands.
+    pub(crate) fn tick_tenure(&mut self) {
+        if self.phase != Phase::Running || self.state.config.is_none() {
+            return;
+        }
+        let mut alive = self.members.alive(&self.me.group);
+        alive.push(self.me.node);
+        alive.sort_unstable();
+        let duties = self.tenure.tick(self.now, &alive);
+        self.carry_out(duties);
+    }
+
+    pub(crate) fn carry_out(&mut self, duties: Vec<Duty>) {
+        for duty in duties {
+            match duty {
+                Duty::AskPromise { deputy } => {
+                    let request = self.tenure.promise_request();
+                    self.send(deputy, request);
+                }
+                Duty::Assign(shards) => {
+                    let record = Builder::from_random_bytes(self.rng.random());
+                    self.effects.push(Effect::Append(Record::Assign {
+                        record: record.into_uuid(),
+                        by: self.me.node,
+                        group: self.me.group.clone(),
+                        shards,
+                    }));
+                }
+                Duty::Refresh => {
+                    let peer = self.members.ahead(self.state.next_offset);
+                    self.effects.push(Effect::Refresh { peer });
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, node: NodeId, datagram: Datagram) {
+        self.effects.push(Effect::Send { node, datagram });
+    }
+}
--- /dev/null
+++ b/components/agent/src/stop.rs
@@ -0,0 +1,102 @@
+//! Graceful shutdown: nothing new, nothing cut off, the ledger handed over.
+
+use std::time::Duration;
+
+use node::{Effect, LinkError, ReplyTo};
+use tenure::Transfer;
+use wire::{Call, HandOver, Reply};
+
+use crate::{
+    Agent,
+    work::{Pending, Stage, WorkKey},
+};
+
+/// Time that the receiver of a ledger has to accept it.
+const HAND_OVER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// How far the shutdown has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// No shutdown was asked for.
+    Running,
+    /// Requests in progress are finished.
+    Stopping,
+    /// The outcomes of those requests are handed over.
+    HandingOver,
+    /// The process may exit.
+    Stopped,
+}
+
+impl Agent {
+    /// Starts the shutdown.
+    pub(crate) fn on_stop(&mut self) {
+        if self.phase != Phase::Running {
+            return;
+        }
+        self.phase = Phase::Stopping;
+        self.send_heartbeats();
+        let transfers = self.tenure.release(self.now);
+        self.hand_over(transfers);
+        for key in self.queued() {
+            self.queue.remove(key);
+            self.place(key);
+        }
+    }
+
+    /// Moves on when the present phase has nothing left to wait for.
+    pub(crate) fn finish_stop(&mut self) {
+        let idle = self.works.is_empty() && self.tasks.is_empty() && self.jobs.is_empty();
+        match self.phase {
+            Phase::Running | Phase::Stopped => {}
+            Phase::Stopping if idle && !self.is_handing_over() => {
+                self.phase = Phase::HandingOver;
+                let transfers = self.tenure.released();
+                self.hand_over(transfers);
+                self.finish_stop();
+            }
+            Phase::HandingOver if idle && !self.is_handing_over() => {
+                self.phase = Phase::Stopped;
+                self.effects.push(Effect::Stopped);
+            }
+            Phase::Stopping | Phase::HandingOver => {}
+        }
+    }
+
+    fn queued(&self) -> Vec<WorkKey> {
+        let queued = self.works.iter().filter(|(_, work)| work.stage == Stage::Queued);
+        queued.map(|(key, _)| key).collect()
+    }
+
+    fn is_handing_over(&self) -> bool {
+        self.calls.values().any(|pending| matches!(pending, Pending::HandOver))
+    }
+
+    fn hand_over(&mut self, transfers: Vec<Transfer>) {
+        for transfer in transfers {
+            let ledger = transfer.encode(&self.ledger);
+            let call = Call::HandOver(HandOver { from: self.me.node, ledger });
+            self.call(Pending::HandOver, transfer.to, call, HAND_OVER_TIMEOUT);
+        }
+    }
+
+    /// Takes the reply to a hand-over; without one the receiver takes over
+    /// later, as after the death of this agent.
+    pub(crate) fn on_handed_over(&mut self, _reply: Result<Reply, LinkError>) {}
+
+    /// Continues with the shards and the ledger of a stopping owner.
+    pub(crate) fn on_hand_over(&mut self, from: ReplyTo, hand_over: &HandOver) {
+        let (from_node, bytes) = (hand_over.from, &hand_over.ledger);
+        match self.tenure.accept(from_node, bytes, &mut self.ledger, self.now) {
+            Ok(accepted) => {
+                self.carry_out(accepted.duties);
+                for id in accepted.ended {
+                    self.answer_awaiting(id);
+                }
+            }
+            Err(err) => self.effects.push(Effect::Warn(format!(
+                "The ledger handed over by {from_node} was not accepted: {err}."
+            ))),
+        }
+        self.reply(from, Reply::Ack);
+    }
+}
--- /dev/null
+++ b/components/entry/src/answer.rs
@@ -0,0 +1,67 @@
+//! Final answers to callers.
+
+use ident::{NodeId, RequestId};
+use node::{CallerReply, CallerToken, Decision, Effect, Step};
+use verdict::{Outcome, Refusal};
+use wire::JobStatus;
+
+use crate::{
+    Entry,
+    request::{Payload, RequestKey},
+};
+
+impl Entry {
+    /// Answers the caller and forgets the request.
+    pub(crate) fn end(&mut self, key: RequestKey, outcome: Outcome, ran_on: Option<NodeId>) {
+        let Some(request) = self.requests.remove(key) else { return };
+        self.by_token.remove(&request.token);
+        let id = request.id();
+        let reply = match request.payload {
+            Payload::Run(_) => CallerReply::Outcome { id: Some(id), outcome, ran_on },
+            Payload::Job(_) => CallerReply::Job { id, status: JobStatus::Ended(outcome) },
+        };
+        self.effects.push(Effect::Respond { token: request.token, reply });
+    }
+
+    /// Refuses the request and forgets it.
+    pub(crate) fn end_refused(&mut self, key: RequestKey, refusal: Refusal) {
+        let id = self.requests[key].id();
+        self.decide_refusal(id, &refusal);
+        self.end(key, Outcome::Refused(refusal), None);
+    }
+
+    /// Refuses a request that passed no further than the filters.
+    pub(crate) fn respond_refused(
+        &mut self,
+        token: CallerToken,
+        id: Option<RequestId>,
+        refusal: Refusal,
+    ) {
+        if let Some(id) = id {
+            self.decide_refusal(id, &refusal);
+        }
+        let outcome = Outcome::Refused(refusal);
+        let reply = CallerReply::Outcome { id, outcome, ran_on: None };
+        self.effects.push(Effect::Respond { token, reply });
+    }
+
+    /// Forgets a caller that closed its connection; its request goes on, so that
+    /// a resubmission finds the answer.
+    pub(crate) fn on_caller_gone(&mut self, token: CallerToken) {
+        if let Some(key) = self.by_token.remove(&token) {
+            self.requests.remove(key);
+        }
+    }
+
+    fn decide_refusal(&mut self, id: RequestId, refusal: &Refusal) {
+        self.decide(Decision {
+            id,
+            step: Step::Refuse,
+            node: None,
+            reason: Some(refusal.reason),
+            verdict: Some(refusal.verdict()),
+            candidates: Vec::new(),
+            detail: refusal.message.clone(),
+        });
+    }
+}
--- /dev/null
+++ b/components/entry/src/filter.rs
@@ -0,0 +1,279 @@
+//! Filters that a request passes before it is routed.
+//!
+//! Each filter turns what the one before it produced into a stronger type or a
+//! refusal. A request with a field that no process would accept is `not_run`
+//! whatever its id; a refusal for load or quota is `not_run` here only for an id
+//! that this entry made, as an earlier submission may have used any other.
+
+use std::{sync::Arc, time::Duration};
+
+use ident::{Group, RequestId, Timestamp};
+use node::{CallerToken, Job, Request as CallerRequest};
+use quota::OverQuota;
+use rand::RngExt;
+use register::Config;
+use verdict::{Proof, Reason, Refusal};
+use wire::{JobSpec, Run, TaskSpec};
+
+use crate::{
+    Entry, Phase,
+    request::{Due, Payload, Request, Route, Timer},
+};
+
+/// Most tasks that a job may have.
+pub const MAX_TASKS: usize = 340;
+
+/// Longest deadline that a caller may ask for.
+const MAX_DEADLINE: Duration = Duration::from_secs(600);
+
+/// Pause after which a caller may try an entry that cannot serve yet.
+const NOT_READY_RETRY: Duration = Duration::from_secs(1);
+
+/// A request whose fields are valid, with its place in the rules.
+struct Classified {
+    payload: Payload,
+    group: Group,
+    route: Route,
+    chosen: bool,
+    team: String,
+    starts: u32,
+    expected: Duration,
+    deadline: Duration,
+}
+
+impl Entry {
+    /// Takes a caller's request.
+    pub(crate) fn on_request(&mut self, token: CallerToken, request: CallerRequest) {
+        let id = request.id;
+        let classified = self.config(id).and_then(|config| self.classify(&config, request));
+        self.admit(token, id, classified);
+    }
+
+    /// Takes a caller's job.
+    pub(crate) fn on_job(&mut self, token: CallerToken, job: Job) {
+        let id = job.id;
+        let classified = self.config(id).and_then(|config| self.classify_job(&config, job));
+        self.admit(token, id, classified);
+    }
+
+    fn config(&self, id: Option<RequestId>) -> Result<Arc<Config>, Refusal> {
+        if self.phase != Phase::Running {
+            let message = "This entry is shutting down; send the request to another.";
+            return Err(unsent(id, Reason::ShuttingDown, message.to_owned()));
+        }
+        self.state.config.clone().ok_or_else(|| {
+            let message = "This entry has no configuration yet; try again shortly.";
+            unsent(id, Reason::NotConfigured, message.to_owned()).with_retry_after(NOT_READY_RETRY)
+        })
+    }
+
+    fn classify(&mut self, config: &Config, request: CallerRequest) -> Result<Classified, Refusal> {
+        let inventory = &config.inventory;
+        if inventory.service(&request.service).is_none() {
+            let message = format!("service {:?} is not declared.", request.service);
+            return Err(unknown(request.id, message));
+        }
+        let Some(kind) = inventory.kind(&request.service, &request.kind) else {
+            let message = format!("kind {:?} is not declared for the service.", request.kind);
+            return Err(unknown(request.id, message));
+        };
+        self.check_id(request.id, config)?;
+        let urgency = inventory.urgency(&kind.urgency);
+        let default = urgency.map_or(MAX_DEADLINE, |it| Duration::from_millis(it.deadline_ms));
+        let deadline = check_deadline(request.deadline.unwrap_or(default))?;
+        let known = Duration::from_millis(kind.run_ms);
+        let declared = Some(request.declared.unwrap_or(known));
+        let run = Run {
+            id: self.id_or_new(request.id),
+            attempt: self.rng.random(),
+            submitted: self.now,
+            over_quota: false,
+            service: request.service,
+            kind: request.kind,
+            team: request.team,
+            budget: deadline,
+            declared,
+            body: request.body,
+        };
+        Ok(Classified {
+            group: Group::Service(run.service.clone()),
+            route: match (kind.idempotent, request.id) {
+                (true, _) => Route::Any,
+                (false, Some(_)) => Route::Owner,
+                (false, None) => Route::Minted,
+            },
+            chosen: request.id.is_some(),
+            team: run.team.clone(),
+            starts: 1,
+            expected: self.router.expected(&run.service, &run.kind, run.declared, self.now),
+            deadline,
+            payload: Payload::Run(run),
+        })
+    }
+
+    fn classify_job(&mut self, config: &Config, job: Job) -> Result<Classified, Refusal> {
+        let Some(urgency) = config.inventory.urgency(&job.urgency) else {
+            let message = format!("urgency {:?} is not declared.", job.urgency);
+            return Err(unknown(job.id, message));
+        };
+        check_tasks(&job.tasks)?;
+        self.check_id(job.id, config)?;
+        let millis = job.deadline_ms.unwrap_or(urgency.deadline_ms);
+        let deadline = check_deadline(Duration::from_millis(millis))?;
+        let longest = job.tasks.iter().map(|task| task.run_ms).max().unwrap_or_default();
+        Ok(Classified {
+            group: Group::Workers,
+            route: match job.id {
+                Some(_) => Route::Owner,
+                None => Route::Minted,
+            },
+            chosen: job.id.is_some(),
+            team: job.team.clone(),
+            starts: job.tasks.len() as u32,
+            expected: Duration::from_millis(longest),
+            deadline,
+            payload: Payload::Job(JobSpec {
+                id: self.id_or_new(job.id),
+                attempt: self.rng.random(),
+                submitted: self.now,
+                over_quota: false,
+                team: job.team,
+                urgency: job.urgency,
+                budget: deadline,
+                tasks: job.tasks,
+            }),
+        })
+    }
+
+    fn check_id(&self, id: Option<RequestId>, config: &Config) -> Result<(), Refusal> {
+        let Some(id) = id else { return Ok(()) };
+        if id.made_at() > self.now + config.inventory.rules.skew() {
+            let message = format!(
+                "id {id} was made at {} ms, which lies in the future; check the caller's clock.",
+                id.made_at().as_millis()
+            );
+            return Err(Refusal::may_have_run(Reason::Invalid, message));
+        }
+        Ok(())
+    }
+
+    fn id_or_new(&mut self, id: Option<RequestId>) -> RequestId {
+        id.unwrap_or_else(|| RequestId::new(self.now, self.rng.random()))
+    }
+
+    fn admit(
+        &mut self,
+        token: CallerToken,
+        id: Option<RequestId>,
+        classified: Result<Classified, Refusal>,
+    ) {
+        let charged = classified.and_then(|classified| self.charge(classified));
+        match charged {
+            Ok(classified) => self.accept(token, classified),
+            Err(refusal) => self.respond_refused(token, id, refusal),
+        }
+    }
+
+    /// Charges the team's quota. The owner of an id that the caller chose must
+    /// know of the refusal, and may have the answer already.
+    fn charge(&mut self, mut classified: Classified) -> Result<Classified, Refusal> {
+        let taken = self.quotas.take(&classified.team, classified.starts, self.now);
+        let Err(over) = taken else { return Ok(classified) };
+        match &mut classified.payload {
+            Payload::Run(run) if classified.route == Route::Owner => run.over_quota = true,
+            Payload::Job(spec) if classified.route == Route::Owner => spec.over_quota = true,
+            Payload::Run(_) | Payload::Job(_) => {
+                let id = classified.chosen.then_some(classified.payload.id());
+                return Err(refuse_over_quota(id, &classified.team, &over));
+            }
+        }
+        Ok(classified)
+    }
+
+    fn accept(&mut self, token: CallerToken, classified: Classified) {
+        let deadline = self.now + classified.deadline;
+        let request = Request {
+            token,
+            payload: classified.payload,
+            group: classified.group,
+            route: classified.route,
+            chosen: classified.chosen,
+            expected: classified.expected,
+            deadline,
+            tried: Vec::new(),
+            attempts: 0,
+            open: Vec::new(),
+            doubt: false,
+            refusal: None,
+        };
+        let key = self.requests.insert(request);
+        self.by_token.insert(token, key);
+        self.timers.insert(Timer { at: deadline, request: key, due: Due::Deadline });
+        self.budget.on_request();
+        self.route(key);
+    }
+}
+
+impl Payload {
+    fn id(&self) -> RequestId {
+        match self {
+            Payload::Run(run) => run.id,
+            Payload::Job(spec) => spec.id,
+        }
+    }
+}
+
+/// Refusal of a request of which this entry has sent nothing.
+pub(crate) fn unsent(id: Option<RequestId>, reason: Reason, message: String) -> Refusal {
+    match id {
+        None => Refusal::not_run(Proof::id_never_used(), reason, message),
+        Some(_) => Refusal::may_have_run(reason, message),
+    }
+}
+
+fn unknown(id: Option<RequestId>, message: String) -> Refusal {
+    unsent(id, Reason::Unknown, message)
+}
+
+fn refuse_over_quota(id: Option<RequestId>, team: &str, over: &OverQuota) -> Refusal {
+    match over {
+        OverQuota::UnknownTeam => unknown(id, format!("team {team:?} is not declared.")),
+        OverQuota::Exhausted { retry_after } => {
+            let message = format!("Team {team:?} has used up its quota.");
+            unsent(id, Reason::OverQuota, message).with_retry_after(*retry_after)
+        }
+        OverQuota::TooMany { burst } => {
+            let message = format!("Team {team:?} may start at most {burst} tasks at once.");
+            unsent(id, Reason::OverQuota, message)
+        }
+    }
+}
+
+fn invalid(message: String) -> Refusal {
+    Refusal::not_run(Proof::rejected_by_every_process(), Reason::Invalid, message)
+}
+
+fn check_deadline(deadline: Duration) -> Result<Duration, Refusal> {
+    if deadline.is_zero() || deadline > MAX_DEADLINE {
+        let millis = deadline.as_millis();
+        let longest = MAX_DEADLINE.as_millis();
+        return Err(invalid(format!("deadline_ms {millis} is not within 1 and {longest}.")));
+    }
+    Ok(deadline)
+}
+
+fn check_tasks(tasks: &[TaskSpec]) -> Result<(), Refusal> {
+    if tasks.is_empty() || tasks.len() > MAX_TASKS {
+        let count = tasks.len();
+        return Err(invalid(format!("tasks has {count} items; a job has 1 to {MAX_TASKS}.")));
+    }
+    match tasks.iter().position(|task| task.cores == 0) {
+        Some(index) => Err(invalid(format!("tasks[{index}].cores is 0; a task needs 1 or more."))),
+        None => Ok(()),
+    }
+}
+
+/// Time until a deadline.
+pub(crate) fn time_left(deadline: Timestamp, now: Timestamp) -> Duration {
+    deadline.since(now)
+}
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -1,37 +1,197 @@
 //! Core of the process that takes callers' requests.
+//!
+//! A request passes a chain of filters: it is checked, classified, charged to
+//! its team's quota and admitted; then it is routed, tried again where that is
+//! safe, and answered. The entry keeps nothing that must last. It is pure: an
+//! [`Event`] and a time go in, [`Effect`]s come out.
 
-use ident::{Incarnation, NodeId, Timestamp};
-use node::{Effect, Event};
-
-/// What an entry is told at its start.
-#[derive(Debug, Clone)]
-pub struct Options {
-    /// Address that it listens on for its peers.
-    pub node: NodeId,
-    /// Its current start.
-    pub incarnation: Incarnation,
-    /// Availability zone that it stands in.
-    pub availability_zone: String,
-    /// Other entries to announce itself to.
-    pub seeds: Vec<NodeId>,
-    /// Seed of its randomness.
-    pub seed: u64,
-}
+mod answer;
+mod asking;
+mod filter;
+mod membership;
+mod options;
+mod request;
+mod retrying;
+mod route;
+
+use std::{
+    collections::{BTreeSet, HashMap},
+    sync::Arc,
+};
+
+use ident::{NodeId, Timestamp};
+use members::Members;
+use node::{CallerRequest, CallerToken, Decision, Effect, Event, PeerToken};
+use quota::Quotas;
+use rand::{SeedableRng, rngs::StdRng};
+use register::State;
+use retry::Budget;
+use routing::Router;
+use slotmap::{Key, KeyData, SlotMap};
+use wire::{Call, Reply, Snapshot};
+
+pub use crate::options::Options;
+use crate::{
+    asking::{Question, QuestionKey},
+    request::{CallKey, Pending, Request, RequestKey, Timer},
+};
 
 /// State of an entry.
-#[derive(Debug)]
 pub struct Entry {
-    _options: Options,
+    me: Options,
+    now: Timestamp,
+    effects: Vec<Effect>,
+    rng: StdRng,
+    state: Arc<State>,
+    read_at: Timestamp,
+    phase: Phase,
+    members: Members,
+    router: Router,
+    quotas: Quotas,
+    budget: Budget,
+    requests: SlotMap<RequestKey, Request>,
+    by_token: HashMap<CallerToken, RequestKey>,
+    questions: SlotMap<QuestionKey, Question>,
+    calls: SlotMap<CallKey, Pending>,
+    timers: BTreeSet<Timer>,
+    gossip_at: Timestamp,
+}
+
+/// How far the shutdown has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    Running,
+    Stopping,
+    Stopped,
 }
 
 impl Entry {
     /// Starts an entry that knows nothing yet.
     pub fn new(options: Options) -> Entry {
-        Entry { _options: options }
+        Entry {
+            now: Timestamp::ZERO,
+            effects: Vec::new(),
+            rng: StdRng::seed_from_u64(options.seed),
+            state: Arc::new(State::default()),
+            read_at: Timestamp::ZERO,
+            phase: Phase::Running,
+            members: Members::new(options.node, options.availability_zone.clone(), &options.seeds),
+            router: Router::new(options.availability_zone.clone()),
+            quotas: Quotas::new(),
+            budget: Budget::new(0),
+            requests: SlotMap::with_key(),
+            by_token: HashMap::new(),
+            questions: SlotMap::with_key(),
+            calls: SlotMap::with_key(),
+            timers: BTreeSet::new(),
+            gossip_at: Timestamp::ZERO,
+            me: options,
+        }
     }
 
     /// Reacts to an event.
-    pub fn handle(&mut self, _now: Timestamp, _event: Event) -> Vec<Effect> {
-        Vec::new()
+    pub fn handle(&mut self, now: Timestamp, event: Event) -> Vec<Effect> {
+        self.now = now;
+        match event {
+            Event::Caller { token, request } => self.on_caller(token, request),
+            Event::CallerGone { token } => self.on_caller_gone(token),
+            Event::Call { from, call, .. } => {
+                let reply = self.on_call(&call);
+                self.effects.push(Effect::Reply { to: from, reply });
+            }
+            Event::PeerReplied { token, reply } => self.on_peer_replied(token, reply),
+            Event::Datagram(datagram) => self.on_datagram(datagram),
+            Event::State { state, read_at } => self.on_state(state, read_at),
+            Event::Tick => self.on_tick(),
+            Event::Stop => self.phase = Phase::Stopping,
+            Event::Executed { .. } | Event::TaskEnded { .. } | Event::Explain { .. } => {}
+        }
+        self.finish_stop();
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Whether the entry can serve callers: it has a configuration.
+    pub fn is_ready(&self) -> bool {
+        self.phase == Phase::Running && self.state.config.is_some()
+    }
+
+    fn on_caller(&mut self, token: CallerToken, request: CallerRequest) {
+        match request {
+            CallerRequest::Request(request) => self.on_request(token, request),
+            CallerRequest::Job(job) => self.on_job(token, job),
+            CallerRequest::Ask(id) => self.on_ask(token, id),
+            CallerRequest::Cancel(id) => self.on_cancel(token, id),
+            CallerRequest::AskJob(id) => self.on_ask_job(token, id),
+            CallerRequest::CancelJob(id) => self.on_cancel_job(token, id),
+            CallerRequest::Status => self.on_status(token),
+            CallerRequest::Explain(_) => {
+                let reply = node::CallerReply::Explain(Vec::new());
+                self.effects.push(Effect::Respond { token, reply });
+            }
+        }
+    }
+
+    fn on_call(&mut self, call: &Call) -> Reply {
+        match call {
+            Call::Fetch(fetch) => {
+                let newer = fetch.have < self.state.next_offset;
+                Reply::State(newer.then(|| Snapshot {
+                    next_offset: self.state.next_offset,
+                    read_at: self.read_at,
+                    state: self.state.encode(),
+                }))
+            }
+            Call::Run(_)
+            | Call::Execute(_)
+            | Call::Cancel(_)
+            | Call::Ask(_)
+            | Call::Await(_)
+            | Call::Submit(_)
+            | Call::AskJob(_)
+            | Call::StartTask(_)
+            | Call::RenewTasks { .. }
+            | Call::StopTasks { .. }
+            | Call::HandOver(_) => Reply::Status(wire::Status::Unknown),
+        }
+    }
+
+    fn on_peer_replied(&mut self, token: PeerToken, reply: Result<Reply, node::LinkError>) {
+        let Some(pending) = self.calls.remove(call_key(token)) else { return };
+        match pending {
+            Pending::Attempt { request, node, sent } => {
+                self.on_attempt_ended(request, node, sent, reply);
+            }
+            Pending::Question { question } => self.on_question_answered(question, reply),
+            Pending::Notice => {}
+        }
+    }
+
+    fn on_tick(&mut self) {
+        self.tick_membership();
+        self.fire_timers();
+    }
+
+    fn finish_stop(&mut self) {
+        if self.phase == Phase::Stopping && self.requests.is_empty() && self.questions.is_empty() {
+            self.phase = Phase::Stopped;
+            self.effects.push(Effect::Stopped);
+        }
+    }
+
+    fn decide(&mut self, decision: Decision) {
+        self.effects.push(Effect::Decide(decision));
     }
+
+    fn call(&mut self, pending: Pending, node: NodeId, call: Call, timeout: std::time::Duration) {
+        let token = peer_token(self.calls.insert(pending));
+        self.effects.push(Effect::CallPeer { token, node, call, timeout });
+    }
+}
+
+fn peer_token(key: CallKey) -> PeerToken {
+    PeerToken(key.data().as_ffi())
+}
+
+fn call_key(token: PeerToken) -> CallKey {
+    KeyData::from_ffi(token.0).into()
 }
--- /dev/null
+++ b/components/entry/src/membership.rs
@@ -0,0 +1,116 @@
+//! Agents and other entries, and the replicated state.
+
+use std::sync::Arc;
+
+use ident::{NodeId, Timestamp};
+use members::{HEARTBEAT_INTERVAL, Liveness};
+use node::Effect;
+use register::State;
+use wire::{AgentReport, Datagram};
+
+use crate::Entry;
+
+impl Entry {
+    /// Takes a datagram.
+    pub(crate) fn on_datagram(&mut self, datagram: Datagram) {
+        match datagram {
+            Datagram::Heartbeat(report) => self.on_heartbeat(&report),
+            Datagram::Gossip {
+                from,
+                incarnation,
+                availability_zone,
+                next_offset,
+                entries,
+                agents,
+                silent,
+            } => {
+                let zone = &availability_zone;
+                self.members.on_entry(from, incarnation, zone, next_offset, self.now);
+                self.members.on_entries(&entries, self.now);
+                self.refresh_from(from, next_offset);
+                for report in &agents {
+                    self.members.on_report(report, self.now);
+                    self.update_router(report.node);
+                }
+                for silence in &silent {
+                    self.members.on_silence(silence, self.now);
+                    self.update_router(silence.node);
+                }
+            }
+            Datagram::HeartbeatAck { .. }
+            | Datagram::PromiseRequest { .. }
+            | Datagram::Promise(_) => {}
+        }
+    }
+
+    fn on_heartbeat(&mut self, report: &AgentReport) {
+        self.members.on_heartbeat(report, self.now);
+        self.update_router(report.node);
+        self.refresh_from(report.node, report.next_offset);
+        let next_offset = self.state.next_offset;
+        let ack = self.members.ack(report, next_offset, self.read_at, &mut self.rng);
+        self.effects.push(Effect::Send { node: report.node, datagram: ack });
+    }
+
+    /// Tells the router what is known of the agent.
+    fn update_router(&mut self, node: NodeId) {
+        let Some(member) = self.members.get(node) else { return self.router.remove(node) };
+        match member.liveness {
+            Liveness::Alive => {
+                self.router.on_report(&member.report, self.now);
+                self.router.set_suspected(node, false);
+            }
+            Liveness::Suspected => self.router.set_suspected(node, true),
+            Liveness::Gone => self.router.remove(node),
+        }
+    }
+
+    fn refresh_from(&mut self, peer: NodeId, next_offset: u64) {
+        if next_offset > self.state.next_offset {
+            self.effects.push(Effect::Refresh { peer: Some(peer) });
+        }
+    }
+
+    /// Takes newer state.
+    pub(crate) fn on_state(&mut self, state: Arc<State>, read_at: Timestamp) {
+        if state.next_offset < self.state.next_offset {
+            return;
+        }
+        let changed = state.version() != self.state.version();
+        self.state = state;
+        self.read_at = self.read_at.max(read_at);
+        if changed {
+            self.apply_config();
+        }
+    }
+
+    fn apply_config(&mut self) {
+        let Some(config) = self.state.config.clone() else { return };
+        let inventory = &config.inventory;
+        self.quotas.apply(&inventory.teams, self.now);
+        self.budget.set_percent(inventory.rules.retry_percent);
+        self.router.set_inventory(inventory);
+    }
+
+    /// Gossips when it is due and forgets agents that are gone.
+    pub(crate) fn tick_membership(&mut self) {
+        for event in self.members.tick(self.now) {
+            match event {
+                members::Event::Suspected(node) | members::Event::Gone(node) => {
+                    self.update_router(node);
+                }
+                members::Event::EntryGone(_) => {}
+            }
+        }
+        if self.now < self.gossip_at {
+            return;
+        }
+        self.gossip_at = self.now + HEARTBEAT_INTERVAL;
+        self.quotas.set_share(self.members.entries().len() + 1, self.now);
+        let next_offset = self.state.next_offset;
+        let incarnation = self.me.incarnation;
+        for (node, datagram) in self.members.gossip(incarnation, next_offset, &mut self.rng) {
+            self.effects.push(Effect::Send { node, datagram });
+        }
+    }
+}
--- /dev/null
+++ b/components/entry/src/route.rs
@@ -0,0 +1,187 @@
+//! Which agent a request is sent to.
+
+use std::time::Duration;
+
+use ident::{NodeId, RequestId, SHARD_COUNT, Shard};
+use node::{Candidate, Decision, Step};
+use rand::RngExt;
+use routing::Want;
+use verdict::{Reason, Refusal};
+
+use crate::{
+    Entry,
+    filter::{time_left, unsent},
+    request::{Due, Pending, Request, RequestKey, Route, Timer},
+    retrying::MAX_ATTEMPTS,
+};
+
+/// Time beyond the deadline after which a call counts as lost.
+const CALL_GRACE: Duration = Duration::from_millis(500);
+
+/// Ids that are drawn for a node's shards before any shard will do.
+const MAX_DRAWS: usize = 64 * SHARD_COUNT as usize;
+
+/// Time after which a caller may try a service without endpoints again.
+const NO_ENDPOINT_RETRY: Duration = Duration::from_secs(1);
+
+impl Entry {
+    /// Sends the request to the best agent that may have it.
+    pub(crate) fn route(&mut self, key: RequestKey) {
+        let Some(request) = self.requests.get(key) else { return };
+        match request.route {
+            Route::Any => self.route_any(key),
+            Route::Owner => self.route_owner(key),
+            Route::Minted => self.route_minted(key),
+        }
+    }
+
+    fn route_any(&mut self, key: RequestKey) {
+        let request = &self.requests[key];
+        let want = want(request);
+        let Some(choice) = self.router.choose(&request.group, &want, self.now, &mut self.rng)
+        else {
+            return self.refuse_without_endpoint(key);
+        };
+        if choice.wait + request.expected > time_left(request.deadline, self.now) {
+            return self.refuse_overloaded(key, choice.wait);
+        }
+        self.send(key, choice.node, choice.candidates);
+        self.arm_hedge(key);
+    }
+
+    fn route_owner(&mut self, key: RequestKey) {
+        let request = &self.requests[key];
+        let shard = Shard::of(request.id());
+        match self.state.table.get(&request.group, shard) {
+            Some(assignment) => self.send(key, assignment.owner, Vec::new()),
+            None => self.refuse_without_endpoint(key),
+        }
+    }
+
+    fn route_minted(&mut self, key: RequestKey) {
+        let request = &self.requests[key];
+        let want = want(request);
+        let Some(choice) = self.router.choose(&request.group, &want, self.now, &mut self.rng)
+        else {
+            return self.refuse_without_endpoint(key);
+        };
+        if choice.wait + request.expected > time_left(request.deadline, self.now) {
+            return self.refuse_overloaded(key, choice.wait);
+        }
+        let Some((id, owner)) = self.mint(key, choice.node) else {
+            return self.refuse_without_endpoint(key);
+        };
+        self.requests[key].set_id(id);
+        self.send(key, owner, choice.candidates);
+    }
+
+    /// Makes an id in one of the node's shards, or else in any shard.
+    fn mint(&mut self, key: RequestKey, node: NodeId) -> Option<(RequestId, NodeId)> {
+        let group = &self.requests[key].group;
+        let table = &self.state.table;
+        let owns = table.group(group).any(|(_, assignment)| assignment.owner == node);
+        let draws = if owns { MAX_DRAWS } else { 1 };
+        let mut last = None;
+        for _ in 0..draws {
+            let id = RequestId::new(self.now, self.rng.random());
+            let assignment = table.get(group, Shard::of(id))?;
+            last = Some((id, assignment.owner));
+            if assignment.owner == node {
+                break;
+            }
+        }
+        last
+    }
+
+    /// Sends the request to a node.
+    pub(crate) fn send(&mut self, key: RequestKey, node: NodeId, candidates: Vec<Candidate>) {
+        let now = self.now;
+        let request = &mut self.requests[key];
+        let budget = time_left(request.deadline, now);
+        let call = request.call(budget);
+        let step = match (request.attempts, request.open.is_empty()) {
+            (0, _) => Step::Route,
+            (_, true) => Step::Retry,
+            (_, false) => Step::Hedge,
+        };
+        request.attempts += 1;
+        request.open.push(node);
+        request.tried.push(node);
+        let id = request.id();
+        self.router.on_sent(node, request.expected, now);
+        self.decide(Decision {
+            id,
+            step,
+            node: Some(node),
+            reason: None,
+            verdict: None,
+            candidates,
+            detail: match step {
+                Step::Route => "The entry chose this agent.".to_owned(),
+                _ => "The request was sent once more.".to_owned(),
+            },
+        });
+        let pending = Pending::Attempt { request: key, node, sent: now };
+        self.call(pending, node, call, budget + CALL_GRACE);
+    }
+
+    fn arm_hedge(&mut self, key: RequestKey) {
+        let Some(config) = &self.state.config else { return };
+        let request = &self.requests[key];
+        if !config.inventory.rules.hedge || request.attempts > 1 {
+            return;
+        }
+        let delay = self.router.hedge_delay(request.service(), request.kind());
+        if let Some(delay) = delay {
+            self.timers.insert(Timer { at: self.now + delay, request: key, due: Due::Hedge });
+        }
+    }
+
+    /// Sends a copy of an idempotent request to a second agent.
+    pub(crate) fn hedge(&mut self, key: RequestKey) {
+        let Some(request) = self.requests.get(key) else { return };
+        if request.open.len() != 1 || request.attempts >= MAX_ATTEMPTS {
+            return;
+        }
+        let want = want(request);
+        let choice = self.router.choose(&request.group, &want, self.now, &mut self.rng);
+        let Some(choice) = choice else { return };
+        let room = time_left(request.deadline, self.now);
+        if choice.wait + request.expected < room && self.budget.try_spend(self.now) {
+            self.send(key, choice.node, choice.candidates);
+        }
+    }
+
+    fn refuse_without_endpoint(&mut self, key: RequestKey) {
+        let request = &self.requests[key];
+        let message = format!("No endpoint of the {} is in reach.", request.group);
+        let refusal = self.unsent_refusal(key, Reason::NoEndpoint, message);
+        self.end_refused(key, refusal.with_retry_after(NO_ENDPOINT_RETRY));
+    }
+
+    fn refuse_overloaded(&mut self, key: RequestKey, wait: Duration) {
+        let message = format!("The predicted wait of {} ms passes the deadline.", wait.as_millis());
+        let refusal = self.unsent_refusal(key, Reason::Overloaded, message);
+        self.end_refused(key, refusal.with_retry_after(wait));
+    }
+
+    /// Refusal in place of a further attempt.
+    pub(crate) fn unsent_refusal(
+        &self,
+        key: RequestKey,
+        reason: Reason,
+        message: String,
+    ) -> Refusal {
+        let request = &self.requests[key];
+        let chosen = request.chosen.then(|| request.id());
+        let refusal = unsent(chosen, reason, message);
+        match request.doubt || !request.open.is_empty() {
+            true => refusal.weaken(),
+            false => refusal,
+        }
+    }
+}
+
+fn want(request: &Request) -> Want<'_> {
+    Want { kind: request.kind(), expected: request.expected, exclude: &request.tried }
+}
--- a/components/metrics/src/lib.rs
+++ b/components/metrics/src/lib.rs
@@ -61,10 +61,6 @@
 /// Figures that do not pass by the core.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Gauges {
-    /// Endpoints that are ejected.
-    pub ejected: usize,
-    /// Ids in the ledger.
-    pub ledger: usize,
     /// Connections to and from peers.
     pub connections: usize,
     /// Datagrams that could not be decoded.
@@ -137,10 +133,7 @@
             Effect::Append(_) => self.count_message("log_append"),
             Effect::Refresh { .. } => self.count_message("refresh"),
             Effect::Decide(decision) => self.decide(now, decision),
-            Effect::Forget(id) => {
-                self.timers.end_wait(*id);
-            }
-            Effect::Stopped => {}
+            Effect::Warn(_) | Effect::Stopped => {}
         }
     }
 
@@ -149,10 +142,18 @@
         self.dropped_lines.inc();
     }
 
+    /// Sets the number of ids in the ledger.
+    pub fn set_ledger(&self, ids: usize) {
+        self.ledger.set(ids as i64);
+    }
+
+    /// Sets the number of endpoints that are ejected.
+    pub fn set_ejected(&self, endpoints: usize) {
+        self.ejected.set(endpoints as i64);
+    }
+
     /// Sets the figures that do not pass by the core.
     pub fn set(&self, gauges: Gauges) {
-        self.ejected.set(gauges.ejected as i64);
-        self.ledger.set(gauges.ledger as i64);
         self.connections.set(gauges.connections as i64);
         self.malformed.set(i64::try_from(gauges.malformed).unwrap_or(i64::MAX));
     }
--- a/components/node/src/effect.rs
+++ b/components/node/src/effect.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ident::{NodeId, RequestId};
+use ident::NodeId;
 use register::Record;
 use wire::{Call, Datagram, Reply, Run, StartTask};
 
@@ -80,8 +80,8 @@
     },
     /// Write a decision to the log and keep it for `explain`.
     Decide(Decision),
-    /// Forget what is kept for `explain` about the id.
-    Forget(RequestId),
+    /// Write a warning to the log.
+    Warn(String),
     /// Everything is finished; the process may exit.
     Stopped,
 }
--- a/components/routing/src/router.rs
+++ b/components/routing/src/router.rs
@@ -125,6 +125,16 @@
         self.agents.get(&node).map_or(Duration::ZERO, Agent::predicted_wait)
     }
 
+    /// Whether the agent should get no request now, as it is ejected, silent, or
+    /// on probation and not due for a trial.
+    pub fn is_avoided(&mut self, group: &Group, node: NodeId, now: Timestamp) -> bool {
+        self.review(group, now);
+        let on_trial = self.pools.get(group).is_some_and(|it| it.probation.contains(&node));
+        self.agents.get(&node).is_some_and(|agent| {
+            agent.doubt().is_some() && !(on_trial && agent.is_due_for_trial(now))
+        })
+    }
+
     fn add(&mut self, report: &AgentReport, now: Timestamp) {
         let is_near = report.availability_zone == self.zone;
         let pool = self.pools.entry(report.group.clone()).or_default();
--- /dev/null
+++ b/components/scenario/src/endpoint.rs
@@ -0,0 +1,212 @@
+//! Executors and workers.
+
+use std::{collections::HashMap, time::Duration};
+
+use ident::{NodeId, RequestId, Timestamp};
+use node::{Event, ExecToken, LinkError, TaskToken};
+use verdict::Answer;
+use wire::{Run, StartTask};
+
+use crate::{World, script::Fault, world::Item};
+
+/// Time that a failing endpoint takes.
+const FAIL_TIME: Duration = Duration::from_millis(1);
+
+/// Factor by which a slow endpoint is slower.
+const SLOW_FACTOR: u32 = 10;
+
+/// Endpoints with all that they have started.
+#[derive(Default)]
+pub(crate) struct Endpoints {
+    pub starts: Vec<Start>,
+    faults: HashMap<NodeId, Fault>,
+    running: HashMap<u64, Running>,
+    next: u64,
+}
+
+/// One start on an endpoint.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Start {
+    pub at: Timestamp,
+    pub node: NodeId,
+    pub id: RequestId,
+    pub task: Option<u32>,
+}
+
+/// Something that an agent asks its endpoint to run.
+#[derive(Debug)]
+struct Order {
+    node: NodeId,
+    waiter: Waiter,
+    id: RequestId,
+    task: Option<u32>,
+    run_time: Duration,
+    body: Vec<u8>,
+    timeout: Duration,
+}
+
+#[derive(Debug, Clone)]
+struct Running {
+    node: NodeId,
+    waiter: Waiter,
+    result: Result<Answer, LinkError>,
+    started: Timestamp,
+    lease_ends: Option<Timestamp>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Waiter {
+    Executor(ExecToken),
+    Worker(TaskToken),
+    /// The agent that asked has been restarted.
+    Nobody,
+}
+
+impl Endpoints {
+    pub fn set_fault(&mut self, node: NodeId, fault: Fault) {
+        self.faults.insert(node, fault);
+    }
+
+    pub fn kill_host(&mut self, node: NodeId) {
+        self.running.retain(|_, running| running.node != node);
+    }
+
+    pub fn forget_waiters(&mut self, node: NodeId) {
+        for running in self.running.values_mut().filter(|running| running.node == node) {
+            running.waiter = Waiter::Nobody;
+        }
+    }
+
+    fn fault(&self, node: NodeId) -> Fault {
+        self.faults.get(&node).copied().unwrap_or(Fault::Well)
+    }
+}
+
+impl World {
+    pub(crate) fn on_execute(
+        &mut self,
+        node: NodeId,
+        token: ExecToken,
+        run: &Run,
+        timeout: Duration,
+    ) {
+        let run_time = run_time(&run.body);
+        let body = run.id.to_string().into_bytes();
+        let order = Order {
+            node,
+            waiter: Waiter::Executor(token),
+            id: run.id,
+            task: None,
+            run_time,
+            body,
+            timeout,
+        };
+        self.start(order);
+    }
+
+    pub(crate) fn on_start_task(&mut self, node: NodeId, token: TaskToken, start: &StartTask) {
+        let run_time = Duration::from_millis(start.task.run_ms);
+        let body = format!("\"{}-{}\"", start.job, start.index).into_bytes();
+        let timeout = start.budget + Duration::from_secs(5);
+        let waiter = Waiter::Worker(token);
+        let task = Some(start.index);
+        let order = Order { node, waiter, id: start.job, task, run_time, body, timeout };
+        if let Some(run) = self.start(order) {
+            self.set_lease(run, start.lease);
+        }
+    }
+
+    pub(crate) fn on_renew_task(&mut self, node: NodeId, token: TaskToken, lease: Duration) {
+        if let Some(run) = self.find_task(node, token) {
+            self.set_lease(run, lease);
+        }
+    }
+
+    pub(crate) fn on_stop_task(&mut self, node: NodeId, token: TaskToken) {
+        if let Some(run) = self.find_task(node, token) {
+            self.end_task(run);
+        }
+    }
+
+    pub(crate) fn on_finish(&mut self, run: u64) {
+        let Some(running) = self.endpoints.running.remove(&run) else { return };
+        let took = self.now.since(running.started);
+        self.tell(running.node, running.waiter, running.result, took);
+    }
+
+    pub(crate) fn on_check_lease(&mut self, run: u64) {
+        let Some(running) = self.endpoints.running.get(&run) else { return };
+        if running.lease_ends.is_some_and(|at| at <= self.now) {
+            self.end_task(run);
+        }
+    }
+
+    fn start(&mut self, order: Order) -> Option<u64> {
+        let Order { node, waiter, id, task, run_time, body, timeout } = order;
+        let fault = self.endpoints.fault(node);
+        if fault == Fault::Down {
+            self.tell(node, waiter, Err(LinkError::NotSent), Duration::ZERO);
+            return None;
+        }
+        self.endpoints.starts.push(Start { at: self.now, node, id, task });
+        let answer = |status| Ok(Answer { status, body: body.clone() });
+        let (after, result) = match fault {
+            Fault::Well => (run_time, answer(200)),
+            Fault::Slow => (run_time * SLOW_FACTOR, answer(200)),
+            Fault::Fails => (FAIL_TIME, answer(500)),
+            Fault::Silent | Fault::Down => (timeout, Err(LinkError::Lost)),
+        };
+        let (after, result) = match after > timeout {
+            true => (timeout, Err(LinkError::Lost)),
+            false => (after, result),
+        };
+        self.endpoints.next += 1;
+        let run = self.endpoints.next;
+        let running = Running { node, waiter, result, started: self.now, lease_ends: None };
+        self.endpoints.running.insert(run, running);
+        self.schedule(after, Item::Finish(run));
+        Some(run)
+    }
+
+    fn set_lease(&mut self, run: u64, lease: Duration) {
+        let ends = self.now + lease;
+        if let Some(running) = self.endpoints.running.get_mut(&run) {
+            running.lease_ends = Some(ends);
+            self.schedule(lease, Item::CheckLease(run));
+        }
+    }
+
+    fn find_task(&self, node: NodeId, token: TaskToken) -> Option<u64> {
+        let waiter = Waiter::Worker(token);
+        let running = self.endpoints.running.iter();
+        let found = running.filter(|(_, it)| it.node == node && it.waiter == waiter);
+        found.map(|(run, _)| *run).next()
+    }
+
+    fn end_task(&mut self, run: u64) {
+        let Some(running) = self.endpoints.running.remove(&run) else { return };
+        let took = self.now.since(running.started);
+        self.tell(running.node, running.waiter, Err(LinkError::Lost), took);
+    }
+
+    fn tell(
+        &mut self,
+        node: NodeId,
+        waiter: Waiter,
+        result: Result<Answer, LinkError>,
+        took: Duration,
+    ) {
+        let event = match waiter {
+            Waiter::Executor(token) => Event::Executed { token, result, took },
+            Waiter::Worker(token) => Event::TaskEnded { token, result, took },
+            Waiter::Nobody => return,
+        };
+        self.schedule(Duration::ZERO, Item::Deliver { node, event });
+    }
+}
+
+/// Run time that a request's body asks for, in milliseconds.
+fn run_time(body: &[u8]) -> Duration {
+    let text = std::str::from_utf8(body).unwrap_or_default();
+    Duration::from_millis(text.parse().unwrap_or_default())
+}
--- /dev/null
+++ b/components/scenario/src/fleet.rs
@@ -0,0 +1,298 @@
+//! Entries and agents of a world.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+    sync::Arc,
+};
+
+use agent::Agent;
+use entry::Entry;
+use ident::{Group, Incarnation, NodeId, Timestamp};
+use node::{Effect, Event};
+use register::State;
+
+use crate::{PlayError, World, script::Action};
+
+/// Port of every node; addresses differ by host.
+const PORT: u16 = 7400;
+
+/// Core of either role.
+pub(crate) enum Core {
+    Entry(Box<Entry>),
+    Agent(Box<Agent>),
+}
+
+/// A node with what its shell would hold.
+pub(crate) struct Member {
+    pub name: String,
+    pub zone: String,
+    pub core: Core,
+    pub role: Role,
+    pub state: Arc<State>,
+    pub read_at: Timestamp,
+    pub life: Life,
+    pub backlog: Vec<Event>,
+    pub stopped_at: Option<Timestamp>,
+}
+
+/// What a node is started as.
+#[derive(Debug, Clone)]
+pub(crate) enum Role {
+    Entry,
+    Agent(Group),
+}
+
+/// Whether a node's process works.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Life {
+    Running,
+    Paused,
+    /// The process has ended and its host refuses connections.
+    Exited,
+    /// The host is gone.
+    Dead,
+}
+
+impl Member {
+    pub fn is_running(&self) -> bool {
+        self.life == Life::Running
+    }
+}
+
+impl World {
+    pub(crate) fn add_members(&mut self) {
+        let zones: Vec<String> =
+            self.inventory.availability_zones.iter().map(|zone| zone.name.clone()).collect();
+        for index in 0..self.script.entries {
+            let zone = zones[index % zones.len()].clone();
+            self.add_member(format!("entry-{}", index + 1), zone, Role::Entry);
+        }
+        let count = self.script.agents;
+        for executor in self.inventory.executors.clone().into_iter().take(count) {
+            let group = Group::Service(executor.service);
+            self.add_member(executor.name, executor.availability_zone, Role::Agent(group));
+        }
+        for worker in self.inventory.workers.clone().into_iter().take(count) {
+            let zone = self.inventory.rack_zone(&worker.rack).unwrap_or_default().to_owned();
+            self.add_member(worker.name, zone, Role::Agent(Group::Workers));
+        }
+    }
+
+    fn add_member(&mut self, name: String, zone: String, role: Role) {
+        let host = self.members.len() as u8 + 1;
+        let address = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, host), PORT);
+        let node = NodeId(SocketAddr::V4(address));
+        self.names.insert(name.clone(), node);
+        let member = Member {
+            core: self.start_core(node, &name, &zone, &role),
+            name,
+            zone,
+            role,
+            state: Arc::new(State::default()),
+            read_at: Timestamp::ZERO,
+            life: Life::Running,
+            backlog: Vec::new(),
+            stopped_at: None,
+        };
+        self.members.insert(node, member);
+    }
+
+    fn start_core(&self, node: NodeId, name: &str, zone: &str, role: &Role) -> Core {
+        let seeds: Vec<NodeId> = (1..=self.script.entries as u8)
+            .map(|host| NodeId(SocketAddr::from((Ipv4Addr::new(10, 0, 0, host), PORT))))
+            .collect();
+        let incarnation = Incarnation(self.now);
+        let availability_zone = zone.to_owned();
+        let seed = self.script.seed ^ self.now.as_micros() ^ u64::from(node.0.port());
+        let seed = seed.wrapping_add(hash(node));
+        match role {
+            Role::Entry => Core::Entry(Box::new(Entry::new(entry::Options {
+                node,
+                incarnation,
+                availability_zone,
+                seeds,
+                seed,
+            }))),
+            Role::Agent(group) => Core::Agent(Box::new(Agent::new(agent::Options {
+                node,
+                incarnation,
+                name: name.to_owned(),
+                group: group.clone(),
+                availability_zone,
+                seeds,
+                seed,
+            }))),
+        }
+    }
+
+    /// Gives an event to a node, or keeps it while the node is frozen.
+    pub(crate) fn deliver(&mut self, node: NodeId, event: Event) {
+        let Some(member) = self.members.get_mut(&node) else { return };
+        match member.life {
+            Life::Running => self.handle(node, event),
+            Life::Paused => member.backlog.push(event),
+            Life::Exited | Life::Dead => {}
+        }
+    }
+
+    pub(crate) fn handle(&mut self, node: NodeId, event: Event) {
+        let Some(member) = self.members.get_mut(&node) else { return };
+        if let Event::State { state, read_at } = &event {
+            if state.version() < member.state.version() {
+                let name = member.name.clone();
+                self.report.violation(self.now, format!("the configuration of {name} reverts"));
+            } else if state.next_offset >= member.state.next_offset {
+                if state.version() > member.state.version() {
+                    self.report.in_force.insert(node, self.now);
+                }
+                member.state = Arc::clone(state);
+                member.read_at = member.read_at.max(*read_at);
+            }
+        }
+        let member = self.members.get_mut(&node).expect("the node was found above");
+        let effects = match &mut member.core {
+            Core::Entry(entry) => entry.handle(self.now, event),
+            Core::Agent(agent) => agent.handle(self.now, event),
+        };
+        for effect in effects {
+            self.carry_out(node, effect);
+        }
+    }
+
+    fn carry_out(&mut self, node: NodeId, effect: Effect) {
+        match effect {
+            Effect::Respond { token, reply } => self.on_answer(token, reply),
+            Effect::Reply { to, reply } => self.on_reply(node, to, reply),
+            Effect::CallPeer { token, node: to, call, timeout } => {
+                self.on_call(node, to, token, call, timeout);
+            }
+            Effect::Send { node: to, datagram } => self.on_datagram(node, to, datagram),
+            Effect::Execute { token, run, timeout } => self.on_execute(node, token, &run, timeout),
+            Effect::StartTask { token, task } => self.on_start_task(node, token, &task),
+            Effect::RenewTask { token, lease } => self.on_renew_task(node, token, lease),
+            Effect::StopTask { token } => self.on_stop_task(node, token),
+            Effect::Append(record) => self.append_from(node, record),
+            Effect::Refresh { peer } => self.refresh(node, peer),
+            Effect::Decide(decision) => {
+                let name = self.members[&node].name.clone();
+                self.report.decision(self.now, name, decision);
+            }
+            Effect::Warn(text) => self.report.note(self.now, text),
+            Effect::Stopped => {
+                let now = self.now;
+                if let Some(member) = self.members.get_mut(&node) {
+                    member.life = Life::Exited;
+                    member.stopped_at = Some(now);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn stop(&mut self, name: &str) {
+        let node = self.names[name];
+        self.deliver(node, Event::Stop);
+    }
+
+    pub(crate) fn kill(&mut self, name: &str) {
+        let node = self.names[name];
+        if let Some(member) = self.members.get_mut(&node) {
+            member.life = Life::Dead;
+            member.backlog.clear();
+        }
+        self.endpoints.kill_host(node);
+        self.callers.lose_entry(node);
+        self.break_connections(node);
+    }
+
+    pub(crate) fn restart(&mut self, name: &str) {
+        let node = self.names[name];
+        self.break_connections(node);
+        self.callers.lose_entry(node);
+        self.endpoints.forget_waiters(node);
+        let member = &self.members[&node];
+        let (zone, role) = (member.zone.clone(), member.role.clone());
+        let core = self.start_core(node, name, &zone, &role);
+        let now = self.now;
+        if let Some(member) = self.members.get_mut(&node) {
+            member.core = core;
+            member.state = Arc::new(State::default());
+            member.read_at = Timestamp::ZERO;
+            member.life = Life::Running;
+            member.backlog.clear();
+            member.stopped_at = None;
+        }
+        self.report.note(now, format!("{name} starts anew"));
+        self.read_log(node);
+        let peer = self
+            .members
+            .iter()
+            .find(|(id, it)| **id != node && it.is_running() && matches!(it.core, Core::Entry(_)));
+        let peer = peer.map(|(id, _)| *id);
+        self.refresh(node, peer);
+    }
+
+    pub(crate) fn pause(&mut self, name: &str) {
+        let node = self.names[name];
+        if let Some(member) = self.members.get_mut(&node) {
+            member.life = Life::Paused;
+        }
+    }
+
+    pub(crate) fn resume(&mut self, name: &str) {
+        let node = self.names[name];
+        let Some(member) = self.members.get_mut(&node) else { return };
+        member.life = Life::Running;
+        for event in std::mem::take(&mut member.backlog) {
+            self.handle(node, event);
+        }
+    }
+
+    pub(crate) fn check_names(&mut self) -> Result<(), PlayError> {
+        self.add_members();
+        let result = self.script.steps.iter().try_for_each(|step| match &step.action {
+            Action::Stop(name)
+            | Action::Kill(name)
+            | Action::Restart(name)
+            | Action::Pause(name)
+            | Action::Resume(name)
+            | Action::Endpoint(name, _) => self.check_node(name),
+            Action::Cut(left, right) | Action::Heal(left, right) => {
+                self.check_place(left).and_then(|()| self.check_place(right))
+            }
+            Action::Silence(from, to) => self.check_node(from).and_then(|()| self.check_node(to)),
+            Action::Submit { sending, .. }
+            | Action::Resubmit { sending, .. }
+            | Action::Job { sending, .. }
+            | Action::Cancel { sending, .. } => match &sending.via {
+                Some(name) => self.check_node(name),
+                None => Ok(()),
+            },
+            Action::Publish(_) | Action::Log(_) => Ok(()),
+        });
+        self.members.clear();
+        self.names.clear();
+        result
+    }
+
+    fn check_node(&self, name: &str) -> Result<(), PlayError> {
+        match self.names.contains_key(name) {
+            true => Ok(()),
+            false => Err(PlayError::UnknownName(name.to_owned())),
+        }
+    }
+
+    fn check_place(&self, name: &str) -> Result<(), PlayError> {
+        let is_zone = self.inventory.availability_zones.iter().any(|zone| zone.name == name);
+        match is_zone || name == crate::net::LOG || name == crate::net::REST {
+            true => Ok(()),
+            false => self.check_node(name),
+        }
+    }
+}
+
+fn hash(node: NodeId) -> u64 {
+    match node.0 {
+        SocketAddr::V4(address) => u64::from(u32::from(*address.ip())),
+        SocketAddr::V6(address) => u128::from(*address.ip()) as u64,
+    }
+}
--- /dev/null
+++ b/components/scenario/src/net.rs
@@ -0,0 +1,219 @@
+//! The network between nodes.
+
+use std::{
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
+
+use ident::NodeId;
+use node::{Event, LinkError, PeerToken, ReplyTo};
+use rand::RngExt;
+use wire::{Call, CallId, Datagram, Reply};
+
+use crate::{World, fleet::Life, world::Item};
+
+/// Name of the platform's log in scripts.
+pub(crate) const LOG: &str = "log";
+
+/// Name of all other nodes in scripts.
+pub(crate) const REST: &str = "rest";
+
+/// One-way time within an availability zone.
+const NEAR: Duration = Duration::from_micros(250);
+
+/// One-way time between availability zones.
+const FAR: Duration = Duration::from_micros(1000);
+
+/// Time after which a silent connection is given up.
+const HEARTBEAT_LIMIT: Duration = Duration::from_secs(1);
+
+/// Calls, cuts and silent connections.
+#[derive(Default)]
+pub(crate) struct Net {
+    calls: HashMap<u64, Open>,
+    next_call: u64,
+    cuts: Vec<(Place, Place)>,
+    silent: HashSet<(NodeId, NodeId)>,
+}
+
+/// A call that has not ended.
+struct Open {
+    from: NodeId,
+    to: NodeId,
+    token: PeerToken,
+}
+
+/// One side of a cut.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Place {
+    Node(NodeId),
+    Zone(String),
+    Log,
+    Rest,
+}
+
+impl World {
+    pub(crate) fn on_call(
+        &mut self,
+        from: NodeId,
+        to: NodeId,
+        token: PeerToken,
+        call: Call,
+        timeout: Duration,
+    ) {
+        let life = self.members.get(&to).map_or(Life::Dead, |member| member.life);
+        let failed = |reply| Item::Deliver {
+            node: from,
+            event: Event::PeerReplied { token, reply: Err(reply) },
+        };
+        if life == Life::Exited {
+            let delay = self.delay(from, to);
+            return self.schedule(delay * 2, failed(LinkError::NotSent));
+        }
+        if life == Life::Dead {
+            return self.schedule(HEARTBEAT_LIMIT, failed(LinkError::NotSent));
+        }
+        if self.is_cut(from, to) || self.net.silent.remove(&(from, to)) {
+            return self.schedule(HEARTBEAT_LIMIT, failed(LinkError::Lost));
+        }
+        self.net.next_call += 1;
+        let number = self.net.next_call;
+        self.net.calls.insert(number, Open { from, to, token });
+        let reply_to = ReplyTo { connection: number, call: CallId(number) };
+        let event = Event::Call { from: reply_to, peer: from, call };
+        let delay = self.delay(from, to);
+        self.report.count_message();
+        self.schedule(delay, Item::Deliver { node: to, event });
+        self.schedule(timeout, Item::CallTimeout(number));
+    }
+
+    pub(crate) fn on_reply(&mut self, from: NodeId, to: ReplyTo, reply: Reply) {
+        let Some(open) = self.net.calls.get(&to.connection) else { return };
+        if self.is_cut(from, open.from) || self.net.silent.contains(&(open.from, open.to)) {
+            return;
+        }
+        let Some(open) = self.net.calls.remove(&to.connection) else { return };
+        self.report.count_message();
+        let delay = self.delay(from, open.from);
+        let event = Event::PeerReplied { token: open.token, reply: Ok(reply) };
+        self.schedule(delay, Item::Deliver { node: open.from, event });
+    }
+
+    pub(crate) fn on_call_timeout(&mut self, number: u64) {
+        let Some(open) = self.net.calls.remove(&number) else { return };
+        let event = Event::PeerReplied { token: open.token, reply: Err(LinkError::Lost) };
+        self.deliver(open.from, event);
+    }
+
+    /// Ends every call to or from a node.
+    pub(crate) fn break_connections(&mut self, node: NodeId) {
+        let mut broken: Vec<u64> = self
+            .net
+            .calls
+            .iter()
+            .filter(|(_, open)| open.from == node || open.to == node)
+            .map(|(number, _)| *number)
+            .collect();
+        broken.sort_unstable();
+        for number in broken {
+            self.schedule(HEARTBEAT_LIMIT, Item::CallTimeout(number));
+            if let Some(open) = self.net.calls.get(&number)
+                && open.from == node
+            {
+                self.net.calls.remove(&number);
+            }
+        }
+    }
+
+    pub(crate) fn on_datagram(&mut self, from: NodeId, to: NodeId, datagram: Datagram) {
+        if self.is_cut(from, to) {
+            return;
+        }
+        let delay = self.delay(from, to);
+        self.schedule(delay, Item::Deliver { node: to, event: Event::Datagram(datagram) });
+    }
+
+    pub(crate) fn cut(&mut self, left: &str, right: &str) {
+        let cut = (self.place(left), self.place(right));
+        self.net.cuts.push(cut);
+        let mut cut_off: Vec<u64> = self
+            .net
+            .calls
+            .iter()
+            .filter(|(_, open)| self.is_cut(open.from, open.to))
+            .map(|(number, _)| *number)
+            .collect();
+        cut_off.sort_unstable();
+        for number in cut_off {
+            self.schedule(HEARTBEAT_LIMIT, Item::CallTimeout(number));
+        }
+    }
+
+    pub(crate) fn heal(&mut self, left: &str, right: &str) {
+        let cut = (self.place(left), self.place(right));
+        self.net.cuts.retain(|it| *it != cut);
+    }
+
+    /// Makes the open connection between two nodes silent; calls on it are
+    /// given up, and the next call finds it out.
+    pub(crate) fn silence(&mut self, from: &str, to: &str) {
+        let (from, to) = (self.names[from], self.names[to]);
+        self.net.silent.insert((from, to));
+        let mut stuck: Vec<u64> = self
+            .net
+            .calls
+            .iter()
+            .filter(|(_, open)| open.from == from && open.to == to)
+            .map(|(number, _)| *number)
+            .collect();
+        stuck.sort_unstable();
+        for number in stuck {
+            self.schedule(HEARTBEAT_LIMIT, Item::CallTimeout(number));
+        }
+    }
+
+    /// Whether nothing passes between two nodes.
+    pub(crate) fn is_cut(&self, left: NodeId, right: NodeId) -> bool {
+        self.net.cuts.iter().any(|(a, b)| {
+            self.covers(a, left) && self.covers_other(b, right, a, left)
+                || self.covers(a, right) && self.covers_other(b, left, a, right)
+        })
+    }
+
+    /// Whether a node cannot reach the log.
+    pub(crate) fn is_cut_from_log(&self, node: NodeId) -> bool {
+        self.net.cuts.iter().any(|(a, b)| {
+            *b == Place::Log && self.covers(a, node) || *a == Place::Log && self.covers(b, node)
+        })
+    }
+
+    fn covers(&self, place: &Place, node: NodeId) -> bool {
+        match place {
+            Place::Node(named) => *named == node,
+            Place::Zone(zone) => self.members.get(&node).is_some_and(|it| it.zone == *zone),
+            Place::Log | Place::Rest => false,
+        }
+    }
+
+    fn covers_other(&self, place: &Place, node: NodeId, own: &Place, other: NodeId) -> bool {
+        match place {
+            Place::Rest => node != other && !self.covers(own, node),
+            Place::Node(_) | Place::Zone(_) | Place::Log => self.covers(place, node),
+        }
+    }
+
+    fn place(&self, name: &str) -> Place {
+        match self.names.get(name) {
+            Some(node) => Place::Node(*node),
+            None if name == LOG => Place::Log,
+            None if name == REST => Place::Rest,
+            None => Place::Zone(name.to_owned()),
+        }
+    }
+
+    fn delay(&mut self, from: NodeId, to: NodeId) -> Duration {
+        let zone = |node| self.members.get(&node).map(|member: &crate::fleet::Member| &member.zone);
+        let base = if zone(from) == zone(to) { NEAR } else { FAR };
+        base.mul_f64(self.rng.random_range(0.8..1.2))
+    }
+}
--- /dev/null
+++ b/components/scenario/src/script.rs
@@ -0,0 +1,365 @@
+//! The scenario language.
+//!
+//! A script sets a system up from an inventory, lists what happens when, and
+//! says what must hold at the end. `docs/SCENARIOS.md` describes each statement.
+
+use std::{fmt, time::Duration};
+
+use pest::{Parser, iterators::Pair};
+use pest_derive::Parser;
+use verdict::Verdict;
+
+#[derive(Parser)]
+#[grammar = "scenario.pest"]
+struct Grammar;
+
+/// A scenario as it is written.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Script {
+    /// Name of the inventory.
+    pub inventory: String,
+    /// Number of entries.
+    pub entries: usize,
+    /// Number of executors of the inventory that are up, and of workers.
+    pub agents: usize,
+    /// Seed of all randomness.
+    pub seed: u64,
+    /// Time at which the run ends.
+    pub end: Duration,
+    /// What happens, in the order of the script.
+    pub steps: Vec<Step>,
+    /// What must hold at the end.
+    pub expects: Vec<Expect>,
+}
+
+/// Something that happens at a time.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Step {
+    /// When it happens.
+    pub at: Duration,
+    /// What happens.
+    pub action: Action,
+}
+
+/// How a request is sent.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Sending {
+    /// Entry that it is sent to; the first one if there is none.
+    pub via: Option<String>,
+    /// True run time.
+    pub run: Option<Duration>,
+    /// Deadline that the caller states.
+    pub deadline: Option<Duration>,
+    /// Number of requests, each with an id of its own.
+    pub times: u64,
+    /// Time between them.
+    pub every: Duration,
+    /// Whether the entry makes the id.
+    pub minted: bool,
+}
+
+/// What happens.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// A caller sends a request of a kind under a new id.
+    Submit {
+        /// Name of the id in the script.
+        name: String,
+        /// Request kind.
+        kind: String,
+        /// How it is sent.
+        sending: Sending,
+    },
+    /// A caller sends a request or job again.
+    Resubmit {
+        /// Name of the id in the script.
+        name: String,
+        /// How it is sent.
+        sending: Sending,
+    },
+    /// A caller sends a job.
+    Job {
+        /// Name of the id in the script.
+        name: String,
+        /// Number of tasks.
+        tasks: usize,
+        /// How it is sent.
+        sending: Sending,
+    },
+    /// A caller cancels a request or job.
+    Cancel {
+        /// Name of the id in the script.
+        name: String,
+        /// How it is sent.
+        sending: Sending,
+    },
+    /// An operator publishes an inventory.
+    Publish(Change),
+    /// A node is asked to shut down.
+    Stop(String),
+    /// A node's host dies.
+    Kill(String),
+    /// A node starts anew at its address.
+    Restart(String),
+    /// A node's process is frozen.
+    Pause(String),
+    /// A frozen process goes on.
+    Resume(String),
+    /// Nothing passes between two nodes, or a node and the log, or within a zone.
+    Cut(String, String),
+    /// Ends a cut.
+    Heal(String, String),
+    /// The open connection from one node to another goes silent; new ones work.
+    Silence(String, String),
+    /// The log changes its behaviour.
+    Log(LogFault),
+    /// An executor or worker changes its behaviour.
+    Endpoint(String, Fault),
+}
+
+/// What an operator publishes.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Change {
+    /// The inventory in force with an endpoint draining.
+    Drain(String),
+    /// The inventory in force with an endpoint active.
+    Undrain(String),
+    /// The first inventory, as an edit of an outdated version.
+    Stale,
+    /// The inventory in force, unchanged.
+    Again,
+}
+
+/// Behaviour of the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogFault {
+    /// It works.
+    Up,
+    /// Nothing can be read or appended.
+    Down,
+    /// Reads and appends take a second.
+    Slow,
+    /// Appends take effect, but their writers learn nothing.
+    LosesAnswers,
+}
+
+/// Behaviour of an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// It works.
+    Well,
+    /// It fails everything at once.
+    Fails,
+    /// It takes ten times as long.
+    Slow,
+    /// It starts requests and never answers.
+    Silent,
+    /// It refuses connections.
+    Down,
+}
+
+/// Comparison of a count.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Compare {
+    /// At most.
+    AtMost,
+    /// At least.
+    AtLeast,
+    /// Exactly.
+    Equal,
+}
+
+/// What must hold at the end.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Expect {
+    /// Number of starts of an id on endpoints.
+    Runs(String, Compare, u64),
+    /// Verdict of the last answer to an id, and the time by which it came.
+    Answer(String, Verdict, Option<Duration>),
+    /// Number of starts on an endpoint.
+    Starts(String, Compare, u64),
+    /// Time by which the last published configuration is in force everywhere.
+    InForce(Duration),
+    /// An endpoint starts nothing after a time.
+    NoStart(String, Duration),
+    /// Share of the answers to a repeated request with a verdict, in percent.
+    Share(u64, String, Verdict),
+    /// Time by which a node has finished its shutdown.
+    Stopped(String, Duration),
+}
+
+/// Where and why a script cannot be read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ScriptError(String);
+
+impl fmt::Display for ScriptError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for ScriptError {}
+
+impl Script {
+    /// Reads a script; errors name line and column.
+    pub fn parse(text: &str) -> Result<Script, ScriptError> {
+        let mut file =
+            Grammar::parse(Rule::file, text).map_err(|err| ScriptError(err.to_string()))?;
+        let mut script = Script {
+            inventory: "harborlift".to_owned(),
+            entries: 2,
+            agents: 4,
+            seed: 1,
+            end: Duration::from_secs(10),
+            steps: Vec::new(),
+            expects: Vec::new(),
+        };
+        let statements = file.next().map(Pair::into_inner).into_iter().flatten();
+        for statement in statements {
+            script.add(statement);
+        }
+        Ok(script)
+    }
+
+    fn add(&mut self, statement: Pair<'_, Rule>) {
+        let rule = statement.as_rule();
+        let mut parts = statement.into_inner();
+        match rule {
+            Rule::inventory => self.inventory = text(parts.next()),
+            Rule::entries => self.entries = number(parts.next()) as usize,
+            Rule::agents => self.agents = number(parts.next()) as usize,
+            Rule::seed => self.seed = number(parts.next()),
+            Rule::end => self.end = duration(parts.next()),
+            Rule::step => {
+                let at = duration(parts.next());
+                self.steps.extend(parts.next().map(|pair| Step { at, action: action(pair) }));
+            }
+            Rule::expect => self.expects.extend(parts.next().map(expectation)),
+            _ => {}
+        }
+    }
+}
+
+fn action(pair: Pair<'_, Rule>) -> Action {
+    let rule = pair.as_rule();
+    let mut parts = pair.into_inner();
+    let first = parts.next();
+    match rule {
+        Rule::submit => {
+            let (name, kind) = (text(first), text(parts.next()));
+            Action::Submit { name, kind, sending: sending(parts) }
+        }
+        Rule::resubmit => Action::Resubmit { name: text(first), sending: sending(parts) },
+        Rule::job => {
+            let (name, tasks) = (text(first), number(parts.next()) as usize);
+            Action::Job { name, tasks, sending: sending(parts) }
+        }
+        Rule::cancel => Action::Cancel { name: text(first), sending: sending(parts) },
+        Rule::publish => Action::Publish(change(first)),
+        Rule::stop => Action::Stop(text(first)),
+        Rule::kill => Action::Kill(text(first)),
+        Rule::restart => Action::Restart(text(first)),
+        Rule::pause => Action::Pause(text(first)),
+        Rule::resume => Action::Resume(text(first)),
+        Rule::cut => Action::Cut(text(first), text(parts.next())),
+        Rule::heal => Action::Heal(text(first), text(parts.next())),
+        Rule::silence => Action::Silence(text(first), text(parts.next())),
+        Rule::log => Action::Log(match text(first).as_str() {
+            "up" => LogFault::Up,
+            "down" => LogFault::Down,
+            "slow" => LogFault::Slow,
+            _ => LogFault::LosesAnswers,
+        }),
+        _ => Action::Endpoint(
+            text(first),
+            match text(parts.next()).as_str() {
+                "fails" => Fault::Fails,
+                "is slow" => Fault::Slow,
+                "is silent" => Fault::Silent,
+                "is down" => Fault::Down,
+                _ => Fault::Well,
+            },
+        ),
+    }
+}
+
+fn change(pair: Option<Pair<'_, Rule>>) -> Change {
+    let Some(pair) = pair else { return Change::Again };
+    let rule = pair.as_rule();
+    let name = text(pair.into_inner().next());
+    match rule {
+        Rule::drain => Change::Drain(name),
+        Rule::undrain => Change::Undrain(name),
+        Rule::stale => Change::Stale,
+        _ => Change::Again,
+    }
+}
+
+fn sending<'a>(options: impl Iterator<Item = Pair<'a, Rule>>) -> Sending {
+    let mut sending = Sending { times: 1, ..Sending::default() };
+    for option in options {
+        let rule = option.as_rule();
+        let mut parts = option.into_inner();
+        match rule {
+            Rule::via => sending.via = Some(text(parts.next())),
+            Rule::run => sending.run = Some(duration(parts.next())),
+            Rule::deadline => sending.deadline = Some(duration(parts.next())),
+            Rule::repeat => {
+                sending.times = number(parts.next());
+                sending.every = duration(parts.next());
+            }
+            _ => sending.minted = true,
+        }
+    }
+    sending
+}
+
+fn expectation(pair: Pair<'_, Rule>) -> Expect {
+    let rule = pair.as_rule();
+    let mut parts = pair.into_inner();
+    let first = parts.next();
+    match rule {
+        Rule::runs => Expect::Runs(text(first), compare(parts.next()), number(parts.next())),
+        Rule::answer => {
+            let (name, verdict) = (text(first), verdict(parts.next()));
+            Expect::Answer(name, verdict, parts.next().map(|pair| duration(Some(pair))))
+        }
+        Rule::started => Expect::Starts(text(first), compare(parts.next()), number(parts.next())),
+        Rule::in_force => Expect::InForce(duration(first)),
+        Rule::no_start => Expect::NoStart(text(first), duration(parts.next())),
+        Rule::share => Expect::Share(number(first), text(parts.next()), verdict(parts.next())),
+        _ => Expect::Stopped(text(first), duration(parts.next())),
+    }
+}
+
+fn compare(pair: Option<Pair<'_, Rule>>) -> Compare {
+    match text(pair).as_str() {
+        "<=" => Compare::AtMost,
+        ">=" => Compare::AtLeast,
+        _ => Compare::Equal,
+    }
+}
+
+fn verdict(pair: Option<Pair<'_, Rule>>) -> Verdict {
+    match text(pair).as_str() {
+        "done" => Verdict::Done,
+        "not_run" => Verdict::NotRun,
+        _ => Verdict::MayHaveRun,
+    }
+}
+
+fn text(pair: Option<Pair<'_, Rule>>) -> String {
+    pair.map(|pair| pair.as_str().trim().to_owned()).unwrap_or_default()
+}
+
+fn number(pair: Option<Pair<'_, Rule>>) -> u64 {
+    text(pair).parse().unwrap_or(u64::MAX)
+}
+
+fn duration(pair: Option<Pair<'_, Rule>>) -> Duration {
+    let text = text(pair);
+    match text.strip_suffix("ms") {
+        Some(millis) => Duration::from_millis(millis.parse().unwrap_or(u64::MAX)),
+        None => Duration::from_secs(text.trim_end_matches('s').parse().unwrap_or(u64::MAX)),
+    }
+}
--- /dev/null
+++ b/components/scenario/src/world.rs
@@ -0,0 +1,222 @@
+//! The world around the cores: its clock and everything that is under way.
+
+use std::{
+    collections::{BTreeMap, BinaryHeap, HashMap},
+    fmt,
+    time::Duration,
+};
+
+use config::{CheckError, Inventory};
+use ident::{NodeId, Timestamp};
+use node::Event;
+use rand::{SeedableRng, rngs::StdRng};
+
+use crate::{
+    Report, Script,
+    endpoint::Endpoints,
+    fleet::{Core, Member},
+    log::FakeLog,
+    net::Net,
+    play::Callers,
+};
+
+/// Time at which every run starts.
+const START: Timestamp = Timestamp::from_millis(1_790_000_000_000);
+
+/// Time that the system has to settle before the script's time zero.
+const WARM_UP: Duration = Duration::from_secs(8);
+
+/// Time between two ticks of a node.
+const TICK: Duration = Duration::from_millis(10);
+
+/// Time between two reads of the log by an entry.
+const READ_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time between two reads of the log by an agent.
+const AGENT_READ_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Why a script cannot be played.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PlayError {
+    /// The inventory is missing or does not pass its checks.
+    Inventory(String),
+    /// The script names a node or endpoint that does not exist.
+    UnknownName(String),
+}
+
+/// Something that will happen.
+#[derive(Debug)]
+pub(crate) enum Item {
+    /// A step of the script.
+    Step(usize),
+    /// One of a step's repeated requests.
+    Send { step: usize, index: u64 },
+    /// A node's clock ticks.
+    Tick(NodeId),
+    /// An event reaches a node.
+    Deliver { node: NodeId, event: Event },
+    /// A call to a peer has taken too long.
+    CallTimeout(u64),
+    /// A node reads the log.
+    ReadLog { node: NodeId, again: Option<Duration> },
+    /// A record reaches the log.
+    Append(register::Record),
+    /// An endpoint finishes a request.
+    Finish(u64),
+    /// A task's lease may have lapsed.
+    CheckLease(u64),
+}
+
+struct Scheduled {
+    at: Timestamp,
+    order: u64,
+    item: Item,
+}
+
+impl PartialEq for Scheduled {
+    fn eq(&self, other: &Scheduled) -> bool {
+        self.cmp(other).is_eq()
+    }
+}
+
+impl Eq for Scheduled {}
+
+impl PartialOrd for Scheduled {
+    fn partial_cmp(&self, other: &Scheduled) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Scheduled {
+    fn cmp(&self, other: &Scheduled) -> std::cmp::Ordering {
+        (other.at, other.order).cmp(&(self.at, self.order))
+    }
+}
+
+/// A system that plays a script.
+pub struct World {
+    pub(crate) script: Script,
+    pub(crate) inventory: Inventory,
+    pub(crate) now: Timestamp,
+    pub(crate) rng: StdRng,
+    pub(crate) members: BTreeMap<NodeId, Member>,
+    pub(crate) names: HashMap<String, NodeId>,
+    pub(crate) net: Net,
+    pub(crate) log: FakeLog,
+    pub(crate) endpoints: Endpoints,
+    pub(crate) callers: Callers,
+    pub(crate) report: Report,
+    queue: BinaryHeap<Scheduled>,
+    order: u64,
+}
+
+impl World {
+    /// Plays a script to its end.
+    pub fn play(script: Script, inventory_text: &str) -> Result<Report, PlayError> {
+        let inventory = Inventory::parse(inventory_text).map_err(PlayError::from)?;
+        let mut world = World {
+            now: START,
+            rng: StdRng::seed_from_u64(script.seed),
+            members: BTreeMap::new(),
+            names: HashMap::new(),
+            net: Net::default(),
+            log: FakeLog::default(),
+            endpoints: Endpoints::default(),
+            callers: Callers::default(),
+            report: Report::new(START + WARM_UP),
+            queue: BinaryHeap::new(),
+            order: 0,
+            inventory,
+            script,
+        };
+        world.check_names()?;
+        world.build(inventory_text);
+        world.run();
+        world.check();
+        Ok(world.report)
+    }
+
+    /// Time zero of the script.
+    pub(crate) fn zero(&self) -> Timestamp {
+        START + WARM_UP
+    }
+
+    pub(crate) fn schedule(&mut self, after: Duration, item: Item) {
+        self.order += 1;
+        self.queue.push(Scheduled { at: self.now + after, order: self.order, item });
+    }
+
+    fn build(&mut self, inventory_text: &str) {
+        self.add_members();
+        let nodes: Vec<NodeId> = self.members.keys().copied().collect();
+        for (index, node) in nodes.into_iter().enumerate() {
+            self.schedule(Duration::from_micros(137 * index as u64), Item::Tick(node));
+            let again = match self.members[&node].core {
+                Core::Entry(_) => READ_INTERVAL,
+                Core::Agent(_) => AGENT_READ_INTERVAL,
+            };
+            self.schedule(Duration::ZERO, Item::ReadLog { node, again: Some(again) });
+        }
+        let record = self.log.config_record(0, inventory_text.to_owned(), &mut self.rng);
+        self.schedule(Duration::ZERO, Item::Append(record));
+        for index in 0..self.script.steps.len() {
+            let at = self.script.steps[index].at;
+            self.schedule(WARM_UP + at, Item::Step(index));
+        }
+    }
+
+    fn run(&mut self) {
+        let end = self.zero() + self.script.end;
+        while let Some(next) = self.queue.pop() {
+            if next.at > end {
+                break;
+            }
+            self.now = next.at;
+            self.on_item(next.item);
+        }
+        self.now = end;
+    }
+
+    fn on_item(&mut self, item: Item) {
+        match item {
+            Item::Step(index) => self.on_step(index),
+            Item::Send { step, index } => self.on_send(step, index),
+            Item::Tick(node) => {
+                self.schedule(TICK, Item::Tick(node));
+                if self.members[&node].is_running() {
+                    self.handle(node, Event::Tick);
+                }
+            }
+            Item::Deliver { node, event } => self.deliver(node, event),
+            Item::CallTimeout(call) => self.on_call_timeout(call),
+            Item::ReadLog { node, again } => {
+                if let Some(again) = again {
+                    self.schedule(again, Item::ReadLog { node, again: Some(again) });
+                }
+                self.read_log(node);
+            }
+            Item::Append(record) => self.on_append(record),
+            Item::Finish(run) => self.on_finish(run),
+            Item::CheckLease(run) => self.on_check_lease(run),
+        }
+    }
+}
+
+impl From<CheckError> for PlayError {
+    fn from(err: CheckError) -> PlayError {
+        PlayError::Inventory(err.to_string())
+    }
+}
+
+impl fmt::Display for PlayError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            PlayError::Inventory(err) => write!(f, "the inventory does not pass its checks: {err}"),
+            PlayError::UnknownName(name) => {
+                write!(f, "{name:?} is no node, endpoint or availability zone of this scenario")
+            }
+        }
+    }
+}
+
+impl std::error::Error for PlayError {}
--- a/components/verdict/src/reason.rs
+++ b/components/verdict/src/reason.rs
@@ -57,6 +57,14 @@
         Proof { _private: () }
     }
 
+    /// The node that gives the refusal did not start this one attempt.
+    ///
+    /// It covers the attempt alone: whoever made several, or does not know of
+    /// earlier ones, must weaken the refusal.
+    pub fn attempt_never_started() -> Proof {
+        Proof { _private: () }
+    }
+
     /// The request names no id that an earlier submission could have used.
     pub fn id_never_used() -> Proof {
         Proof { _private: () }
