--- a/components/jobs/src/results.rs
+++ b/components/jobs/src/results.rs
@@ -1,4 +1,4 @@
-//! Answer of a job, built from the answers of its tasks.
+//! Answer of a job: a JSON array with the answers of its tasks.
 
 use serde::Serialize;
 use verdict::Answer;
@@ -6,13 +6,6 @@
 /// Largest body of a job's answer.
 pub(crate) const MAX_ANSWER_BYTES: usize = wire::MAX_FRAME_BYTES / 2;
 
-/// Body of a job's answer.
-#[derive(Debug)]
-#[derive(Serialize)]
-struct Results<'a> {
-    results: Vec<TaskResult<'a>>,
-}
-
 /// Answer of one task.
 #[derive(Debug)]
 #[derive(Serialize)]
@@ -41,7 +34,7 @@
             Err(_) => Body::Bytes(&answer.body),
         },
     });
-    let results = Results { results: results.collect() };
+    let results: Vec<TaskResult<'_>> = results.collect();
     let body = serde_json::to_vec(&results).expect("results have only types that JSON can hold");
     (body.len() <= MAX_ANSWER_BYTES).then_some(Answer { status: 200, body })
 }
