Check whole inventories, locate every problem and show changed fields

Problems of meaning had no line, several ranges went unchecked, and a diff only named the item. Every problem now carries line and column, found by a second look at the text; kinds must be unique within their service, names fit into a path, teams, urgencies, rules and run times have ranges, and an inventory in which nothing could run is refused. A diff names the fields with both values.

Tests of the log's state now publish inventories that declare a service.

--- a/components/config/src/check.rs
+++ b/components/config/src/check.rs
@@ -1,180 +1,258 @@
 //! Checks across the fields of an inventory.
 
-use std::{collections::HashSet, fmt};
-
-use crate::Inventory;
-
-/// Largest number of slots, connections or cores that one endpoint may declare.
-const MAX_CAPACITY: u32 = 65_536;
-
-/// One thing that is wrong with an inventory.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Problem {
-    /// Line of the text, from 1, where it is known.
-    pub line: Option<usize>,
-    /// Column of the text, from 1, where it is known.
-    pub column: Option<usize>,
-    /// Path of the key, such as `executors[2].service`.
-    pub key: String,
-    /// What is wrong and what is accepted, as a sentence.
-    pub message: String,
+use std::{
+    collections::{HashMap, HashSet},
+    ops::RangeInclusive,
+};
+
+use crate::{
+    CheckError, Inventory, Problem,
+    locate::{Key, Source},
+};
+
+/// Slots, connections, cores, GB of memory that one endpoint may declare.
+const CAPACITY: RangeInclusive<u64> = 1..=65_536;
+/// Accelerators of one worker.
+const ACCELERATORS: RangeInclusive<u64> = 0..=1024;
+/// Deadlines of urgency classes, in milliseconds.
+const DEADLINE_MS: RangeInclusive<u64> = 1..=3_600_000;
+/// Expected run times, in milliseconds.
+const RUN_MS: RangeInclusive<u64> = 1..=3_600_000;
+/// Starts in a second, and starts saved up, of a team.
+const STARTS: RangeInclusive<u64> = 1..=1_000_000;
+/// Percentages.
+const PERCENT: RangeInclusive<u64> = 0..=100;
+/// Predicted waits above which requests are handed on, in milliseconds.
+const HAND_ON_WAIT_MS: RangeInclusive<u64> = 0..=60_000;
+/// Time for which ids are kept, in seconds.
+const WINDOW_S: RangeInclusive<u64> = 1..=86_400;
+/// Difference between clocks, in milliseconds.
+const SKEW_MS: RangeInclusive<u64> = 0..=10_000;
+/// Longest name.
+const MAX_NAME_CHARS: usize = 64;
+/// Names that a message lists before it counts the rest.
+const LISTED_NAMES: usize = 8;
+
+/// Checks names, references and ranges; `text` is where the inventory stands.
+pub(crate) fn check(inventory: &Inventory, text: &str) -> Result<(), CheckError> {
+    let mut checker = Checker::default();
+    checker.check_presence(inventory);
+    checker.check_rules(inventory);
+    checker.check_zones(inventory);
+    checker.check_services(inventory);
+    checker.check_endpoints(inventory);
+    checker.check_teams(inventory);
+    checker.finish(text)
 }
 
-/// Every problem found in an inventory.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct CheckError {
-    /// Problems in the order of the text.
-    pub problems: Vec<Problem>,
+/// Collects problems.
+#[derive(Default)]
+struct Checker {
+    found: Vec<Found>,
 }
 
-impl CheckError {
-    /// Locates a TOML error in its text.
-    pub(crate) fn from_toml(text: &str, err: &toml::de::Error) -> CheckError {
-        let position = err.span().map(|span| position(text, span.start));
-        let problem = Problem {
-            line: position.map(|(line, _)| line),
-            column: position.map(|(_, column)| column),
-            key: String::new(),
-            message: err.message().to_owned(),
-        };
-        CheckError { problems: vec![problem] }
-    }
+struct Found {
+    key: Key,
+    message: String,
+}
+
+/// Names that a field may refer to.
+struct Names<'a> {
+    known: HashSet<&'a str>,
+    listed: String,
+}
+
+/// Names that are taken, with the key that took each.
+#[derive(Default)]
+struct Taken<'a> {
+    keys: HashMap<&'a str, Key>,
 }
 
-impl fmt::Display for Problem {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        if let (Some(line), Some(column)) = (self.line, self.column) {
-            write!(f, "line {line}, column {column}: ")?;
+impl Checker {
+    fn check_presence(&mut self, inventory: &Inventory) {
+        if inventory.services.is_empty() && inventory.workers.is_empty() {
+            let message = "the inventory declares no services and no workers, so nothing could \
+                           run; declare at least one";
+            self.report(Key::Text, message.to_owned());
         }
-        if !self.key.is_empty() {
-            write!(f, "{}: ", self.key)?;
+    }
+
+    fn check_rules(&mut self, inventory: &Inventory) {
+        let rules = &inventory.rules;
+        let key = |field| Key::Field("rules", field);
+        self.check_range(key("hand_on_wait_ms"), rules.hand_on_wait_ms, HAND_ON_WAIT_MS);
+        self.check_range(key("retry_percent"), rules.retry_percent.into(), PERCENT);
+        self.check_range(key("eject_percent"), rules.eject_percent.into(), PERCENT);
+        self.check_range(key("window_s"), rules.window_s, WINDOW_S);
+        self.check_range(key("skew_ms"), rules.skew_ms, SKEW_MS);
+        let longest = inventory.urgencies.iter().map(|it| it.deadline_ms).max().unwrap_or(0);
+        if rules.window_s.saturating_mul(1000) < longest {
+            let message = format!(
+                "ids are kept for {} s, but the longest deadline of an urgency class is \
+                 {longest} ms; the window must not be shorter",
+                rules.window_s
+            );
+            self.report(key("window_s"), message);
         }
-        f.write_str(&self.message)
     }
-}
 
-impl fmt::Display for CheckError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (index, problem) in self.problems.iter().enumerate() {
-            if index > 0 {
-                f.write_str("\n")?;
-            }
-            problem.fmt(f)?;
+    fn check_zones(&mut self, inventory: &Inventory) {
+        let mut taken = Taken::default();
+        for (index, zone) in inventory.availability_zones.iter().enumerate() {
+            let key = |field| Key::Item("availability_zones", index, field);
+            self.check_name(&mut taken, key("name"), &zone.name);
+            self.check_text(key("region"), &zone.region);
+        }
+        let zones = zone_names(inventory);
+        let mut taken = Taken::default();
+        for (index, rack) in inventory.racks.iter().enumerate() {
+            let key = |field| Key::Item("racks", index, field);
+            self.check_name(&mut taken, key("name"), &rack.name);
+            self.check_reference(key("availability_zone"), &rack.availability_zone, &zones);
         }
-        Ok(())
     }
-}
 
-impl std::error::Error for CheckError {}
-
-/// Checks names, references and ranges.
-pub(crate) fn check(inventory: &Inventory) -> Result<(), CheckError> {
-    let mut problems = Vec::new();
-    check_unique(
-        &mut problems,
-        "availability_zones",
-        inventory.availability_zones.iter().map(|it| &it.name),
-    );
-    check_unique(&mut problems, "racks", inventory.racks.iter().map(|it| &it.name));
-    check_unique(&mut problems, "urgencies", inventory.urgencies.iter().map(|it| &it.name));
-    check_unique(&mut problems, "services", inventory.services.iter().map(|it| &it.name));
-    check_unique(&mut problems, "teams", inventory.teams.iter().map(|it| &it.name));
-    let endpoints = inventory.executors.iter().map(|it| &it.name);
-    check_unique(
-        &mut problems,
-        "executors",
-        endpoints.chain(inventory.workers.iter().map(|it| &it.name)),
-    );
-
-    let zones: HashSet<&str> =
-        inventory.availability_zones.iter().map(|it| it.name.as_str()).collect();
-    for (index, rack) in inventory.racks.iter().enumerate() {
-        check_reference(
-            &mut problems,
-            format!("racks[{index}].availability_zone"),
-            &rack.availability_zone,
-            &zones,
-        );
+    fn check_services(&mut self, inventory: &Inventory) {
+        let mut taken = Taken::default();
+        for (index, urgency) in inventory.urgencies.iter().enumerate() {
+            let key = |field| Key::Item("urgencies", index, field);
+            self.check_name(&mut taken, key("name"), &urgency.name);
+            self.check_range(key("deadline_ms"), urgency.deadline_ms, DEADLINE_MS);
+        }
+        let mut taken = Taken::default();
+        for (index, service) in inventory.services.iter().enumerate() {
+            self.check_name(&mut taken, Key::Item("services", index, "name"), &service.name);
+        }
+        let services = service_names(inventory);
+        let urgencies = Names::new(inventory.urgencies.iter().map(|it| it.name.as_str()));
+        let mut taken: HashMap<&str, Taken<'_>> = HashMap::new();
+        for (index, kind) in inventory.kinds.iter().enumerate() {
+            let key = |field| Key::Item("kinds", index, field);
+            let of_service = taken.entry(&kind.service).or_default();
+            self.check_name(of_service, key("name"), &kind.name);
+            self.check_reference(key("service"), &kind.service, &services);
+            self.check_reference(key("urgency"), &kind.urgency, &urgencies);
+            self.check_range(key("run_ms"), kind.run_ms, RUN_MS);
+        }
     }
-    let services: HashSet<&str> = inventory.services.iter().map(|it| it.name.as_str()).collect();
-    let urgencies: HashSet<&str> = inventory.urgencies.iter().map(|it| it.name.as_str()).collect();
-    for (index, kind) in inventory.kinds.iter().enumerate() {
-        check_reference(&mut problems, format!("kinds[{index}].service"), &kind.service, &services);
-        check_reference(
-            &mut problems,
-            format!("kinds[{index}].urgency"),
-            &kind.urgency,
-            &urgencies,
-        );
+
+    fn check_endpoints(&mut self, inventory: &Inventory) {
+        let zones = zone_names(inventory);
+        let services = service_names(inventory);
+        let racks = Names::new(inventory.racks.iter().map(|it| it.name.as_str()));
+        let mut taken = Taken::default();
+        for (index, executor) in inventory.executors.iter().enumerate() {
+            let key = |field| Key::Item("executors", index, field);
+            self.check_name(&mut taken, key("name"), &executor.name);
+            self.check_reference(key("service"), &executor.service, &services);
+            self.check_reference(key("availability_zone"), &executor.availability_zone, &zones);
+            self.check_range(key("slots"), executor.slots.into(), CAPACITY);
+            self.check_range(key("connections"), executor.connections.into(), CAPACITY);
+        }
+        for (index, worker) in inventory.workers.iter().enumerate() {
+            let key = |field| Key::Item("workers", index, field);
+            self.check_name(&mut taken, key("name"), &worker.name);
+            self.check_reference(key("rack"), &worker.rack, &racks);
+            self.check_range(key("cores"), worker.cores.into(), CAPACITY);
+            self.check_range(key("memory_gb"), worker.memory_gb.into(), CAPACITY);
+            self.check_range(key("accelerators"), worker.accelerators.into(), ACCELERATORS);
+        }
     }
-    for (index, executor) in inventory.executors.iter().enumerate() {
-        let key = format!("executors[{index}]");
-        check_reference(&mut problems, format!("{key}.service"), &executor.service, &services);
-        check_reference(
-            &mut problems,
-            format!("{key}.availability_zone"),
-            &executor.availability_zone,
-            &zones,
-        );
-        check_range(&mut problems, format!("{key}.slots"), executor.slots);
-        check_range(&mut problems, format!("{key}.connections"), executor.connections);
+
+    fn check_teams(&mut self, inventory: &Inventory) {
+        let mut taken = Taken::default();
+        for (index, team) in inventory.teams.iter().enumerate() {
+            let key = |field| Key::Item("teams", index, field);
+            self.check_name(&mut taken, key("name"), &team.name);
+            self.check_range(key("starts_per_s"), team.starts_per_s.into(), STARTS);
+            self.check_range(key("burst"), team.burst.into(), STARTS);
+        }
     }
-    let racks: HashSet<&str> = inventory.racks.iter().map(|it| it.name.as_str()).collect();
-    for (index, worker) in inventory.workers.iter().enumerate() {
-        let key = format!("workers[{index}]");
-        check_reference(&mut problems, format!("{key}.rack"), &worker.rack, &racks);
-        check_range(&mut problems, format!("{key}.cores"), worker.cores);
-        check_range(&mut problems, format!("{key}.memory_gb"), worker.memory_gb);
+
+    fn check_name<'a>(&mut self, taken: &mut Taken<'a>, key: Key, name: &'a str) {
+        if !is_name(name) {
+            let message = format!(
+                "{name:?} is not a name; accepted are 1 to {MAX_NAME_CHARS} letters, digits, \
+                 '-', '_' and '.'"
+            );
+            self.report(key, message);
+        } else if let Some(first) = taken.keys.get(name) {
+            let message =
+                format!("the name {name:?} is used twice, first by {first}; names must be unique");
+            self.report(key, message);
+        } else {
+            taken.keys.insert(name, key);
+        }
+    }
+
+    fn check_text(&mut self, key: Key, text: &str) {
+        if text.trim().is_empty() {
+            self.report(key, "the text is empty; state a value".to_owned());
+        }
     }
-    match problems.is_empty() {
-        true => Ok(()),
-        false => Err(CheckError { problems }),
+
+    fn check_reference(&mut self, key: Key, name: &str, names: &Names<'_>) {
+        if !names.known.contains(name) {
+            self.report(key, format!("{name:?} is not declared; {}", names.listed));
+        }
     }
-}
 
-fn check_unique<'a>(
-    problems: &mut Vec<Problem>,
-    table: &str,
-    names: impl Iterator<Item = &'a String>,
-) {
-    let mut seen = HashSet::new();
-    for (index, name) in names.enumerate() {
-        let key = format!("{table}[{index}].name");
-        if name.is_empty() {
-            problems.push(problem(key, "the name is empty; give it a unique name".to_owned()));
-        } else if !seen.insert(name) {
-            problems.push(problem(
-                key,
-                format!("the name {name:?} is used twice; names must be unique"),
-            ));
+    fn check_range(&mut self, key: Key, value: u64, range: RangeInclusive<u64>) {
+        if !range.contains(&value) {
+            let (start, end) = range.into_inner();
+            self.report(key, format!("{value} is out of range; accepted are {start} to {end}"));
         }
     }
-}
 
-fn check_reference(problems: &mut Vec<Problem>, key: String, name: &str, known: &HashSet<&str>) {
-    if !known.contains(name) {
-        let mut names: Vec<&str> = known.iter().copied().collect();
-        names.sort_unstable();
-        problems.push(problem(key, format!("{name:?} is not declared; declared are {names:?}")));
+    fn report(&mut self, key: Key, message: String) {
+        self.found.push(Found { key, message });
+    }
+
+    /// Locates the problems, in the order of the text.
+    fn finish(self, text: &str) -> Result<(), CheckError> {
+        if self.found.is_empty() {
+            return Ok(());
+        }
+        let source = Source::parse(text);
+        let locate = |key| source.as_ref().and_then(|it| it.locate(key));
+        let problems = self.found.into_iter();
+        let problems =
+            problems.map(|it| Problem::new(locate(it.key), it.key.to_string(), it.message));
+        let mut problems: Vec<Problem> = problems.collect();
+        problems.sort_by_key(|it| (it.line, it.column));
+        Err(CheckError { problems })
     }
 }
 
-fn check_range(problems: &mut Vec<Problem>, key: String, value: u32) {
-    if !(1..=MAX_CAPACITY).contains(&value) {
-        problems.push(problem(
-            key,
-            format!("{value} is out of range; accepted are 1 to {MAX_CAPACITY}"),
-        ));
+impl<'a> Names<'a> {
+    fn new(names: impl Iterator<Item = &'a str>) -> Names<'a> {
+        let known: HashSet<&str> = names.collect();
+        let mut sorted: Vec<&str> = known.iter().copied().collect();
+        sorted.sort_unstable();
+        Names { listed: list(&sorted), known }
     }
 }
 
-fn problem(key: String, message: String) -> Problem {
-    Problem { line: None, column: None, key, message }
+fn zone_names(inventory: &Inventory) -> Names<'_> {
+    Names::new(inventory.availability_zones.iter().map(|it| it.name.as_str()))
+}
+
+fn service_names(inventory: &Inventory) -> Names<'_> {
+    Names::new(inventory.services.iter().map(|it| it.name.as_str()))
+}
+
+fn list(sorted: &[&str]) -> String {
+    if sorted.is_empty() {
+        return "none is declared".to_owned();
+    }
+    let shown = sorted.iter().take(LISTED_NAMES).copied().collect::<Vec<_>>().join(", ");
+    match sorted.len().saturating_sub(LISTED_NAMES) {
+        0 => format!("declared are {shown}"),
+        rest => format!("declared are {shown} and {rest} more"),
+    }
 }
 
-fn position(text: &str, offset: usize) -> (usize, usize) {
-    let before = &text[..offset.min(text.len())];
-    let line = before.matches('\n').count() + 1;
-    let column = before.len() - before.rfind('\n').map_or(0, |index| index + 1) + 1;
-    (line, column)
+fn is_name(name: &str) -> bool {
+    let known = |it: char| it.is_ascii_alphanumeric() || matches!(it, '-' | '_' | '.');
+    (1..=MAX_NAME_CHARS).contains(&name.chars().count()) && name.chars().all(known)
 }
--- a/components/config/src/diff.rs
+++ b/components/config/src/diff.rs
@@ -1,74 +1,174 @@
 //! Differences between two inventories, for operators to read.
 
-use std::fmt;
+use std::{
+    collections::{BTreeSet, HashMap},
+    fmt,
+};
+
+use serde::Serialize;
+use serde_json::{Map, Value};
 
 use crate::Inventory;
 
 /// One difference between two inventories.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
+#[serde(tag = "change", rename_all = "snake_case")]
 pub enum Change {
     /// Only the new inventory has the item.
-    Added(String),
+    Added {
+        /// Table and name of the item.
+        item: String,
+    },
     /// Only the old inventory has the item.
-    Removed(String),
+    Removed {
+        /// Table and name of the item.
+        item: String,
+    },
     /// Both have the item, with different contents.
-    Changed(String),
+    Changed {
+        /// Table and name of the item.
+        item: String,
+        /// Fields that differ.
+        fields: Vec<FieldChange>,
+    },
 }
 
-impl fmt::Display for Change {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Change::Added(item) => write!(f, "+ {item}"),
-            Change::Removed(item) => write!(f, "- {item}"),
-            Change::Changed(item) => write!(f, "~ {item}"),
-        }
-    }
+/// A field with its old and new value.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
+pub struct FieldChange {
+    /// Name of the field.
+    pub field: String,
+    /// Value in the old inventory.
+    pub old: Value,
+    /// Value in the new inventory.
+    pub new: Value,
 }
 
 /// Lists what differs between `old` and `new`.
 pub fn diff(old: &Inventory, new: &Inventory) -> Vec<Change> {
     let mut changes = Vec::new();
-    if old.rules != new.rules {
-        changes.push(Change::Changed("rules".to_owned()));
-    }
-    compare(
-        &mut changes,
-        "availability zone",
-        &old.availability_zones,
-        &new.availability_zones,
-        |it| it.name.clone(),
-    );
-    compare(&mut changes, "rack", &old.racks, &new.racks, |it| it.name.clone());
-    compare(&mut changes, "urgency", &old.urgencies, &new.urgencies, |it| it.name.clone());
-    compare(&mut changes, "service", &old.services, &new.services, |it| it.name.clone());
-    compare(&mut changes, "kind", &old.kinds, &new.kinds, |it| {
-        format!("{}/{}", it.service, it.name)
-    });
-    compare(&mut changes, "executor", &old.executors, &new.executors, |it| it.name.clone());
-    compare(&mut changes, "worker", &old.workers, &new.workers, |it| it.name.clone());
-    compare(&mut changes, "team", &old.teams, &new.teams, |it| it.name.clone());
+    compare(&mut changes, &[Item::new("rules", &old.rules)], &[Item::new("rules", &new.rules)]);
+    compare(&mut changes, &zones(old), &zones(new));
+    compare(&mut changes, &racks(old), &racks(new));
+    compare(&mut changes, &urgencies(old), &urgencies(new));
+    compare(&mut changes, &services(old), &services(new));
+    compare(&mut changes, &kinds(old), &kinds(new));
+    compare(&mut changes, &executors(old), &executors(new));
+    compare(&mut changes, &workers(old), &workers(new));
+    compare(&mut changes, &teams(old), &teams(new));
     changes
 }
 
-fn compare<T: PartialEq>(
-    changes: &mut Vec<Change>,
-    what: &str,
-    old: &[T],
-    new: &[T],
-    name: impl Fn(&T) -> String,
-) {
+/// An item with the table that it stands in, and its fields.
+struct Item {
+    label: String,
+    fields: Map<String, Value>,
+}
+
+impl Item {
+    fn new(label: impl Into<String>, item: &impl Serialize) -> Item {
+        let fields = match serde_json::to_value(item) {
+            Ok(Value::Object(fields)) => fields,
+            Ok(_) | Err(_) => unreachable!("items of an inventory are objects"),
+        };
+        Item { label: label.into(), fields }
+    }
+}
+
+fn zones(inventory: &Inventory) -> Vec<Item> {
+    let zones = inventory.availability_zones.iter();
+    zones.map(|it| Item::new(format!("availability zone {}", it.name), it)).collect()
+}
+
+fn racks(inventory: &Inventory) -> Vec<Item> {
+    inventory.racks.iter().map(|it| Item::new(format!("rack {}", it.name), it)).collect()
+}
+
+fn urgencies(inventory: &Inventory) -> Vec<Item> {
+    inventory.urgencies.iter().map(|it| Item::new(format!("urgency {}", it.name), it)).collect()
+}
+
+fn services(inventory: &Inventory) -> Vec<Item> {
+    inventory.services.iter().map(|it| Item::new(format!("service {}", it.name), it)).collect()
+}
+
+fn kinds(inventory: &Inventory) -> Vec<Item> {
+    let kinds = inventory.kinds.iter();
+    kinds.map(|it| Item::new(format!("kind {}/{}", it.service, it.name), it)).collect()
+}
+
+fn executors(inventory: &Inventory) -> Vec<Item> {
+    inventory.executors.iter().map(|it| Item::new(format!("executor {}", it.name), it)).collect()
+}
+
+fn workers(inventory: &Inventory) -> Vec<Item> {
+    inventory.workers.iter().map(|it| Item::new(format!("worker {}", it.name), it)).collect()
+}
+
+fn teams(inventory: &Inventory) -> Vec<Item> {
+    inventory.teams.iter().map(|it| Item::new(format!("team {}", it.name), it)).collect()
+}
+
+fn compare(changes: &mut Vec<Change>, old: &[Item], new: &[Item]) {
+    let before: HashMap<&str, &Item> = old.iter().map(|it| (it.label.as_str(), it)).collect();
+    let after: HashMap<&str, &Item> = new.iter().map(|it| (it.label.as_str(), it)).collect();
     for item in new {
-        match old.iter().find(|it| name(it) == name(item)) {
-            None => changes.push(Change::Added(format!("{what} {}", name(item)))),
-            Some(previous) if previous != item => {
-                changes.push(Change::Changed(format!("{what} {}", name(item))));
+        match before.get(item.label.as_str()) {
+            None => changes.push(Change::Added { item: item.label.clone() }),
+            Some(previous) if previous.fields != item.fields => {
+                let fields = compare_fields(&previous.fields, &item.fields);
+                changes.push(Change::Changed { item: item.label.clone(), fields });
             }
             Some(_) => {}
         }
     }
     for item in old {
-        if !new.iter().any(|it| name(it) == name(item)) {
-            changes.push(Change::Removed(format!("{what} {}", name(item))));
+        if !after.contains_key(item.label.as_str()) {
+            changes.push(Change::Removed { item: item.label.clone() });
+        }
+    }
+}
+
+fn compare_fields(old: &Map<String, Value>, new: &Map<String, Value>) -> Vec<FieldChange> {
+    let names: BTreeSet<&String> = old.keys().chain(new.keys()).collect();
+    let value = |fields: &Map<String, Value>, name| fields.get(name).cloned().unwrap_or_default();
+    names
+        .into_iter()
+        .map(|name| FieldChange {
+            field: name.clone(),
+            old: value(old, name),
+            new: value(new, name),
+        })
+        .filter(|change| change.old != change.new)
+        .collect()
+}
+
+impl fmt::Display for Change {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Change::Added { item } => write!(f, "+ {item}"),
+            Change::Removed { item } => write!(f, "- {item}"),
+            Change::Changed { item, fields } => {
+                write!(f, "~ {item}: ")?;
+                for (index, change) in fields.iter().enumerate() {
+                    let separator = if index > 0 { ", " } else { "" };
+                    write!(f, "{separator}{change}")?;
+                }
+                Ok(())
+            }
         }
     }
 }
+
+impl fmt::Display for FieldChange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {} -> {}", self.field, plain(&self.old), plain(&self.new))
+    }
+}
+
+/// Text of a value, without quotes.
+fn plain(value: &Value) -> String {
+    value.as_str().map_or_else(|| value.to_string(), str::to_owned)
+}
--- a/components/config/src/inventory.rs
+++ b/components/config/src/inventory.rs
@@ -7,7 +7,8 @@
 use crate::{CheckError, check};
 
 /// Everything that operators declare.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Inventory {
     /// Policy for routing, retries and hedging.
@@ -40,7 +41,8 @@
 }
 
 /// Policy for routing, retries and hedging.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Rules {
     /// Predicted wait in milliseconds above which an owner hands a request on.
@@ -58,7 +60,8 @@
 }
 
 /// An availability zone.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct AvailabilityZone {
     /// Unique name.
@@ -68,7 +71,8 @@
 }
 
 /// A rack of workers.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Rack {
     /// Unique name.
@@ -78,7 +82,8 @@
 }
 
 /// An urgency class.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Urgency {
     /// Unique name.
@@ -90,7 +95,8 @@
 }
 
 /// A service that callers may address.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Service {
     /// Unique name.
@@ -98,7 +104,8 @@
 }
 
 /// A request kind of a service.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Kind {
     /// Service that the kind belongs to.
@@ -114,7 +121,8 @@
 }
 
 /// Whether an endpoint takes new work.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum State {
     /// Takes new work.
@@ -125,7 +133,8 @@
 }
 
 /// An executor.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Executor {
     /// Unique name, which its agent announces.
@@ -144,7 +153,8 @@
 }
 
 /// A worker.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Worker {
     /// Unique name, which its agent announces.
@@ -164,7 +174,8 @@
 }
 
 /// A team with its quota.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Team {
     /// Unique name, which callers send.
@@ -209,7 +220,7 @@
     /// Parses and checks an inventory in TOML.
     pub fn parse(text: &str) -> Result<Inventory, CheckError> {
         let inventory = toml::from_str(text).map_err(|err| CheckError::from_toml(text, &err))?;
-        check::check(&inventory)?;
+        check::check(&inventory, text)?;
         Ok(inventory)
     }
 
--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -7,12 +7,14 @@
 mod check;
 mod diff;
 mod inventory;
+mod locate;
+mod problem;
 
 pub use crate::{
-    check::{CheckError, Problem},
-    diff::{Change, diff},
+    diff::{Change, FieldChange, diff},
     inventory::{
         AvailabilityZone, Executor, Inventory, Kind, Rack, Rules, Service, State, Team, Urgency,
         Worker,
     },
+    problem::{CheckError, Problem},
 };
--- /dev/null
+++ b/components/config/src/locate.rs
@@ -0,0 +1,89 @@
+//! Finds a key in the text of an inventory.
+
+use std::{fmt, ops::Range};
+
+use toml::{
+    Spanned,
+    de::{DeTable, DeValue},
+};
+
+/// Place in a text.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Position {
+    /// Line, from 1.
+    pub(crate) line: usize,
+    /// Column, from 1.
+    pub(crate) column: usize,
+}
+
+/// Path of a key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Key {
+    /// The text as a whole.
+    Text,
+    /// A field of a table.
+    Field(&'static str, &'static str),
+    /// A field of an item of an array of tables.
+    Item(&'static str, usize, &'static str),
+}
+
+/// Text with the places of its keys.
+pub(crate) struct Source<'a> {
+    text: &'a str,
+    /// Offset of the first byte of each line.
+    lines: Vec<usize>,
+    root: Spanned<DeTable<'a>>,
+}
+
+impl<'a> Source<'a> {
+    /// Parses a text; only one that is no TOML gives nothing.
+    pub(crate) fn parse(text: &'a str) -> Option<Source<'a>> {
+        let root = DeTable::parse(text).ok()?;
+        Some(Source { text, lines: line_starts(text), root })
+    }
+
+    /// Place of a key's value, or of the nearest thing around it.
+    pub(crate) fn locate(&self, key: Key) -> Option<Position> {
+        let span = match key {
+            Key::Text => return None,
+            Key::Field(table, field) => {
+                let table = self.root.get_ref().get(table)?;
+                field_span(table, field)
+            }
+            Key::Item(table, index, field) => {
+                let items = self.root.get_ref().get(table)?.get_ref().as_array()?;
+                field_span(items.get(index)?, field)
+            }
+        };
+        Some(position(self.text, &self.lines, span.start))
+    }
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Key::Text => Ok(()),
+            Key::Field(table, field) => write!(f, "{table}.{field}"),
+            Key::Item(table, index, field) => write!(f, "{table}[{index}].{field}"),
+        }
+    }
+}
+
+/// Offset of the first byte of each line.
+pub(crate) fn line_starts(text: &str) -> Vec<usize> {
+    let breaks = text.match_indices('\n').map(|(index, _)| index + 1);
+    std::iter::once(0).chain(breaks).collect()
+}
+
+/// Converts an offset in bytes.
+pub(crate) fn position(text: &str, lines: &[usize], offset: usize) -> Position {
+    let line = lines.partition_point(|start| *start <= offset);
+    let start = lines[line - 1];
+    let column = text[start..offset.min(text.len())].chars().count() + 1;
+    Position { line, column }
+}
+
+fn field_span(table: &Spanned<DeValue<'_>>, field: &str) -> Range<usize> {
+    let value = table.get_ref().get(field);
+    value.map_or_else(|| table.span(), Spanned::span)
+}
--- a/components/journal/src/protocol.rs
+++ b/components/journal/src/protocol.rs
@@ -13,14 +13,16 @@
 pub const MAX_RECORD_BYTES: usize = 4 * 1024 * 1024;
 
 /// Answer to an append.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Appended {
     /// Offset of the new record.
     pub offset: u64,
 }
 
 /// Answer to a read.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub struct Records {
     /// Oldest offset that the log still keeps.
     pub first: u64,
@@ -33,7 +35,8 @@
 }
 
 /// A record as it stands in the log; it may be any JSON.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
 pub struct RawRecord {
     /// Its offset.
     pub offset: u64,
--- a/components/register/src/config.rs
+++ b/components/register/src/config.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize, Serializer};
 
 /// Configuration in force.
-#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Deserialize)]
 #[serde(try_from = "ConfigData")]
 pub struct Config {
     /// Offset of the record that published it.
--- a/components/register/src/record.rs
+++ b/components/register/src/record.rs
@@ -10,7 +10,8 @@
 pub type RecordId = Uuid;
 
 /// A record of the platform's log.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "type", rename_all = "snake_case")]
 pub enum Record {
     /// An operator publishes an inventory.
--- a/components/register/src/state.rs
+++ b/components/register/src/state.rs
@@ -9,7 +9,8 @@
 use crate::{Assignment, Config, Record, Table};
 
 /// State after all records before an offset.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct State {
     /// First offset that has not been applied.
     pub next_offset: u64,
--- a/components/register/src/table.rs
+++ b/components/register/src/table.rs
@@ -6,7 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Who decides for a shard.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Assignment {
     /// Number of the assignment; each change of the shard adds one.
     pub epoch: u64,
@@ -21,14 +22,16 @@
 }
 
 /// Assignments of every group's shards.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(from = "TableData", into = "TableData")]
 pub struct Table {
     groups: BTreeMap<Group, BTreeMap<Shard, Assignment>>,
 }
 
 /// Encoded form of a table: lists, since JSON objects have only string keys.
-#[derive(Serialize, Deserialize)]
+#[derive(Serialize)]
+#[derive(Deserialize)]
 #[serde(transparent)]
 struct TableData {
     groups: Vec<(Group, Vec<(Shard, Assignment)>)>,
--- a/components/register/tests/agreement.rs
+++ b/components/register/tests/agreement.rs
@@ -120,14 +120,11 @@
         let record = Uuid::from_u128(index as u128);
         match draw {
             Draw::Publish { behind, valid } => {
-                let text = match valid {
-                    true => format!("[rules]\nskew_ms = {}\n", 100 + index),
-                    false => "[rules]\nhurry = 1\n".to_owned(),
-                };
-                Some(Record::Config { record, base: self.state(*behind).version(), text })
+                let base = self.state(*behind).version();
+                Some(Record::Config { record, base, text: inventory(index, *valid) })
             }
             Draw::PublishFrom { base } => {
-                Some(Record::Config { record, base: *base, text: String::new() })
+                Some(Record::Config { record, base: *base, text: inventory(index, true) })
             }
             Draw::Assign { behind, shards } => {
                 let seen = self.state(*behind);
@@ -174,6 +171,11 @@
     }
 }
 
+fn inventory(index: usize, valid: bool) -> String {
+    let service = if valid { "yardbook" } else { "no name" };
+    format!("[rules]\nskew_ms = {index}\n[[services]]\nname = {service:?}\n")
+}
+
 /// The assignment that follows the one that `seen` holds.
 fn next(seen: &State, shard: u16, port: u16) -> (Shard, Assignment) {
     let shard = Shard::from_index(shard).unwrap();
--- a/components/register/tests/follower.rs
+++ b/components/register/tests/follower.rs
@@ -36,7 +36,8 @@
 }
 
 fn config(base: u64) -> Record {
-    Record::Config { record: Uuid::nil(), base, text: format!("# from {base}\n") }
+    let text = format!("# from {base}\n[[services]]\nname = \"yardbook\"\n");
+    Record::Config { record: Uuid::nil(), base, text }
 }
 
 fn assign(epoch: u64) -> Record {
--- a/components/register/tests/schedule.rs
+++ b/components/register/tests/schedule.rs
@@ -20,7 +20,8 @@
 /// A process that has read one configuration at the time 0.
 fn follower() -> Follower {
     let mut follower = Follower::new(at(0), INTERVAL);
-    let record = Record::Config { record: Uuid::nil(), base: 0, text: String::new() };
+    let text = "[[services]]\nname = \"yardbook\"\n".to_owned();
+    let record = Record::Config { record: Uuid::nil(), base: 0, text };
     follower.take(&page(1, 1, vec![Entry { offset: 1, record: Some(record) }]), at(0));
     follower
 }
--- a/components/register/tests/state.rs
+++ b/components/register/tests/state.rs
@@ -4,8 +4,13 @@
 use register::{Applied, Assignment, Record, State, Void};
 use uuid::Uuid;
 
-fn config(base: u64, text: &str) -> Record {
-    Record::Config { record: Uuid::nil(), base, text: text.to_owned() }
+fn config(base: u64, comment: &str) -> Record {
+    Record::Config { record: Uuid::nil(), base, text: inventory(comment) }
+}
+
+/// An inventory of one service behind a comment.
+fn inventory(comment: &str) -> String {
+    format!("{comment}[[services]]\nname = \"yardbook\"\n")
 }
 
 fn assign(epochs: &[(u16, u64)]) -> Record {
@@ -39,7 +44,7 @@
     let applied = state.apply(3, &config(1, "# second\n"));
 
     assert_eq!(applied, Applied::Void(Void::StaleBase { base: 1, current: 2 }));
-    assert_eq!(state.config.unwrap().text, "# first\n");
+    assert_eq!(state.config.unwrap().text, inventory("# first\n"));
 }
 
 #[test]
