--- /dev/null
+++ b/components/jobs/tests/schedules.rs
@@ -0,0 +1,253 @@
+//! Random schedules of results, cancellations and time against the promises.
+
+mod support;
+
+use std::{
+    collections::{BTreeMap, BTreeSet, btree_map::Entry},
+    time::Duration,
+};
+
+use ident::{NodeId, RequestId, Timestamp};
+use jobs::{Action, Jobs, TaskResult};
+use proptest::{prelude::*, test_runner::RngSeed};
+use support::{BUDGET, CORES, NOW, answer, id, jobs, spec};
+use verdict::{Answer, Outcome, Verdict};
+
+const WORKERS: u16 = 3;
+const JOBS: u16 = 6;
+
+/// One step of a schedule.
+#[derive(Debug, Clone)]
+enum Op {
+    Submit {
+        job: u16,
+        tasks: usize,
+        cores: u32,
+    },
+    Cancel {
+        job: u16,
+    },
+    /// Ends one of the tasks that run.
+    End {
+        pick: prop::sample::Index,
+        end: End,
+    },
+    /// Repeats the result of a task that has ended.
+    Repeat {
+        pick: prop::sample::Index,
+        end: End,
+    },
+    Pass {
+        millis: u64,
+    },
+}
+
+#[derive(Debug, Clone, Copy)]
+enum End {
+    Done,
+    Failed,
+    Refused,
+    Lost,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Task {
+    job: RequestId,
+    index: u32,
+}
+
+/// What an outside observer has seen of a job.
+#[derive(Debug, Default)]
+struct Seen {
+    total: usize,
+    may_have_run: bool,
+    done: BTreeSet<u32>,
+    outcome: Option<Outcome>,
+}
+
+/// Carries actions out and checks them.
+struct World {
+    jobs: Jobs,
+    now: Timestamp,
+    seen: BTreeMap<RequestId, Seen>,
+    running: BTreeMap<Task, NodeId>,
+    /// Tasks whose start was not refused.
+    used: BTreeSet<Task>,
+    ended: Vec<Task>,
+}
+
+impl World {
+    fn new() -> World {
+        World {
+            jobs: jobs(WORKERS),
+            now: NOW,
+            seen: BTreeMap::new(),
+            running: BTreeMap::new(),
+            used: BTreeSet::new(),
+            ended: Vec::new(),
+        }
+    }
+
+    fn run(&mut self, op: &Op) {
+        match op {
+            Op::Submit { job, tasks, cores } => {
+                // The owner's ledger lets a job in once.
+                if let Entry::Vacant(entry) = self.seen.entry(id(*job)) {
+                    entry.insert(Seen { total: *tasks, ..Seen::default() });
+                    let actions = self.jobs.submit(spec(*job, *tasks, *cores), self.now);
+                    self.carry_out(actions);
+                }
+            }
+            Op::Cancel { job } => {
+                let actions = self.jobs.cancel(id(*job), self.now);
+                self.carry_out(actions);
+            }
+            Op::End { pick, end } => {
+                let running: Vec<Task> = self.running.keys().copied().collect();
+                if !running.is_empty() {
+                    self.end(*pick.get(&running), *end);
+                }
+            }
+            Op::Repeat { pick, end } => {
+                let idle = |task: &&Task| !self.running.contains_key(task);
+                let ended: Vec<Task> = self.ended.iter().filter(idle).copied().collect();
+                if !ended.is_empty() {
+                    let Task { job, index } = *pick.get(&ended);
+                    let actions = self.jobs.on_task(job, index, result(index, *end), self.now);
+                    self.carry_out(actions);
+                }
+            }
+            Op::Pass { millis } => {
+                self.now = self.now + Duration::from_millis(*millis);
+                let actions = self.jobs.tick(self.now);
+                self.carry_out(actions);
+            }
+        }
+    }
+
+    fn end(&mut self, task: Task, end: End) {
+        self.running.remove(&task);
+        self.ended.push(task);
+        let seen = self.seen.get_mut(&task.job).unwrap();
+        match end {
+            End::Done => {
+                seen.done.insert(task.index);
+            }
+            End::Refused => {
+                self.used.remove(&task);
+            }
+            End::Failed | End::Lost => {}
+        }
+        let others_used = self.used.iter().any(|it| it.job == task.job);
+        seen.may_have_run = others_used;
+        let actions = self.jobs.on_task(task.job, task.index, result(task.index, end), self.now);
+        self.carry_out(actions);
+    }
+
+    fn carry_out(&mut self, actions: Vec<Action>) {
+        let mut stopped: Vec<(RequestId, NodeId)> = Vec::new();
+        let mut over = Vec::new();
+        for action in actions {
+            match action {
+                Action::Start { node, start } => {
+                    let task = Task { job: start.job, index: start.index };
+                    let seen = self.seen.get_mut(&task.job).unwrap();
+                    assert!(seen.outcome.is_none(), "{task:?} starts after the end of its job");
+                    assert!(self.used.insert(task), "{task:?} starts twice");
+                    seen.may_have_run = true;
+                    self.running.insert(task, node);
+                }
+                Action::Stop { node, job } => stopped.push((job, node)),
+                Action::Ended { job, outcome } => {
+                    self.check_outcome(job, &outcome);
+                    let seen = self.seen.get_mut(&job).unwrap();
+                    assert!(seen.outcome.is_none(), "{job} ends twice");
+                    seen.outcome = Some(outcome);
+                    over.push(job);
+                }
+                Action::Renew { node, job, .. } => {
+                    let runs = |(task, at): (&Task, &NodeId)| task.job == job && *at == node;
+                    assert!(self.running.iter().any(runs), "{job} renews where nothing runs");
+                }
+                Action::Decide(_) => {}
+            }
+        }
+        for (task, node) in self.running.iter().filter(|(task, _)| over.contains(&task.job)) {
+            assert!(stopped.contains(&(task.job, *node)), "{task:?} goes on without a stop");
+        }
+        self.running.retain(|task, _| !over.contains(&task.job));
+    }
+
+    fn check_outcome(&self, job: RequestId, outcome: &Outcome) {
+        let seen = &self.seen[&job];
+        match outcome {
+            Outcome::Done(answer) => {
+                assert_eq!(seen.done.len(), seen.total, "{job} has a partial answer");
+                assert_eq!(*answer, whole_answer(seen.total));
+            }
+            Outcome::Refused(refusal) => {
+                let not_run = refusal.verdict() == Verdict::NotRun;
+                assert_eq!(not_run, !seen.may_have_run, "{job} has the wrong verdict");
+            }
+        }
+    }
+
+    fn check_end(&self) {
+        assert!(self.jobs.is_empty());
+        for (job, seen) in &self.seen {
+            assert!(seen.outcome.is_some(), "{job} has no outcome");
+        }
+    }
+}
+
+fn result(index: u32, end: End) -> TaskResult {
+    match end {
+        End::Done => TaskResult::Done(answer(&index.to_string())),
+        End::Failed => TaskResult::Done(Answer { status: 500, body: Vec::new() }),
+        End::Refused => TaskResult::Refused,
+        End::Lost => TaskResult::Lost,
+    }
+}
+
+fn whole_answer(total: usize) -> Answer {
+    let results: Vec<String> =
+        (0..total).map(|index| format!("{{\"status\":200,\"body\":\"{index}\"}}")).collect();
+    answer(&format!("[{}]", results.join(",")))
+}
+
+fn ends() -> impl Strategy<Value = End> {
+    prop_oneof![8 => Just(End::Done), 1 => Just(End::Failed), 4 => Just(End::Refused), 1 => Just(End::Lost)]
+}
+
+fn ops() -> impl Strategy<Value = Op> {
+    let any_index = any::<prop::sample::Index>;
+    prop_oneof![
+        4 => (0..JOBS, 0..5usize, 1..=CORES + 1)
+            .prop_map(|(job, tasks, cores)| Op::Submit { job, tasks, cores }),
+        1 => (0..JOBS).prop_map(|job| Op::Cancel { job }),
+        12 => (any_index(), ends()).prop_map(|(pick, end)| Op::End { pick, end }),
+        2 => (any_index(), ends()).prop_map(|(pick, end)| Op::Repeat { pick, end }),
+        4 => (0..1500u64).prop_map(|millis| Op::Pass { millis }),
+    ]
+}
+
+proptest! {
+    // PROPTEST_CASES runs more of them, PROPTEST_RNG_SEED others.
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(20),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn keeps_every_promise_of_jobs(ops in prop::collection::vec(ops(), 1..120)) {
+        let mut world = World::new();
+
+        for op in &ops {
+            world.run(op);
+        }
+        world.run(&Op::Pass { millis: BUDGET.as_millis() as u64 });
+
+        world.check_end();
+    }
+}
