--- /dev/null
+++ b/load/src/cluster.rs
@@ -0,0 +1,318 @@
+//! A whole system in one process.
+
+use std::{
+    net::{IpAddr, Ipv4Addr},
+    time::Duration,
+};
+
+use config::Inventory;
+use eyre::{Result, WrapErr, eyre};
+use front::Limits;
+use hyper::Method;
+use ident::{Group, NodeId};
+use journal::Journal;
+use node::NodeStatus;
+use primrosemuxd::{
+    AgentListeners, AgentOptions, EntryListeners, EntryOptions, Running, start_agent, start_entry,
+};
+use register::{Record, State};
+use standin::{
+    executor::{ExecutorOptions, ExecutorServer},
+    log::LogServer,
+    worker::{WorkerOptions, WorkerServer},
+};
+use tokio::time::sleep;
+use uuid::Uuid;
+
+use crate::Caller;
+
+/// Time between two looks at whether a condition holds.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Connections that a worker accepts.
+const WORKER_CONNECTIONS: usize = 512;
+
+/// Age of the usage that a worker reports.
+const USAGE_LAG: Duration = Duration::from_secs(1);
+
+/// Time for owners to hear from their deputies.
+const SETTLE_TIME: Duration = Duration::from_secs(1);
+
+/// Memory of a gigabyte in megabytes.
+const GB_IN_MB: u32 = 1024;
+
+const LOOPBACK: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
+
+/// What to start.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// Inventory in TOML; an agent is started for each of its endpoints.
+    pub inventory: String,
+    /// Number of entries.
+    pub entries: usize,
+    /// Seed of the nodes' randomness.
+    pub seed: u64,
+}
+
+/// A system that runs.
+pub struct Cluster {
+    /// The platform's log.
+    pub log: LogServer,
+    /// Entries in the order of their start.
+    pub entries: Vec<Running>,
+    /// Agents with their endpoints, in the order of the inventory.
+    pub hosts: Vec<Host>,
+    journal: Journal,
+    seed: u64,
+}
+
+/// An agent with its endpoint.
+pub struct Host {
+    /// Name of the endpoint.
+    pub name: String,
+    /// The endpoint.
+    pub endpoint: Endpoint,
+    /// The agent; gone once it has been stopped.
+    pub agent: Option<Running>,
+    options: AgentOptions,
+}
+
+/// An endpoint of either kind.
+pub enum Endpoint {
+    /// Serves requests.
+    Executor(ExecutorServer),
+    /// Runs the tasks of jobs.
+    Worker(WorkerServer),
+}
+
+impl Cluster {
+    /// Starts everything and waits until every shard has an owner.
+    pub async fn start(plan: &Plan) -> Result<Cluster> {
+        let inventory = Inventory::parse(&plan.inventory).wrap_err("checking the inventory")?;
+        let log = LogServer::start().await?;
+        let journal = Journal::new(log.address());
+        let mut cluster =
+            Cluster { log, entries: Vec::new(), hosts: Vec::new(), journal, seed: plan.seed };
+        cluster.start_entries(&inventory, plan.entries).await?;
+        cluster.start_executors(&inventory).await?;
+        cluster.start_workers(&inventory).await?;
+        cluster.publish(0, &plan.inventory).await?;
+        cluster.wait_until_owned(&inventory).await?;
+        Ok(cluster)
+    }
+
+    /// Publishes an inventory that was edited from version `base`.
+    pub async fn publish(&self, base: u64, text: &str) -> Result<u64> {
+        let record = Record::Config { record: Uuid::new_v4(), base, text: text.to_owned() };
+        self.journal.append_checked(&record, base).await.wrap_err("publishing the inventory")
+    }
+
+    /// Waits until `version` is in force on every node.
+    pub async fn wait_in_force(&self, version: u64, limit: Duration) -> Result<()> {
+        wait(limit, || self.versions().all(|it| it >= version))
+            .await
+            .ok_or_else(|| eyre!("version {version} is not in force everywhere in {limit:?}"))
+    }
+
+    /// Host of the endpoint with the given name.
+    pub fn host(&mut self, name: &str) -> Result<&mut Host> {
+        let host = self.hosts.iter_mut().find(|host| host.name == name);
+        host.ok_or_else(|| eyre!("no endpoint is called {name:?}"))
+    }
+
+    /// Requests that started more than once, and tasks.
+    pub fn double_starts(&self) -> usize {
+        let doubles = self.hosts.iter().map(|host| match &host.endpoint {
+            Endpoint::Executor(executor) => executor.double_runs().len(),
+            Endpoint::Worker(worker) => worker.double_starts().len(),
+        });
+        doubles.sum()
+    }
+
+    /// Stops every node gracefully; returns whether nothing was cut off.
+    pub async fn stop(mut self) -> bool {
+        let mut clean = true;
+        for entry in &mut self.entries {
+            clean &= entry.stop().await;
+        }
+        for host in &mut self.hosts {
+            clean &= host.stop().await;
+        }
+        clean
+    }
+
+    fn versions(&self) -> impl Iterator<Item = u64> {
+        let agents = self.hosts.iter().filter_map(|host| host.agent.as_ref());
+        self.entries.iter().chain(agents).map(Running::version)
+    }
+
+    fn seeds(&self) -> Vec<NodeId> {
+        self.entries.iter().map(Running::node).collect()
+    }
+
+    fn next_seed(&mut self) -> u64 {
+        self.seed += 1;
+        self.seed
+    }
+
+    async fn start_entries(&mut self, inventory: &Inventory, count: usize) -> Result<()> {
+        let zones = &inventory.availability_zones;
+        let mut listeners = Vec::new();
+        for _ in 0..count {
+            listeners.push(EntryListeners::bind_any(LOOPBACK).await?);
+        }
+        let seeds: Vec<NodeId> = listeners.iter().map(|it| it.node.node()).collect();
+        for (index, listeners) in listeners.into_iter().enumerate() {
+            let options = EntryOptions {
+                availability_zone: zones[index % zones.len()].name.clone(),
+                log: self.log.address(),
+                seeds: seeds.clone(),
+                limits: Limits::default(),
+                seed: self.next_seed(),
+            };
+            self.entries.push(start_entry(options, listeners).await?);
+        }
+        Ok(())
+    }
+
+    async fn start_executors(&mut self, inventory: &Inventory) -> Result<()> {
+        for executor in &inventory.executors {
+            let server = ExecutorServer::start(ExecutorOptions {
+                name: executor.name.clone(),
+                slots: executor.slots as usize,
+                connections: executor.connections as usize,
+            });
+            let server = server.await?;
+            let options = AgentOptions {
+                name: executor.name.clone(),
+                group: Group::Service(executor.service.clone()),
+                endpoint: server.address(),
+                availability_zone: executor.availability_zone.clone(),
+                log: self.log.address(),
+                seeds: self.seeds(),
+                seed: self.next_seed(),
+            };
+            self.add_host(Endpoint::Executor(server), options).await?;
+        }
+        Ok(())
+    }
+
+    async fn start_workers(&mut self, inventory: &Inventory) -> Result<()> {
+        for worker in &inventory.workers {
+            let zone = inventory.rack_zone(&worker.rack).unwrap_or_default();
+            let server = WorkerServer::start(WorkerOptions {
+                name: worker.name.clone(),
+                cores: worker.cores,
+                memory_mb: worker.memory_gb * GB_IN_MB,
+                accelerators: worker.accelerators,
+                connections: WORKER_CONNECTIONS,
+                usage_lag: USAGE_LAG,
+            });
+            let server = server.await?;
+            let options = AgentOptions {
+                name: worker.name.clone(),
+                group: Group::Workers,
+                endpoint: server.address(),
+                availability_zone: zone.to_owned(),
+                log: self.log.address(),
+                seeds: self.seeds(),
+                seed: self.next_seed(),
+            };
+            self.add_host(Endpoint::Worker(server), options).await?;
+        }
+        Ok(())
+    }
+
+    async fn add_host(&mut self, endpoint: Endpoint, options: AgentOptions) -> Result<()> {
+        let listeners = AgentListeners::bind_any(LOOPBACK).await?;
+        let agent = start_agent(options.clone(), listeners).await?;
+        let name = options.name.clone();
+        self.hosts.push(Host { name, endpoint, agent: Some(agent), options });
+        Ok(())
+    }
+
+    async fn wait_until_owned(&self, inventory: &Inventory) -> Result<()> {
+        const LIMIT: Duration = Duration::from_secs(30);
+        let mut groups: Vec<Group> =
+            inventory.services.iter().map(|it| Group::Service(it.name.clone())).collect();
+        if !inventory.workers.is_empty() {
+            groups.push(Group::Workers);
+        }
+        let mut state = State::default();
+        for _ in 0..LIMIT.as_millis() / POLL_INTERVAL.as_millis() {
+            self.follow(&mut state).await?;
+            let complete = groups.iter().all(|group| state.table.is_complete(group));
+            if complete && self.has_applied(state.next_offset).await? {
+                sleep(SETTLE_TIME).await;
+                return Ok(());
+            }
+            sleep(POLL_INTERVAL).await;
+        }
+        Err(eyre!("not every shard has an owner after {LIMIT:?}"))
+    }
+
+    /// Applies the records that the log has beyond `state`.
+    async fn follow(&self, state: &mut State) -> Result<()> {
+        let from = state.next_offset.max(1);
+        let page = self.journal.read(from, Duration::ZERO).await.wrap_err("reading the log")?;
+        for item in &page.entries {
+            if let Some(record) = &item.record {
+                state.apply(item.offset, record);
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether every agent reports that it has applied all before `offset`.
+    async fn has_applied(&self, offset: u64) -> Result<bool> {
+        let Some(http) = self.entries.first().and_then(Running::http) else { return Ok(false) };
+        let answer = Caller::new(http).call(Method::GET, "/v1/status").await?;
+        let Ok(status) = serde_json::from_slice::<NodeStatus>(&answer.body) else {
+            return Ok(false);
+        };
+        let ready = status.agents.iter().filter(|agent| agent.next_offset >= offset).count();
+        Ok(status.next_offset >= offset && ready == self.hosts.len())
+    }
+}
+
+impl Host {
+    /// Stops the agent gracefully; returns whether nothing was cut off.
+    pub async fn stop(&mut self) -> bool {
+        match self.agent.take() {
+            Some(mut agent) => agent.stop().await,
+            None => true,
+        }
+    }
+
+    /// Ends the agent at once, as a crash would.
+    pub fn kill(&mut self) {
+        self.agent = None;
+    }
+
+    /// Starts a new agent beside the endpoint, at a new address.
+    pub async fn restart(&mut self) -> Result<()> {
+        self.agent = None;
+        let listeners = AgentListeners::bind_any(LOOPBACK).await?;
+        self.agent = Some(start_agent(self.options.clone(), listeners).await?);
+        Ok(())
+    }
+
+    /// Requests or tasks that the endpoint has started.
+    pub fn starts(&self) -> u32 {
+        match &self.endpoint {
+            Endpoint::Executor(executor) => executor.total_runs(),
+            Endpoint::Worker(worker) => worker.total_starts(),
+        }
+    }
+}
+
+async fn wait(limit: Duration, mut holds: impl FnMut() -> bool) -> Option<()> {
+    let rounds = limit.as_millis() / POLL_INTERVAL.as_millis();
+    for _ in 0..rounds {
+        if holds() {
+            return Some(());
+        }
+        sleep(POLL_INTERVAL).await;
+    }
+    None
+}
