--- /dev/null
+++ b/components/link/tests/calls.rs
@@ -0,0 +1,88 @@
+//! Calls and replies on connections that work.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{call, listen, number, peers, reply, serve, serve_echo};
+use node::LinkError;
+
+const LONG: Duration = Duration::from_secs(60);
+const SHORT: Duration = Duration::from_millis(50);
+
+#[tokio::test]
+async fn matches_crossed_replies_by_number() {
+    let (listener, node) = listen().await;
+    let (server, mut calls) = serve(listener, node);
+    let peers = peers();
+
+    let (first, second, ()) =
+        tokio::join!(peers.call(node, call(1), LONG), peers.call(node, call(2), LONG), async {
+            let earlier = calls.recv().await.unwrap();
+            let later = calls.recv().await.unwrap();
+            server.reply(later.from, reply(number(&later.call)));
+            server.reply(earlier.from, reply(number(&earlier.call)));
+        });
+
+    assert_eq!(first, Ok(reply(1)));
+    assert_eq!(second, Ok(reply(2)));
+    assert_eq!(server.open_connections(), 1);
+}
+
+#[tokio::test]
+async fn drops_the_late_reply_to_a_call_that_was_given_up() {
+    let (listener, node) = listen().await;
+    let (server, mut calls) = serve(listener, node);
+    let peers = peers();
+
+    let given_up = peers.call(node, call(1), SHORT).await;
+    let late = calls.recv().await.unwrap();
+    server.reply(late.from, reply(1));
+    let (next, ()) = tokio::join!(peers.call(node, call(2), LONG), async {
+        let incoming = calls.recv().await.unwrap();
+        server.reply(incoming.from, reply(2));
+    });
+
+    assert_eq!(given_up, Err(LinkError::Lost));
+    assert_eq!(next, Ok(reply(2)));
+}
+
+#[tokio::test]
+async fn drops_the_reply_to_a_connection_that_has_gone() {
+    let (listener, node) = listen().await;
+    let (server, mut calls) = serve(listener, node);
+    let gone = peers();
+    let call_of_gone = {
+        let gone = gone.clone();
+        tokio::spawn(async move { gone.call(node, call(1), LONG).await })
+    };
+    let orphan = calls.recv().await.unwrap();
+    call_of_gone.abort();
+    drop(gone);
+    while server.open_connections() > 0 {
+        tokio::time::sleep(SHORT).await;
+    }
+
+    server.reply(orphan.from, reply(1));
+    let other = peers();
+    let (next, ()) = tokio::join!(other.call(node, call(2), LONG), async {
+        let incoming = calls.recv().await.unwrap();
+        server.reply(incoming.from, reply(2));
+    });
+
+    assert_eq!(next, Ok(reply(2)));
+}
+
+#[tokio::test]
+async fn carries_many_calls_on_one_connection() {
+    let (listener, node) = listen().await;
+    let server = serve_echo(listener, node);
+    let peers = peers();
+
+    let calls = (0..500).map(|number| peers.call(node, call(number), LONG));
+    let replies = futures::future::join_all(calls).await;
+
+    let expected: Vec<_> = (0..500).map(|number| Ok(reply(number))).collect();
+    assert_eq!(replies, expected);
+    assert_eq!(server.open_connections(), 1);
+}
--- /dev/null
+++ b/components/link/tests/common/mod.rs
@@ -0,0 +1,127 @@
+//! Fixtures: a server that echoes, a proxy that can go silent, raw peers.
+
+#![allow(dead_code, reason = "each test file uses a part of the fixtures")]
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use ident::{Incarnation, NodeId, Timestamp};
+use link::{Incoming, Peers, Server};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::{mpsc, watch},
+};
+use wire::{Call, Fetch, Frame, Reply, Snapshot};
+
+pub const INCARNATION: Incarnation = Incarnation(Timestamp::from_millis(1));
+
+/// A call that is told apart by its number.
+pub fn call(number: u64) -> Call {
+    Call::Fetch(Fetch { have: number })
+}
+
+/// The reply to the call of the same number.
+pub fn reply(number: u64) -> Reply {
+    let snapshot = Snapshot { next_offset: number, read_at: Timestamp::ZERO, state: Vec::new() };
+    Reply::State(Some(snapshot))
+}
+
+/// Number of a call.
+pub fn number(call: &Call) -> u64 {
+    match call {
+        Call::Fetch(fetch) => fetch.have,
+        other => panic!("no test sends {other:?}"),
+    }
+}
+
+/// The node in whose name calls are made; nobody calls it.
+pub fn caller() -> NodeId {
+    NodeId("127.0.0.1:1".parse().unwrap())
+}
+
+/// The client side of the caller.
+pub fn peers() -> Peers {
+    Peers::new(caller(), INCARNATION)
+}
+
+/// Listens on any port.
+pub async fn listen() -> (TcpListener, NodeId) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let node = NodeId(listener.local_addr().unwrap());
+    (listener, node)
+}
+
+/// Starts a server at `node` whose calls arrive on the channel.
+pub fn serve(listener: TcpListener, node: NodeId) -> (Server, mpsc::Receiver<Incoming>) {
+    let server = Server::new(node, INCARNATION);
+    let (sender, calls) = mpsc::channel(64);
+    let serving = server.clone();
+    tokio::spawn(async move { serving.serve(listener, sender).await });
+    (server, calls)
+}
+
+/// Starts a server that answers each call at once.
+pub fn serve_echo(listener: TcpListener, node: NodeId) -> Server {
+    let (server, mut calls) = serve(listener, node);
+    let echo = server.clone();
+    tokio::spawn(async move {
+        while let Some(incoming) = calls.recv().await {
+            echo.reply(incoming.from, reply(number(&incoming.call)));
+        }
+    });
+    server
+}
+
+/// A proxy in front of a server; connections that are open can be made silent.
+pub struct Proxy {
+    silent: watch::Sender<u64>,
+}
+
+impl Proxy {
+    /// Forwards connections of `listener` to `target`.
+    pub fn start(listener: TcpListener, target: SocketAddr) -> Proxy {
+        let silent = watch::Sender::new(0);
+        let changes = silent.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let upstream = TcpStream::connect(target).await.unwrap();
+                tokio::spawn(forward(stream, upstream, changes.subscribe()));
+            }
+        });
+        Proxy { silent }
+    }
+
+    /// Forwards nothing more on open connections, and closes none of them.
+    pub fn silence(&self) {
+        self.silent.send_modify(|generation| *generation += 1);
+    }
+}
+
+async fn forward(mut client: TcpStream, mut upstream: TcpStream, mut silent: watch::Receiver<u64>) {
+    tokio::select! {
+        _ = tokio::io::copy_bidirectional(&mut client, &mut upstream) => {}
+        _ = silent.changed() => std::future::pending().await,
+    }
+}
+
+/// Writes one frame as the protocol has it.
+pub async fn write_frame(stream: &mut TcpStream, frame: &Frame) {
+    let bytes = wire::encode(frame);
+    stream.write_u32(bytes.len() as u32).await.unwrap();
+    stream.write_all(&bytes).await.unwrap();
+}
+
+/// Reads one frame as the protocol has it.
+pub async fn read_frame(stream: &mut TcpStream) -> Frame {
+    let len = stream.read_u32().await.unwrap();
+    let mut bytes = vec![0; len as usize];
+    stream.read_exact(&mut bytes).await.unwrap();
+    wire::decode("frame", &bytes).unwrap()
+}
+
+/// Accepts a connection and says hello in the name of `node`.
+pub async fn accept_raw(listener: &TcpListener, node: NodeId) -> TcpStream {
+    let (mut stream, _) = listener.accept().await.unwrap();
+    write_frame(&mut stream, &Frame::Hello { node, incarnation: INCARNATION }).await;
+    stream
+}
