Change an endpoint's state in the text of an inventory

Draining an endpoint must not cost the operator's comments, so the text is edited in place. Settings gain the address that the command-line tool reads.

--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -6,12 +6,14 @@
 
 mod check;
 mod diff;
+mod edit;
 mod inventory;
 mod locate;
 mod problem;
 
 pub use crate::{
     diff::{Change, FieldChange, diff},
+    edit::{EditError, set_state},
     inventory::{
         AvailabilityZone, Executor, Inventory, Kind, Rack, Rules, Service, State, Team, Urgency,
         Worker,
--- a/components/config/src/problem.rs
+++ b/components/config/src/problem.rs
@@ -2,10 +2,13 @@
 
 use std::fmt;
 
+use serde::Serialize;
+
 use crate::locate::{Position, line_starts, position};
 
 /// One thing that is wrong with an inventory.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Problem {
     /// Line of the text, from 1, where it is known.
     pub line: Option<usize>,
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -13,11 +13,23 @@
 
 use ident::{Group, NodeId};
 
+use crate::source::Setting;
 pub use crate::{
     error::{SettingError, StartError},
     flags::parse,
 };
 
+/// Reads the address that a program connects to, from a flag or its variable.
+///
+/// The variable of a setting `name` is `PRIMROSEMUX_NAME`.
+pub fn parse_address(
+    name: &str,
+    flag: Option<&str>,
+    env: &dyn Fn(&str) -> Option<String>,
+) -> Result<SocketAddr, SettingError> {
+    value::address(&Setting::find(name, flag.map(str::to_owned), env))
+}
+
 /// What the daemon is asked to do.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Command {
