Test the HTTP side: fields, replies, limits and shutdown

A connection above the limit is now told so before it closes: closing it with the request unread took the answer back. A malformed job or request that names an id claims nothing about that id.

--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -9,6 +9,7 @@
 mod limits;
 mod pages;
 mod parse;
+mod refuse;
 mod render;
 mod routes;
 mod server;
--- a/components/front/src/parse.rs
+++ b/components/front/src/parse.rs
@@ -5,6 +5,7 @@
 use hyper::HeaderMap;
 use ident::RequestId;
 use node::{Job, Request};
+use serde::Deserialize;
 
 use crate::error::RequestError;
 
@@ -29,6 +30,12 @@
     declared: Option<Duration>,
 }
 
+/// The only field that is read of a body which is not a valid job.
+#[derive(Deserialize)]
+struct Named {
+    id: Option<RequestId>,
+}
+
 /// Reads the id that the caller chose, if it chose one.
 pub(crate) fn parse_id(headers: &HeaderMap) -> Result<Option<RequestId>, RequestError> {
     let Some(text) = header(headers, ID)? else {
@@ -68,11 +75,18 @@
 pub(crate) fn parse_job(body: &[u8]) -> Result<Job, RequestError> {
     let job: Job = serde_json::from_slice(body).map_err(|err| {
         RequestError::invalid("body", format!("The body is not a job in JSON: {err}."))
+            .with_id(named_id(body))
     })?;
     check_job(&job).map_err(|err| err.with_id(job.id))?;
     Ok(job)
 }
 
+/// The id in a body that is not a valid job, if there is one.
+fn named_id(body: &[u8]) -> Option<RequestId> {
+    let fields: Named = serde_json::from_slice(body).ok()?;
+    fields.id
+}
+
 fn check_job(job: &Job) -> Result<(), RequestError> {
     if job.team.is_empty() {
         return Err(RequestError::invalid("team", "team is empty; send the name of your team."));
--- a/components/front/src/render.rs
+++ b/components/front/src/render.rs
@@ -35,7 +35,10 @@
         CallerReply::Outcome { id, outcome: Outcome::Refused(refusal), ran_on: _ } => {
             render_refusal(id, None, &refusal)
         }
-        CallerReply::Running(id) => json(StatusCode::ACCEPTED, &Running { id, status: "running" }),
+        CallerReply::Running(id) => {
+            let body = to_json(&Running { id, status: "running" });
+            finish(headers(StatusCode::ACCEPTED, Some(id), None), JSON, body)
+        }
         CallerReply::Job { id, status } => render_job(id, status),
         CallerReply::Explain(decisions) => json(StatusCode::OK, &decisions),
         CallerReply::Status(status) => json(StatusCode::OK, &status),
@@ -150,7 +153,8 @@
 fn render_job(id: RequestId, status: JobStatus) -> Response<Full<Bytes>> {
     match status {
         JobStatus::Running { done, total } => {
-            json(StatusCode::ACCEPTED, &RunningJob { id, status: "running", done, total })
+            let body = to_json(&RunningJob { id, status: "running", done, total });
+            finish(headers(StatusCode::ACCEPTED, Some(id), None), JSON, body)
         }
         JobStatus::Ended(Outcome::Done(answer)) => {
             let mut body = format!(r#"{{"id":"{id}","status":"complete","results":"#).into_bytes();
--- a/components/front/src/server.rs
+++ b/components/front/src/server.rs
@@ -31,6 +31,7 @@
     limits::Limits,
     pages::Pages,
     parse::{join_request, parse_head, parse_id, parse_job},
+    refuse::turn_away,
     render::{render_error, render_readiness, render_refusal, render_reply, render_text},
     routes::{Route, route},
 };
@@ -38,18 +39,8 @@
 /// Time to wait after the listener has failed, for example for lack of files.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Answer to a connection above the limit; its request is not read, so nothing
-/// is claimed about the id in it.
-const TOO_MANY_CONNECTIONS: &str = concat!(
-    "HTTP/1.1 503 Service Unavailable\r\n",
-    "content-type: application/json\r\n",
-    "content-length: 163\r\n",
-    "connection: close\r\n",
-    "primrosemux-verdict: may_have_run\r\n",
-    "retry-after: 1\r\n\r\n",
-    r#"{"error":{"id":null,"verdict":"may_have_run","reason":"overloaded","field":null,"#,
-    r#""message":"Too many connections are open; come back later.","retry_after_ms":1000}}"#,
-);
+/// Connections above the limit that are told so at a time; more are closed at once.
+const MAX_REFUSALS: usize = 256;
 
 /// What callers' connections report.
 #[derive(Debug)]
@@ -126,6 +117,7 @@
 
 async fn accept(listener: &TcpListener, front: &Front, graceful: &GracefulShutdown) {
     let permits = Arc::new(Semaphore::new(front.shared.limits.connections));
+    let refusals = Arc::new(Semaphore::new(MAX_REFUSALS));
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -137,17 +129,16 @@
         };
         match Arc::clone(&permits).try_acquire_owned() {
             Ok(permit) => start(stream, front.clone(), graceful.watcher(), permit),
-            Err(_) => turn_away(&stream),
+            Err(_) => {
+                log::warn!("a caller was turned away: too many connections are open");
+                if let Ok(permit) = Arc::clone(&refusals).try_acquire_owned() {
+                    tokio::spawn(turn_away(stream, permit));
+                }
+            }
         }
     }
 }
 
-/// Answers a connection above the limit, as far as that goes without waiting.
-fn turn_away(stream: &TcpStream) {
-    log::warn!("a caller was turned away: too many connections are open");
-    let _ = stream.try_write(TOO_MANY_CONNECTIONS.as_bytes());
-}
-
 /// Serves one connection in a task of its own.
 fn start(stream: TcpStream, front: Front, watcher: Watcher, permit: OwnedSemaphorePermit) {
     let limits = front.shared.limits;
--- /dev/null
+++ b/components/front/tests/common/mod.rs
@@ -0,0 +1,124 @@
+//! Fixtures: a front with a scripted core behind it, and a plain HTTP client.
+
+#![allow(dead_code, reason = "each test file uses a part of the fixtures")]
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use front::{FromCaller, Front, Limits, Pages, Readiness, serve};
+use ident::RequestId;
+use node::{CallerReply, CallerRequest, CallerToken};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::{mpsc, oneshot},
+    task::JoinHandle,
+};
+
+/// An id in its usual spelling.
+pub const ID: &str = "018f0000-0000-7000-8000-000000000001";
+
+/// A front and the requests that reach its core.
+pub struct Fixture {
+    pub address: SocketAddr,
+    pub reports: mpsc::UnboundedReceiver<FromCaller>,
+    pub stop: oneshot::Sender<()>,
+    pub serving: JoinHandle<()>,
+}
+
+/// A request that reached the core.
+pub struct Asked {
+    pub token: CallerToken,
+    pub request: CallerRequest,
+    pub reply: oneshot::Sender<CallerReply>,
+}
+
+/// An answer as it came over the connection.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: String,
+    pub body: String,
+}
+
+/// Starts a front on any port.
+pub async fn start(limits: Limits) -> Fixture {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (sender, reports) = mpsc::unbounded_channel();
+    let sink = move |report| drop(sender.send(report));
+    let front = Front::new(sink, pages(), limits);
+    let (stop, stopped) = oneshot::channel();
+    let serving = tokio::spawn(serve(listener, front, async move {
+        let _ = stopped.await;
+    }));
+    Fixture { address, reports, stop, serving }
+}
+
+/// Starts a front whose core gives the same reply to every request.
+pub async fn start_with_reply(reply: CallerReply) -> SocketAddr {
+    let mut fixture = start(Limits::default()).await;
+    let address = fixture.address;
+    tokio::spawn(async move {
+        while let Asked { reply: sender, .. } = fixture.asked().await {
+            let _ = sender.send(reply.clone());
+        }
+    });
+    address
+}
+
+impl Fixture {
+    /// Waits for the next request that reaches the core.
+    pub async fn asked(&mut self) -> Asked {
+        match self.reports.recv().await.unwrap() {
+            FromCaller::Request { token, request, reply } => Asked { token, request, reply },
+            FromCaller::Gone { token } => panic!("the caller of {token:?} has gone"),
+        }
+    }
+}
+
+/// The id that the tests use.
+pub fn id() -> RequestId {
+    ID.parse().unwrap()
+}
+
+/// Sends raw bytes on a new connection and reads the answer to its end.
+pub async fn exchange(address: SocketAddr, request: &str) -> Answer {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(request.as_bytes()).await.unwrap();
+    read_answer(&mut stream).await
+}
+
+/// Reads an answer up to the end of the connection.
+pub async fn read_answer(stream: &mut TcpStream) -> Answer {
+    let mut text = String::new();
+    stream.read_to_string(&mut text).await.unwrap();
+    let (head, body) = text.split_once("\r\n\r\n").expect("the answer has a head");
+    let (line, headers) = head.split_once("\r\n").unwrap_or((head, ""));
+    let status = line.split(' ').nth(1).unwrap().parse().unwrap();
+    let headers: Vec<&str> =
+        headers.lines().filter(|header| !header.starts_with("date:")).collect();
+    Answer { status, headers: headers.join("\n"), body: body.to_owned() }
+}
+
+/// A request without a body that closes its connection.
+pub fn get(path: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nhost: test\r\nconnection: close\r\n\r\n")
+}
+
+/// A request with a body that closes its connection; each header line ends with CRLF.
+pub fn post(path: &str, headers: &str, body: &str) -> String {
+    let len = body.len();
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: test\r\nconnection: close\r\n\
+         content-length: {len}\r\n{headers}\r\n{body}"
+    )
+}
+
+fn pages() -> Pages {
+    let readiness = || Readiness {
+        ready: false,
+        version: 0,
+        reason: Some("the node has no configuration yet".to_owned()),
+    };
+    Pages::new(readiness, || "requests 1\n".to_owned())
+}
--- /dev/null
+++ b/components/front/tests/limits.rs
@@ -0,0 +1,136 @@
+//! Callers that are slow, leave early or are too many, and the shutdown.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Asked, exchange, get, id, post, read_answer, start};
+use front::{FromCaller, Limits};
+use node::CallerReply;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+use verdict::{Answer, Outcome};
+
+const PATH: &str = "/v1/services/yardbook/kinds/slot/requests";
+const TEAM: &str = "primrosemux-team: owners\r\n";
+const SHORT: Duration = Duration::from_millis(50);
+
+#[tokio::test]
+async fn reports_a_caller_that_leaves_before_its_answer() {
+    let mut fixture = start(Limits::default()).await;
+    let mut caller = TcpStream::connect(fixture.address).await.unwrap();
+    caller.write_all(post(PATH, TEAM, "").as_bytes()).await.unwrap();
+    let Asked { token, reply, .. } = fixture.asked().await;
+
+    drop(caller);
+    let report = fixture.reports.recv().await;
+
+    assert!(matches!(report, Some(FromCaller::Gone { token: gone }) if gone == token));
+    assert!(reply.is_closed());
+}
+
+#[tokio::test]
+async fn does_not_report_a_caller_that_leaves_after_its_answer() {
+    let mut fixture = start(Limits::default()).await;
+    let address = fixture.address;
+
+    for _ in 0..2 {
+        let caller = tokio::spawn(async move { exchange(address, &get("/v1/status")).await });
+        let Asked { reply, .. } = fixture.asked().await;
+        reply.send(CallerReply::Running(id())).unwrap();
+        caller.await.unwrap();
+    }
+
+    assert!(fixture.reports.try_recv().is_err());
+}
+
+#[tokio::test]
+async fn refuses_a_body_that_comes_too_slowly() {
+    let mut fixture = start(Limits { body_time: SHORT, ..Limits::default() }).await;
+    let mut caller = TcpStream::connect(fixture.address).await.unwrap();
+    let request = post(PATH, TEAM, "whole").replace("whole", "wh");
+
+    caller.write_all(request.as_bytes()).await.unwrap();
+    let answer = read_answer(&mut caller).await;
+
+    assert_eq!(answer.status, 400);
+    assert!(answer.body.contains("had not arrived whole after 50ms"), "{}", answer.body);
+    assert!(fixture.reports.try_recv().is_err());
+}
+
+#[tokio::test]
+async fn closes_a_connection_whose_headers_come_too_slowly() {
+    let fixture = start(Limits { header_time: SHORT, ..Limits::default() }).await;
+    let mut caller = TcpStream::connect(fixture.address).await.unwrap();
+
+    caller.write_all(b"GET /health HT").await.unwrap();
+    let mut received = Vec::new();
+    let _ = caller.read_to_end(&mut received).await;
+
+    assert!(!received.starts_with(b"HTTP/1.1 200"));
+}
+
+#[tokio::test]
+async fn turns_callers_away_above_the_limit_on_connections() {
+    let mut fixture = start(Limits { connections: 1, ..Limits::default() }).await;
+    let mut first = TcpStream::connect(fixture.address).await.unwrap();
+    first.write_all(get("/v1/status").as_bytes()).await.unwrap();
+    let Asked { reply, .. } = fixture.asked().await;
+
+    let turned_away = exchange(fixture.address, &get("/health")).await;
+    reply.send(CallerReply::Running(id())).unwrap();
+    let answered = read_answer(&mut first).await;
+
+    let body: serde_json::Value = serde_json::from_str(&turned_away.body).unwrap();
+    assert_eq!(turned_away.status, 503);
+    assert!(turned_away.headers.contains(&format!("content-length: {}", turned_away.body.len())));
+    assert_eq!(body["error"]["verdict"], "may_have_run");
+    assert_eq!(answered.status, 202);
+}
+
+#[tokio::test]
+async fn frees_the_connection_of_a_caller_that_does_not_read() {
+    let limits = Limits { connections: 1, write_time: SHORT, ..Limits::default() };
+    let mut fixture = start(limits).await;
+    let mut unread = TcpStream::connect(fixture.address).await.unwrap();
+    unread.write_all(get("/v1/status").as_bytes()).await.unwrap();
+    let Asked { reply, .. } = fixture.asked().await;
+    let body = vec![0; 64 * 1024 * 1024];
+    let outcome = Outcome::Done(Answer { status: 200, body });
+    reply.send(CallerReply::Outcome { id: None, outcome, ran_on: None }).unwrap();
+
+    let mut answer = exchange_health(&fixture).await;
+    while answer != 200 {
+        tokio::time::sleep(SHORT).await;
+        answer = exchange_health(&fixture).await;
+    }
+
+    assert_eq!(answer, 200);
+}
+
+#[tokio::test]
+async fn finishes_requests_in_progress_before_it_stops() {
+    let mut fixture = start(Limits::default()).await;
+    let address = fixture.address;
+    let _idle = TcpStream::connect(address).await.unwrap();
+    let caller = tokio::spawn(async move { exchange(address, &get("/v1/status")).await });
+    let Asked { reply, .. } = fixture.asked().await;
+
+    fixture.stop.send(()).unwrap();
+    while TcpStream::connect(address).await.is_ok() {
+        tokio::time::sleep(SHORT).await;
+    }
+    let stopped_early = fixture.serving.is_finished();
+    reply.send(CallerReply::Running(id())).unwrap();
+    let answer = caller.await.unwrap();
+    fixture.serving.await.unwrap();
+
+    assert!(!stopped_early);
+    assert_eq!(answer.status, 202);
+}
+
+async fn exchange_health(fixture: &common::Fixture) -> u16 {
+    exchange(fixture.address, &get("/health")).await.status
+}
