Let calls wait at an owner for its deputy's first promise

Cause: after a hand-over the new owner may not decide until its deputy has promised; entries used up their six attempts within 170 ms and gave up. Change: the owner parks such calls until it may decide, for at most the promise's term.

--- a/components/agent/src/coordinate.rs
+++ b/components/agent/src/coordinate.rs
@@ -9,7 +9,7 @@
 use verdict::{Outcome, Proof, Reason, Refusal};
 use wire::{Call, JobSpec, JobStatus, Reply, Status};
 
-use crate::{Agent, awaiting::Asked, work::Pending};
+use crate::{Agent, awaiting::Asked, parking::ParkedCall, work::Pending};
 
 /// Time that a worker has beyond the job's deadline to report the end of a task.
 const TASK_GRACE: Duration = Duration::from_secs(5);
@@ -43,6 +43,15 @@
         if let Some(Entry::Finished(outcome)) = self.ledger.get(id) {
             return self.reply(from, Reply::Job(JobStatus::Ended(outcome)));
         }
+        match self.park(from, ParkedCall::Submit(spec)) {
+            Ok(()) | Err(ParkedCall::Run(_)) => {}
+            Err(ParkedCall::Submit(spec)) => self.decide_job(from, spec),
+        }
+    }
+
+    /// Decides about a job whose outcome is not known.
+    pub(crate) fn decide_job(&mut self, from: ReplyTo, spec: JobSpec) {
+        let id = spec.id;
         if let Err(refusal) = self.check_authority(id) {
             return self.refuse_job(from, refusal);
         }
--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -11,6 +11,7 @@
 mod membership;
 mod options;
 mod own;
+mod parking;
 mod place;
 mod stop;
 mod tasks;
@@ -37,6 +38,7 @@
 use crate::{
     awaiting::Awaiting,
     coordinate::JobWaiters,
+    parking::Parking,
     stop::Phase,
     tasks::LocalTask,
     work::{CallKey, Pending, Work, WorkKey},
@@ -66,6 +68,7 @@
     jobs: Jobs,
     job_waiters: JobWaiters,
     awaiting: Awaiting,
+    parking: Parking,
     tasks: SlotMap<tasks::TaskKey, LocalTask>,
 }
 
@@ -101,6 +104,7 @@
             jobs: Jobs::new(Placer::new(&options.availability_zone, options.seed)),
             job_waiters: JobWaiters::default(),
             awaiting: Awaiting::default(),
+            parking: Parking::default(),
             tasks: SlotMap::with_key(),
             me: options,
         }
@@ -125,6 +129,11 @@
         std::mem::take(&mut self.effects)
     }
 
+    /// Version of the configuration in force here, 0 for none.
+    pub fn version(&self) -> u64 {
+        self.state.version()
+    }
+
     fn on_call(&mut self, from: ReplyTo, call: Call) {
         match call {
             Call::Run(run) => self.on_run(from, run),
@@ -148,6 +157,7 @@
         self.tick_tenure();
         self.tick_jobs();
         self.tick_awaiting();
+        self.tick_parking();
         self.expire();
     }
 
--- a/components/agent/src/own.rs
+++ b/components/agent/src/own.rs
@@ -12,6 +12,7 @@
 use crate::{
     Agent,
     awaiting::Asked,
+    parking::ParkedCall,
     work::{Origin, Pending, Stage, Work, WorkKey},
 };
 
@@ -46,6 +47,14 @@
         if let Some(Entry::Finished(outcome)) = self.ledger.get(run.id) {
             return self.repeat(from, run.id, outcome);
         }
+        match self.park(from, ParkedCall::Run(run)) {
+            Ok(()) | Err(ParkedCall::Submit(_)) => {}
+            Err(ParkedCall::Run(run)) => self.decide_run(from, run),
+        }
+    }
+
+    /// Decides about a request whose outcome is not known.
+    pub(crate) fn decide_run(&mut self, from: ReplyTo, run: Run) {
         if let Err(refusal) = self.check_authority(run.id) {
             return self.refuse(from, run.id, refusal);
         }
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -110,6 +110,11 @@
         std::mem::take(&mut self.effects)
     }
 
+    /// Version of the configuration in force here, 0 for none.
+    pub fn version(&self) -> u64 {
+        self.state.version()
+    }
+
     /// Whether the entry can serve callers: it has a configuration.
     pub fn is_ready(&self) -> bool {
         self.phase == Phase::Running && self.state.config.is_some()
--- a/components/entry/src/retrying.rs
+++ b/components/entry/src/retrying.rs
@@ -139,8 +139,7 @@
 
     /// The agent did not decide for the id: learn who does, then ask again.
     fn on_not_owner(&mut self, key: RequestKey, refusal: Refusal) {
-        let peer = self.requests[key].tried.last().copied();
-        self.effects.push(node::Effect::Refresh { peer });
+        self.effects.push(node::Effect::Refresh { peer: None });
         let request = &mut self.requests[key];
         request.refusal = Some(refusal);
         match request.route {
--- a/components/scenario/src/fleet.rs
+++ b/components/scenario/src/fleet.rs
@@ -22,6 +22,16 @@
     Agent(Box<Agent>),
 }
 
+impl Core {
+    /// Version of the configuration in force.
+    pub fn version(&self) -> u64 {
+        match self {
+            Core::Entry(entry) => entry.version(),
+            Core::Agent(agent) => agent.version(),
+        }
+    }
+}
+
 /// A node with what its shell would hold.
 pub(crate) struct Member {
     pub name: String,
@@ -137,23 +147,24 @@
 
     pub(crate) fn handle(&mut self, node: NodeId, event: Event) {
         let Some(member) = self.members.get_mut(&node) else { return };
-        if let Event::State { state, read_at } = &event {
-            if state.version() < member.state.version() {
-                let name = member.name.clone();
-                self.report.violation(self.now, format!("the configuration of {name} reverts"));
-            } else if state.next_offset >= member.state.next_offset {
-                if state.version() > member.state.version() {
-                    self.report.in_force.insert(node, self.now);
-                }
-                member.state = Arc::clone(state);
-                member.read_at = member.read_at.max(*read_at);
-            }
+        if let Event::State { state, read_at } = &event
+            && state.next_offset >= member.state.next_offset
+        {
+            member.state = Arc::clone(state);
+            member.read_at = member.read_at.max(*read_at);
         }
-        let member = self.members.get_mut(&node).expect("the node was found above");
+        let before = member.core.version();
         let effects = match &mut member.core {
             Core::Entry(entry) => entry.handle(self.now, event),
             Core::Agent(agent) => agent.handle(self.now, event),
         };
+        let after = member.core.version();
+        if after > before {
+            self.report.in_force.insert(node, self.now);
+        } else if after < before {
+            let name = member.name.clone();
+            self.report.violation(self.now, format!("the configuration of {name} reverts"));
+        }
         for effect in effects {
             self.carry_out(node, effect);
         }
