Weigh the risk of a taken slot, failures and lag in the choice

Entries that do not see each other filled executors up to the last free slot and met there. The cost of an agent now rises with the fourth power of its filled slots, scaled by the group's usual run time. Failures and lag count relative to the group's medians and fade with time.

--- a/components/routing/src/agent.rs
+++ b/components/routing/src/agent.rs
@@ -11,6 +11,8 @@
 const TRIAL_INTERVAL: Duration = Duration::from_millis(250);
 /// Power by which the risk of a wait grows with the share of busy slots.
 const RISK_POWER: i32 = 4;
+/// Mean run times per slot that the risk amounts to when all slots are busy.
+const RISK_WEIGHT: f64 = 1.5;
 
 /// An agent with its load, as far as it is known here.
 #[derive(Debug)]
@@ -44,7 +46,7 @@
     pub(crate) fn new(report: &AgentReport, now: Timestamp) -> Agent {
         Agent {
             report: report.clone(),
-            health: Health::default(),
+            health: Health::new(now),
             suspected: false,
             load: report.load,
             load_at: now,
@@ -117,19 +119,30 @@
 
     /// Time that a request sent now would wait for a slot.
     pub(crate) fn predicted_wait(&self) -> Duration {
-        let slots = f64::from(self.load.slots.max(1));
-        let unseen = self.sent.iter().filter(|it| it.at >= self.load_at);
-        let (count, work) = unseen
-            .fold((0u32, Duration::ZERO), |(count, work), it| (count + 1, work + it.expected));
-        let requests = f64::from(self.load.busy + self.load.queued + count);
-        if requests == 0.0 {
+        let (requests, work) = self.known();
+        if requests < self.slots() {
             return Duration::ZERO;
         }
-        let mean = (self.load.work + work).as_secs_f64() / requests;
-        let ahead = match requests < slots {
-            true => (requests / slots).powi(RISK_POWER),
-            false => requests - slots + 1.0,
-        };
-        Duration::from_secs_f64(mean * ahead / slots)
+        let mean = work / requests;
+        mean * (requests - self.slots() + 1) / self.slots()
+    }
+
+    /// Time that a request is at risk of waiting although a slot is free, because
+    /// others who do not see it may take the slot too; `typical` is a run time.
+    pub(crate) fn risk(&self, typical: Duration) -> Duration {
+        let (requests, _) = self.known();
+        let filled = f64::from(requests.min(self.slots())) / f64::from(self.slots());
+        typical.mul_f64(RISK_WEIGHT * filled.powi(RISK_POWER)) / self.slots()
+    }
+
+    fn slots(&self) -> u32 {
+        self.load.slots.max(1)
+    }
+
+    /// Requests that run or wait there, and their work.
+    fn known(&self) -> (u32, Duration) {
+        let unseen = self.sent.iter().filter(|it| it.at >= self.load_at);
+        let seen = (self.load.busy + self.load.queued, self.load.work);
+        unseen.fold(seen, |(count, work), it| (count + 1, work + it.expected))
     }
 }
--- a/components/routing/src/choose.rs
+++ b/components/routing/src/choose.rs
@@ -8,14 +8,14 @@
 
 use crate::{
     agent::{Agent, Standing},
-    pool::Pool,
+    pool::{Pool, Usual},
     router::Router,
 };
 
 /// Time that a request to another availability zone takes longer.
 const ZONE_LATENCY: Duration = Duration::from_millis(2);
 /// Time that a failed attempt costs.
-const FAILURE_COST: Duration = Duration::from_secs(2);
+const FAILURE_COST: Duration = Duration::from_secs(1);
 /// Difference in time that does not count, as a share of the expected run time.
 const TOLERANCE: f64 = 0.02;
 
@@ -63,14 +63,15 @@
         if let Some(choice) = self.trial(pool, want, now) {
             return Some(choice);
         }
+        let usual = &pool.usual;
         let mut nodes = pool.sample(rng);
-        let mut scores = self.scores(&nodes, want, Standing::Active);
+        let mut scores = self.scores(&nodes, want, usual, Standing::Active);
         if scores.is_empty() {
             nodes = pool.nodes().collect();
-            scores = self.scores(&nodes, want, Standing::Active);
+            scores = self.scores(&nodes, want, usual, Standing::Active);
         }
         if scores.is_empty() {
-            scores = self.scores(&nodes, want, Standing::Doubtful);
+            scores = self.scores(&nodes, want, usual, Standing::Doubtful);
         }
         let best = pick(&scores, want.expected, rng)?;
         let candidates = nodes.iter().map(|node| self.candidate(*node, want)).collect();
@@ -87,25 +88,31 @@
         Some(Choice { node, wait, candidates: vec![self.candidate(node, want)] })
     }
 
-    fn scores(&self, nodes: &[NodeId], want: &Want<'_>, standing: Standing) -> Vec<Score> {
+    fn scores(
+        &self,
+        nodes: &[NodeId],
+        want: &Want<'_>,
+        usual: &Usual,
+        standing: Standing,
+    ) -> Vec<Score> {
         let agents = nodes.iter().filter_map(|node| self.agents.get(node));
         let able = agents.filter(|agent| self.objection(agent, want).is_none());
         let of_standing = able.filter(|agent| match standing {
             Standing::Active => agent.standing() == Standing::Active,
             Standing::Doubtful => true,
         });
-        of_standing.map(|agent| self.score(agent, want)).collect()
+        of_standing.map(|agent| self.score(agent, want, usual)).collect()
     }
 
-    fn score(&self, agent: &Agent, want: &Want<'_>) -> Score {
+    fn score(&self, agent: &Agent, want: &Want<'_>, usual: &Usual) -> Score {
         let wait = agent.predicted_wait();
-        let run_time = want.expected.mul_f64(agent.health.lag);
+        let run_time = want.expected.mul_f64(agent.health.slowdown(&usual.medians));
         let latency = match agent.report.availability_zone == self.zone {
             true => Duration::ZERO,
             false => ZONE_LATENCY,
         };
-        let failure = FAILURE_COST.mul_f64(agent.health.failures);
-        let cost = (wait + run_time + latency + failure).as_secs_f64();
+        let failure = FAILURE_COST.mul_f64(agent.health.excess_failures(&usual.medians));
+        let cost = (wait + agent.risk(usual.run_time) + run_time + latency + failure).as_secs_f64();
         Score { node: agent.report.node, wait, cost }
     }
 
--- a/components/routing/src/health.rs
+++ b/components/routing/src/health.rs
@@ -4,16 +4,24 @@
 
 use ident::Timestamp;
 
-use crate::SampleOutcome;
-
-/// Weight of the newest sample in the failure rate and the lag.
-const WEIGHT: f64 = 0.1;
-/// Samples without which nothing is concluded.
-const MIN_SAMPLES: u32 = 5;
+/// Weight of the newest sample in the failure rate.
+const FAILURE_WEIGHT: f64 = 0.1;
+/// Weight of the newest sample in the lag.
+const LAG_WEIGHT: f64 = 0.03;
+/// Largest factor by which one run time may differ from what was expected.
+const MAX_FACTOR: f64 = 16.0;
 /// Failure rate above that of the group's median from which an agent is ejected.
-const MAX_FAILURES: f64 = 0.5;
+const MAX_FAILURES: f64 = 0.35;
 /// Multiple of the median lag of the group from which an agent is ejected.
-const MAX_LAG: f64 = 4.0;
+const MAX_LAG: f64 = 3.0;
+/// Multiple of the median lag of the group that does not count.
+const USUAL_LAG: f64 = 1.3;
+/// Time in which the failure rate halves.
+const FAILURE_HALF_LIFE: Duration = Duration::from_secs(2);
+/// Time in which the lag, as a logarithm, halves.
+const LAG_HALF_LIFE: Duration = Duration::from_secs(30);
+/// Failure rate below which earlier ejections are forgotten.
+const FORGIVEN: f64 = 0.01;
 /// Time of the first ejection; each one in a row doubles it.
 const EJECTION_TIME: Duration = Duration::from_secs(5);
 /// Doublings of the ejection time.
@@ -28,10 +36,18 @@
     pub(crate) phase: Phase,
     /// Share of requests that failed lately.
     pub(crate) failures: f64,
-    /// Ratio of run times to what was expected.
+    /// Ratio of run times to what was expected, as a logarithm.
     pub(crate) lag: f64,
-    samples: u32,
+    /// Ejections without a healthy time between them.
     ejections: u32,
+    faded_at: Timestamp,
+}
+
+/// Medians of a group, to which its agents are compared.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub(crate) struct Medians {
+    pub(crate) failures: f64,
+    pub(crate) lag: f64,
 }
 
 /// Whether an agent gets requests.
@@ -45,33 +61,51 @@
     Probation { healthy: u32 },
 }
 
-impl Default for Health {
-    fn default() -> Health {
-        Health { phase: Phase::Active, failures: 0.0, lag: 1.0, samples: 0, ejections: 0 }
+impl Health {
+    pub(crate) fn new(now: Timestamp) -> Health {
+        let phase = Phase::Active;
+        Health { phase, failures: 0.0, lag: 0.0, ejections: 0, faded_at: now }
     }
-}
 
-impl Health {
-    /// Learns from a request that ended.
-    pub(crate) fn on_sample(&mut self, outcome: SampleOutcome, lag: Option<f64>, now: Timestamp) {
-        let failed = match outcome {
-            SampleOutcome::Healthy => 0.0,
-            SampleOutcome::Failed | SampleOutcome::Lost => 1.0,
-            SampleOutcome::Refused | SampleOutcome::Cancelled => return,
-        };
-        self.samples = self.samples.saturating_add(1);
-        let weight = WEIGHT.max(1.0 / f64::from(self.samples + 1));
-        self.failures += weight * (failed - self.failures);
-        if let Some(lag) = lag {
-            self.lag += weight * (lag - self.lag);
+    /// Learns from a request that ran in `ratio` times the expected time.
+    pub(crate) fn on_success(&mut self, ratio: f64, now: Timestamp) {
+        self.fade(now);
+        self.failures -= FAILURE_WEIGHT * self.failures;
+        let limit = MAX_FACTOR.ln();
+        let sample = ratio.max(f64::MIN_POSITIVE).ln().clamp(-limit, limit);
+        self.lag += LAG_WEIGHT * (sample - self.lag);
+        if let Phase::Probation { healthy } = self.phase {
+            self.phase = match healthy + 1 < TRIALS {
+                true => Phase::Probation { healthy: healthy + 1 },
+                false => Phase::Active,
+            };
+        }
+    }
+
+    /// Learns from a request that failed or was lost.
+    pub(crate) fn on_failure(&mut self, now: Timestamp) {
+        self.fade(now);
+        self.failures += FAILURE_WEIGHT * (1.0 - self.failures);
+        match self.phase {
+            Phase::Probation { .. } => self.eject(now),
+            Phase::Active | Phase::Ejected { .. } => {}
         }
-        self.on_trial(failed > 0.0, now);
     }
 
     /// Whether the samples speak for ejection.
-    pub(crate) fn is_outlier(&self, median_failures: f64, median_lag: f64) -> bool {
-        self.samples >= MIN_SAMPLES
-            && (self.failures > median_failures + MAX_FAILURES || self.lag > median_lag * MAX_LAG)
+    pub(crate) fn is_outlier(&self, medians: &Medians) -> bool {
+        self.failures > medians.failures + MAX_FAILURES || self.lag > medians.lag + MAX_LAG.ln()
+    }
+
+    /// Factor by which the agent's run times exceed the usual.
+    pub(crate) fn slowdown(&self, medians: &Medians) -> f64 {
+        let factor = (self.lag - medians.lag).exp();
+        if factor < USUAL_LAG { 1.0 } else { factor }
+    }
+
+    /// Failures beyond what is usual in the group.
+    pub(crate) fn excess_failures(&self, medians: &Medians) -> f64 {
+        (self.failures - medians.failures).max(0.0)
     }
 
     /// Whether it gets trial requests only.
@@ -86,26 +120,24 @@
         self.phase = Phase::Ejected { until: now + time };
     }
 
-    /// Begins the probation when the ejection is over.
+    /// Begins the probation when the ejection is over, and forgives over time.
     pub(crate) fn tick(&mut self, now: Timestamp) {
-        if let Phase::Ejected { until } = self.phase
-            && now >= until
-        {
-            self.phase = Phase::Probation { healthy: 0 };
-            self.samples = 0;
-            self.failures = 0.0;
-            self.lag = 1.0;
+        self.fade(now);
+        match self.phase {
+            Phase::Ejected { until } if now >= until => {
+                self.phase = Phase::Probation { healthy: 0 };
+                self.failures = 0.0;
+                self.lag = 0.0;
+            }
+            Phase::Active if self.failures < FORGIVEN => self.ejections = 0,
+            Phase::Active | Phase::Ejected { .. } | Phase::Probation { .. } => {}
         }
     }
 
-    fn on_trial(&mut self, failed: bool, now: Timestamp) {
-        let Phase::Probation { healthy } = self.phase else {
-            return;
-        };
-        match failed {
-            true => self.eject(now),
-            false if healthy + 1 >= TRIALS => self.phase = Phase::Active,
-            false => self.phase = Phase::Probation { healthy: healthy + 1 },
-        }
+    fn fade(&mut self, now: Timestamp) {
+        let silent = now.since(self.faded_at).as_secs_f64();
+        self.faded_at = self.faded_at.max(now);
+        self.failures *= 0.5f64.powf(silent / FAILURE_HALF_LIFE.as_secs_f64());
+        self.lag *= 0.5f64.powf(silent / LAG_HALF_LIFE.as_secs_f64());
     }
 }
--- a/components/routing/src/pool.rs
+++ b/components/routing/src/pool.rs
@@ -1,12 +1,28 @@
 //! Agents of a group.
 
+use std::time::Duration;
+
 use ident::{NodeId, Timestamp};
 use rand::{Rng, seq::IndexedRandom};
 
+use crate::health::Medians;
+
 /// Agents up to which all of them are compared, and sampled beyond, in the own
 /// availability zone and outside of it.
 const SAMPLE: usize = 8;
 
+/// Weight of the newest request in the typical run time.
+const TYPICAL_WEIGHT: f64 = 0.01;
+
+/// What is usual in a group.
+#[derive(Debug, Default)]
+pub(crate) struct Usual {
+    /// Mean expected run time of the requests sent lately.
+    pub(crate) run_time: Duration,
+    /// Medians of the agents' health.
+    pub(crate) medians: Medians,
+}
+
 /// Agents of a group, by whether they stand in the router's availability zone.
 #[derive(Debug, Default)]
 pub(crate) struct Pool {
@@ -14,6 +30,7 @@
     pub(crate) far: Vec<NodeId>,
     pub(crate) probation: Vec<NodeId>,
     pub(crate) reviewed_at: Timestamp,
+    pub(crate) usual: Usual,
 }
 
 impl Pool {
@@ -24,6 +41,11 @@
         }
     }
 
+    pub(crate) fn on_sent(&mut self, expected: Duration) {
+        let kept = self.usual.run_time.mul_f64(1.0 - TYPICAL_WEIGHT);
+        self.usual.run_time = kept + expected.mul_f64(TYPICAL_WEIGHT);
+    }
+
     pub(crate) fn remove(&mut self, node: NodeId) {
         self.near.retain(|it| *it != node);
         self.far.retain(|it| *it != node);
--- a/components/routing/src/review.rs
+++ b/components/routing/src/review.rs
@@ -4,7 +4,10 @@
 
 use ident::{Group, NodeId, Timestamp};
 
-use crate::{health::Phase, router::Router};
+use crate::{
+    health::{Medians, Phase},
+    router::Router,
+};
 
 /// Time between two reviews of a group.
 const INTERVAL: Duration = Duration::from_millis(200);
@@ -25,32 +28,38 @@
                 agent.health.tick(now);
             }
         }
-        self.eject(&nodes, now);
+        let medians = self.medians(&nodes);
+        self.eject(&nodes, &medians, now);
         let on_probation =
             |node: &NodeId| self.agents.get(node).is_some_and(|it| it.health.is_on_probation());
         let probation = nodes.iter().copied().filter(on_probation).collect();
         if let Some(pool) = self.pools.get_mut(group) {
+            pool.usual.medians = medians;
             pool.probation = probation;
         }
     }
 
-    /// Ejects the worst outliers, as far as the limit allows.
-    fn eject(&mut self, nodes: &[NodeId], now: Timestamp) {
+    fn medians(&self, nodes: &[NodeId]) -> Medians {
         let health = || nodes.iter().filter_map(|node| Some(&self.agents.get(node)?.health));
-        let failures = median(health().map(|it| it.failures));
-        let lag = median(health().map(|it| it.lag));
-        let out = health().filter(|it| it.phase != Phase::Active).count();
+        Medians {
+            failures: median(health().map(|it| it.failures)),
+            lag: median(health().map(|it| it.lag)),
+        }
+    }
+
+    /// Ejects the worst outliers, as far as the limit allows.
+    fn eject(&mut self, nodes: &[NodeId], medians: &Medians, now: Timestamp) {
+        let agents =
+            || nodes.iter().filter_map(|node| Some((*node, &self.agents.get(node)?.health)));
+        let out = agents().filter(|(_, health)| health.phase != Phase::Active).count();
         let room = max_ejected(nodes.len(), self.eject_percent).saturating_sub(out);
-        let is_outlier = |node: &&NodeId| {
-            let health = &self.agents[*node].health;
-            health.phase == Phase::Active && health.is_outlier(failures, lag)
-        };
-        let mut outliers: Vec<NodeId> = nodes.iter().filter(is_outlier).copied().collect();
-        outliers.sort_by(|a, b| {
-            let rate = |node: &NodeId| self.agents[node].health.failures;
-            rate(b).total_cmp(&rate(a))
-        });
-        for node in outliers.iter().take(room) {
+        let active = agents().filter(|(_, health)| health.phase == Phase::Active);
+        let mut outliers: Vec<(NodeId, f64)> = active
+            .filter(|(_, health)| health.is_outlier(medians))
+            .map(|(node, health)| (node, health.failures))
+            .collect();
+        outliers.sort_by(|(_, a), (_, b)| b.total_cmp(a));
+        for (node, _) in outliers.iter().take(room) {
             if let Some(agent) = self.agents.get_mut(node) {
                 agent.health.eject(now);
             }
--- a/components/routing/src/router.rs
+++ b/components/routing/src/router.rs
@@ -80,6 +80,9 @@
     pub fn on_sent(&mut self, node: NodeId, expected: Duration, now: Timestamp) {
         if let Some(agent) = self.agents.get_mut(&node) {
             agent.on_sent(expected, now);
+            if let Some(pool) = self.pools.get_mut(&agent.report.group) {
+                pool.on_sent(expected);
+            }
         }
     }
 
@@ -92,11 +95,15 @@
         if let Some(load) = sample.load {
             agent.set_load(load, now);
         }
-        let has_run = sample.outcome == SampleOutcome::Healthy && !sample.run_time.is_zero();
-        let lag = has_run.then(|| ratio(sample.run_time, sample.expected));
-        agent.health.on_sample(sample.outcome, lag, now);
+        match sample.outcome {
+            SampleOutcome::Healthy => {
+                agent.health.on_success(ratio(sample.run_time, sample.expected), now);
+            }
+            SampleOutcome::Failed | SampleOutcome::Lost => agent.health.on_failure(now),
+            SampleOutcome::Refused | SampleOutcome::Cancelled => {}
+        }
         if let Group::Service(service) = &agent.report.group
-            && has_run
+            && sample.outcome == SampleOutcome::Healthy
         {
             let times = &mut self.run_times;
             times.learn(service, sample.kind, sample.declared, sample.run_time, now);
--- /dev/null
+++ b/components/routing/tests/support/mod.rs
@@ -0,0 +1,377 @@
+//! Entries that share executors, on a virtual clock.
+
+use std::{cmp::Reverse, collections::BinaryHeap, net::SocketAddr, time::Duration};
+
+use config::Inventory;
+use ident::{Group, Incarnation, NodeId, Timestamp};
+use queue::{Item, Queue, TeamKey};
+use rand::{RngExt, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
+use routing::{Router, Sample, SampleOutcome, Want};
+use wire::{AgentReport, Load};
+
+pub const SERVICE: &str = "yardbook";
+
+/// How an entry chooses an executor.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Policy {
+    Random,
+    LeastLoaded,
+    Router,
+    /// Knows the state of every queue at every moment.
+    Oracle,
+}
+
+/// Setting of one run.
+#[derive(Debug, Clone, Copy)]
+pub struct Setting {
+    pub policy: Policy,
+    pub entries: usize,
+    pub agents: usize,
+    pub slots: u32,
+    /// Offered load as a share of the capacity.
+    pub load: f64,
+    /// Time between two reports of an agent to an entry.
+    pub report_interval: Duration,
+    pub seconds: u64,
+    pub seed: u64,
+}
+
+/// Behaviour of one executor.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Behaviour {
+    Normal,
+    /// Fails everything after a millisecond, between two times in seconds.
+    Fails {
+        from: u64,
+        to: u64,
+    },
+    /// Takes so many times as long.
+    Slow(f64),
+}
+
+/// What a run gave.
+#[derive(Debug, Default)]
+pub struct Outcome {
+    /// Response times as multiples of the ideal, sorted.
+    pub ratios: Vec<f64>,
+    /// Requests started by each executor.
+    pub started: Vec<u32>,
+    /// Requests that failed.
+    pub failed: u32,
+}
+
+impl Outcome {
+    pub fn quantile(&self, fraction: f64) -> f64 {
+        self.ratios[((self.ratios.len() - 1) as f64 * fraction) as usize]
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive,
+    Reach { request: usize },
+    End { request: usize },
+    Reply { request: usize },
+    Report { agent: usize, entry: usize },
+    Hear { agent: usize, entry: usize, load: [u64; 4] },
+}
+
+struct Request {
+    kind: &'static str,
+    run_time: Duration,
+    declared: Duration,
+    entry: usize,
+    agent: usize,
+    expected: Duration,
+    sent_at: Timestamp,
+    load: Load,
+    took: Duration,
+    failed: bool,
+}
+
+struct Simulation {
+    setting: Setting,
+    behaviours: Vec<Behaviour>,
+    /// Draws the requests, the same ones for every policy.
+    load_rng: SmallRng,
+    /// Draws the choices.
+    rng: SmallRng,
+    now: Timestamp,
+    events: BinaryHeap<Reverse<(Timestamp, u64, Event)>>,
+    sequence: u64,
+    requests: Vec<Request>,
+    routers: Vec<Router>,
+    reported: Vec<Vec<Load>>,
+    queues: Vec<Queue<usize>>,
+    outcome: Outcome,
+}
+
+/// Runs one setting, with normal executors except for the first few.
+pub fn run(setting: Setting, behaviours: &[Behaviour]) -> Outcome {
+    let mut simulation = Simulation::new(setting, behaviours);
+    simulation.run();
+    simulation.outcome.ratios.sort_by(f64::total_cmp);
+    simulation.outcome
+}
+
+pub fn node(index: usize) -> NodeId {
+    NodeId(SocketAddr::from(([10, 0, (index / 250) as u8, (index % 250) as u8], 7000)))
+}
+
+pub fn group() -> Group {
+    Group::Service(SERVICE.to_owned())
+}
+
+pub fn zone(index: usize) -> &'static str {
+    ["mystic-shed", "pier-yard", "lift-bay"][index % 3]
+}
+
+pub fn inventory(agents: usize, slots: u32) -> Inventory {
+    let mut text = format!(
+        "[[services]]\nname = \"{SERVICE}\"\n[[urgencies]]\nname = \"urgent\"\nrank = 0\ndeadline_ms = 2000\n"
+    );
+    for index in 0..3 {
+        let name = zone(index);
+        text += &format!("[[availability_zones]]\nname = \"{name}\"\nregion = \"coast\"\n");
+    }
+    for index in 0..agents {
+        let zone = zone(index);
+        text += &format!(
+            "[[executors]]\nname = \"e{index}\"\nservice = \"{SERVICE}\"\navailability_zone = \"{zone}\"\nslots = {slots}\nconnections = 60\n"
+        );
+    }
+    Inventory::parse(&text).expect("the inventory is valid")
+}
+
+pub fn report(index: usize, sequence: u64, load: Load) -> AgentReport {
+    AgentReport {
+        node: node(index),
+        incarnation: Incarnation(Timestamp::from_millis(1)),
+        sequence,
+        name: format!("e{index}"),
+        group: group(),
+        availability_zone: zone(index).to_owned(),
+        leaving: false,
+        load,
+        next_offset: 0,
+    }
+}
+
+impl Simulation {
+    fn new(setting: Setting, behaviours: &[Behaviour]) -> Simulation {
+        let mut behaviours = behaviours.to_vec();
+        behaviours.resize(setting.agents, Behaviour::Normal);
+        let inventory = inventory(setting.agents, setting.slots);
+        let idle = Load { slots: setting.slots, ..Load::default() };
+        let now = Timestamp::from_millis(1000);
+        let router = |index| {
+            let mut router = Router::new(zone(index));
+            router.set_inventory(&inventory);
+            for agent in 0..setting.agents {
+                router.on_report(&report(agent, 0, idle), now);
+            }
+            router
+        };
+        Simulation {
+            setting,
+            behaviours,
+            load_rng: SmallRng::seed_from_u64(setting.seed),
+            rng: SmallRng::seed_from_u64(setting.seed + 1),
+            now,
+            events: BinaryHeap::new(),
+            sequence: 0,
+            requests: Vec::new(),
+            routers: (0..setting.entries).map(router).collect(),
+            reported: vec![vec![idle; setting.agents]; setting.entries],
+            queues: (0..setting.agents).map(|_| Queue::new(setting.slots, 100_000)).collect(),
+            outcome: Outcome { started: vec![0; setting.agents], ..Outcome::default() },
+        }
+    }
+
+    fn run(&mut self) {
+        self.at(Duration::ZERO, Event::Arrive);
+        for agent in 0..self.setting.agents {
+            for entry in 0..self.setting.entries {
+                let delay = self.setting.report_interval.mul_f64(self.rng.random());
+                self.at(delay, Event::Report { agent, entry });
+            }
+        }
+        let end = self.now + Duration::from_secs(self.setting.seconds);
+        while let Some(Reverse((at, _, event))) = self.events.pop() {
+            self.now = at;
+            let is_over = at > end;
+            match event {
+                Event::Arrive if !is_over => self.arrive(),
+                Event::Report { agent, entry } if !is_over => self.report(agent, entry),
+                Event::Arrive | Event::Report { .. } => {}
+                Event::Hear { agent, entry, load } => self.hear(agent, entry, load),
+                Event::Reach { request } => self.reach(request),
+                Event::End { request } => self.end(request),
+                Event::Reply { request } => self.reply(request),
+            }
+        }
+    }
+
+    fn at(&mut self, delay: Duration, event: Event) {
+        self.sequence += 1;
+        self.events.push(Reverse((self.now + delay, self.sequence, event)));
+    }
+
+    fn arrive(&mut self) {
+        let capacity = f64::from(self.setting.slots) * self.setting.agents as f64;
+        let rate = capacity * self.setting.load / MEAN_RUN_TIME;
+        let gap = -(1.0 - self.load_rng.random::<f64>()).ln() / rate;
+        self.at(Duration::from_secs_f64(gap), Event::Arrive);
+        let (kind, least, most) = match self.load_rng.random_range(0..100) {
+            0..60 => ("slot-check", 0.05, 0.15),
+            60..97 => ("cradle-fit", 0.2, 0.8),
+            _ => ("plan", 2.0, 6.0),
+        };
+        let run_time = Duration::from_secs_f64(self.load_rng.random_range(least..most));
+        let declared = run_time.mul_f64(2f64.powf(self.load_rng.random_range(-2.0..2.0)));
+        let entry = self.load_rng.random_range(0..self.setting.entries);
+        let router = &self.routers[entry];
+        let expected = router.expected(SERVICE, kind, Some(declared), self.now);
+        let agent = self.choose(entry, kind, expected);
+        self.routers[entry].on_sent(node(agent), expected, self.now);
+        self.requests.push(Request {
+            kind,
+            run_time,
+            declared,
+            entry,
+            agent,
+            expected,
+            sent_at: self.now,
+            load: Load::default(),
+            took: Duration::ZERO,
+            failed: false,
+        });
+        let request = self.requests.len() - 1;
+        self.at(latency(entry, agent), Event::Reach { request });
+    }
+
+    fn choose(&mut self, entry: usize, kind: &str, expected: Duration) -> usize {
+        let agents = 0..self.setting.agents;
+        match self.setting.policy {
+            Policy::Random => self.rng.random_range(agents),
+            Policy::LeastLoaded => {
+                let load = |agent: &usize| {
+                    let load = self.reported[entry][*agent];
+                    load.busy + load.queued
+                };
+                let least = agents.clone().map(|it| load(&it)).min().expect("there are agents");
+                let best: Vec<usize> = agents.filter(|it| load(it) == least).collect();
+                *best.choose(&mut self.rng).expect("there are agents")
+            }
+            Policy::Oracle => {
+                let wait = |agent: &usize| self.queues[*agent].predicted_wait(0, self.now);
+                let busy = |agent: &usize| self.queues[*agent].busy();
+                agents.min_by_key(|it| (wait(it), busy(it))).expect("there are agents")
+            }
+            Policy::Router => {
+                let want = Want { kind, expected, exclude: &[] };
+                let choice = self.routers[entry].choose(&group(), &want, self.now, &mut self.rng);
+                let chosen = choice.expect("there are agents").node;
+                agents.clone().find(|it| node(*it) == chosen).expect("the agent exists")
+            }
+        }
+    }
+
+    fn reach(&mut self, request: usize) {
+        let it = &self.requests[request];
+        let item = Item {
+            key: request,
+            rank: 0,
+            deadline: self.now + Duration::from_secs(3600),
+            expected: it.expected,
+            team: TeamKey::of("team"),
+        };
+        let agent = it.agent;
+        self.queues[agent].push(item, self.now).expect("nothing is refused");
+        self.start(agent);
+    }
+
+    fn start(&mut self, agent: usize) {
+        while let Some(request) = self.queues[agent].start_next(self.now) {
+            let second = self.now.as_millis() / 1000;
+            self.outcome.started[agent] += 1;
+            let it = &mut self.requests[request];
+            (it.took, it.failed) = match self.behaviours[agent] {
+                Behaviour::Fails { from, to } if (from..to).contains(&second) => {
+                    (Duration::from_millis(1), true)
+                }
+                Behaviour::Normal | Behaviour::Fails { .. } => (it.run_time, false),
+                Behaviour::Slow(factor) => (it.run_time.mul_f64(factor), false),
+            };
+            let took = it.took;
+            self.at(took, Event::End { request });
+        }
+    }
+
+    fn end(&mut self, request: usize) {
+        let agent = self.requests[request].agent;
+        self.queues[agent].finish(request, self.now);
+        self.start(agent);
+        self.requests[request].load = self.queues[agent].load(self.now);
+        self.at(latency(self.requests[request].entry, agent), Event::Reply { request });
+    }
+
+    fn reply(&mut self, request: usize) {
+        let it = &self.requests[request];
+        let outcome = match it.failed {
+            true => SampleOutcome::Failed,
+            false => SampleOutcome::Healthy,
+        };
+        let sample = Sample {
+            kind: it.kind,
+            declared: Some(it.declared),
+            expected: it.expected,
+            sent_at: it.sent_at,
+            run_time: it.took,
+            outcome,
+            load: Some(it.load),
+        };
+        self.routers[it.entry].on_reply(node(it.agent), &sample, self.now);
+        if it.failed {
+            self.outcome.failed += 1;
+            return;
+        }
+        let ideal = it.run_time + NEAR_LATENCY * 2;
+        let response = self.now.since(it.sent_at);
+        self.outcome.ratios.push(response.as_secs_f64() / ideal.as_secs_f64());
+    }
+
+    fn report(&mut self, agent: usize, entry: usize) {
+        let load = self.queues[agent].load(self.now);
+        let figures = [load.busy, load.slots, load.queued].map(u64::from);
+        let load = [figures[0], figures[1], figures[2], load.work.as_micros() as u64];
+        self.at(latency(entry, agent), Event::Hear { agent, entry, load });
+        self.at(self.setting.report_interval, Event::Report { agent, entry });
+    }
+
+    fn hear(&mut self, agent: usize, entry: usize, load: [u64; 4]) {
+        let load = Load {
+            busy: load[0] as u32,
+            slots: load[1] as u32,
+            queued: load[2] as u32,
+            work: Duration::from_micros(load[3]),
+        };
+        self.reported[entry][agent] = load;
+        self.sequence += 1;
+        self.routers[entry].on_report(&report(agent, self.sequence, load), self.now);
+    }
+}
+
+/// Mean of the run times in seconds.
+const MEAN_RUN_TIME: f64 = 0.6 * 0.1 + 0.37 * 0.5 + 0.03 * 4.0;
+/// Time one way within an availability zone.
+const NEAR_LATENCY: Duration = Duration::from_micros(200);
+/// Time one way between availability zones.
+const FAR_LATENCY: Duration = Duration::from_millis(1);
+
+fn latency(entry: usize, agent: usize) -> Duration {
+    match zone(entry) == zone(agent) {
+        true => NEAR_LATENCY,
+        false => FAR_LATENCY,
+    }
+}
