Run both cores in the daemon

One actor for each node owns its core; effects are carried out by tasks that end with the node. A stop answers callers first, then stops the core and writes the last replies.

--- a/components/front/tests/common/mod.rs
+++ b/components/front/tests/common/mod.rs
@@ -59,8 +59,9 @@
     let mut fixture = start(Limits::default()).await;
     let address = fixture.address;
     tokio::spawn(async move {
-        while let Asked { reply: sender, .. } = fixture.asked().await {
-            let _ = sender.send(reply.clone());
+        loop {
+            let asked = fixture.asked().await;
+            let _ = asked.reply.send(reply.clone());
         }
     });
     address
--- a/components/metrics/src/timers.rs
+++ b/components/metrics/src/timers.rs
@@ -7,7 +7,7 @@
 
 use crate::labels::Kind;
 
-/// Ids whose wait in the queue is timed at a time; more are not timed.
+/// Ids whose wait in the queue is timed at a time; at this number all are dropped.
 const MAX_WAITS: usize = 100_000;
 
 /// Start times of callers' requests and of waits in the queue.
@@ -46,9 +46,10 @@
 
     /// A request has entered the queue.
     pub(crate) fn start_wait(&mut self, id: RequestId, now: Timestamp) {
-        if self.waits.len() < MAX_WAITS {
-            self.waits.insert(id, now);
+        if self.waits.len() >= MAX_WAITS {
+            self.waits.clear();
         }
+        self.waits.insert(id, now);
     }
 
     /// A request has left the queue; says when it entered.
--- /dev/null
+++ b/daemon/src/cmd/agent.rs
@@ -0,0 +1,23 @@
+//! `primrosemuxd agent`.
+
+use std::process::ExitCode;
+
+use eyre::Result;
+use primrosemuxd::{AgentListeners, AgentOptions, start_agent};
+use settings::{AgentSettings, NodeSettings};
+
+/// Runs an agent.
+pub(crate) async fn run(settings: AgentSettings) -> Result<ExitCode> {
+    let AgentSettings { node: common, name, group, endpoint, metrics } = settings;
+    let NodeSettings { node, availability_zone, log, seeds, log_target } = common;
+    super::init_logs(&log_target)?;
+    let mut listeners = AgentListeners::bind(node.0).await?;
+    if let Some(address) = metrics {
+        listeners = listeners.with_pages(address).await?;
+    }
+    let seed = rand::random();
+    let options = AgentOptions { name, group, endpoint, availability_zone, log, seeds, seed };
+    log::info!("the agent {node} of {} stands beside {endpoint}", options.name);
+    let running = start_agent(options, listeners).await?;
+    super::run_node(running).await
+}
--- /dev/null
+++ b/daemon/src/cmd/entry.rs
@@ -0,0 +1,21 @@
+//! `primrosemuxd entry`.
+
+use std::process::ExitCode;
+
+use eyre::Result;
+use front::Limits;
+use primrosemuxd::{EntryListeners, EntryOptions, start_entry};
+use settings::{EntrySettings, NodeSettings};
+
+/// Runs an entry.
+pub(crate) async fn run(settings: EntrySettings) -> Result<ExitCode> {
+    let EntrySettings { node: common, listen } = settings;
+    let NodeSettings { node, availability_zone, log, seeds, log_target } = common;
+    super::init_logs(&log_target)?;
+    let listeners = EntryListeners::bind(node.0, listen).await?;
+    let limits = Limits::default();
+    let options = EntryOptions { availability_zone, log, seeds, limits, seed: rand::random() };
+    let running = start_entry(options, listeners).await?;
+    log::info!("the entry {node} takes requests on {listen}");
+    super::run_node(running).await
+}
--- /dev/null
+++ b/daemon/src/endpoint.rs
@@ -0,0 +1,174 @@
+//! The endpoint beside an agent.
+
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use endpoint::{Executor, StartError, Worker};
+use ident::{Group, RequestId};
+use node::{Event, ExecToken, LinkError, TaskToken};
+use register::State;
+use tokio::time::Instant;
+use wire::{Run, StartTask};
+
+use crate::{inbox::Inbox, shared::Shared, tasks::Tasks};
+
+/// Connections to an endpoint that the inventory does not describe.
+const DEFAULT_CONNECTIONS: usize = 60;
+
+/// Runs requests and tasks on the endpoint beside an agent.
+pub(crate) struct Endpoint {
+    name: String,
+    address: SocketAddr,
+    client: Client,
+    connections: usize,
+    running: HashMap<TaskToken, TaskName>,
+    inbox: Inbox,
+    shared: Arc<Shared>,
+    tasks: Tasks,
+}
+
+/// The endpoint that an agent stands beside.
+pub(crate) struct Beside {
+    /// Its name in the inventory.
+    pub(crate) name: String,
+    /// Its group.
+    pub(crate) group: Group,
+    /// Its address.
+    pub(crate) address: SocketAddr,
+}
+
+/// Client of an endpoint.
+enum Client {
+    /// The endpoint is an executor.
+    Executor(Executor),
+    /// The endpoint is a worker.
+    Worker(Worker),
+}
+
+/// A task as the worker knows it.
+#[derive(Debug, Clone, Copy)]
+struct TaskName {
+    job: RequestId,
+    index: u32,
+}
+
+impl Endpoint {
+    /// Runs on the endpoint that the agent stands beside.
+    pub(crate) fn new(beside: Beside, inbox: Inbox, shared: Arc<Shared>, tasks: Tasks) -> Endpoint {
+        let Beside { name, group, address } = beside;
+        let connections = DEFAULT_CONNECTIONS;
+        let client = Client::new(&group, address, connections);
+        let running = HashMap::new();
+        Endpoint { name, address, client, connections, running, inbox, shared, tasks }
+    }
+
+    /// Adapts the number of connections to the inventory.
+    pub(crate) fn configure(&mut self, state: &State) {
+        let Some(config) = &state.config else { return };
+        let inventory = &config.inventory;
+        let declared = match &self.client {
+            Client::Executor(_) => inventory.executor(&self.name).map(|it| it.connections),
+            Client::Worker(_) => inventory.worker(&self.name).map(|it| it.cores),
+        };
+        let connections = declared.map_or(DEFAULT_CONNECTIONS, |it| it as usize);
+        if connections != self.connections {
+            self.connections = connections;
+            self.client = self.client.renew(self.address, connections);
+        }
+    }
+
+    /// Runs a request on the executor.
+    pub(crate) fn execute(&self, token: ExecToken, run: Run, timeout: Duration) {
+        let Client::Executor(executor) = &self.client else {
+            let result = Err(LinkError::NotSent);
+            self.inbox.send(Event::Executed { token, result, took: Duration::ZERO });
+            return;
+        };
+        let executor = executor.clone();
+        let inbox = self.inbox.clone();
+        let shared = Arc::clone(&self.shared);
+        shared.start_run();
+        self.tasks.spawn(async move {
+            let executed = executor.run(&run, timeout).await;
+            shared.end_run();
+            let (result, took) = (executed.result, executed.took);
+            inbox.send(Event::Executed { token, result, took });
+        });
+    }
+
+    /// Starts a task on the worker.
+    pub(crate) fn start_task(&mut self, token: TaskToken, task: StartTask) {
+        let Client::Worker(worker) = &self.client else {
+            let result = Err(LinkError::NotSent);
+            self.inbox.send(Event::TaskEnded { token, result, took: Duration::ZERO });
+            return;
+        };
+        self.running.insert(token, TaskName { job: task.job, index: task.index });
+        let worker = worker.clone();
+        let inbox = self.inbox.clone();
+        let shared = Arc::clone(&self.shared);
+        shared.start_run();
+        self.tasks.spawn(async move {
+            let began = Instant::now();
+            let result = worker.start(&task).await;
+            shared.end_run();
+            if let Err(StartError::Refused(reason)) = &result {
+                log::info!("the worker refused task {} of {}: {reason}", task.index, task.job);
+            }
+            let (result, took) = (result.map_err(LinkError::from), began.elapsed());
+            inbox.send(Event::TaskEnded { token, result, took });
+        });
+    }
+
+    /// Prolongs a task's lease.
+    pub(crate) fn renew_task(&self, token: TaskToken, lease: Duration) {
+        let Some((worker, TaskName { job, index })) = self.running_task(token) else { return };
+        self.tasks.spawn(async move {
+            if let Err(err) = worker.renew(job, index, lease).await {
+                log::debug!("the lease of task {index} of {job} was not prolonged: {err}");
+            }
+        });
+    }
+
+    /// Checkpoints and stops a task.
+    pub(crate) fn stop_task(&self, token: TaskToken) {
+        let Some((worker, TaskName { job, index })) = self.running_task(token) else { return };
+        self.tasks.spawn(async move {
+            if worker.checkpoint(job, index).await.is_ok() {
+                return;
+            }
+            if let Err(err) = worker.stop(job, index).await {
+                log::debug!("task {index} of {job} was not stopped: {err}");
+            }
+        });
+    }
+
+    /// Forgets a task that has ended.
+    pub(crate) fn end_task(&mut self, token: TaskToken) {
+        self.running.remove(&token);
+    }
+
+    fn running_task(&self, token: TaskToken) -> Option<(Worker, TaskName)> {
+        let name = self.running.get(&token)?;
+        match &self.client {
+            Client::Worker(worker) => Some((worker.clone(), *name)),
+            Client::Executor(_) => None,
+        }
+    }
+}
+
+impl Client {
+    fn new(group: &Group, address: SocketAddr, connections: usize) -> Client {
+        match group {
+            Group::Service(_) => Client::Executor(Executor::new(address, connections)),
+            Group::Workers => Client::Worker(Worker::new(address, connections)),
+        }
+    }
+
+    /// The same client with another number of connections.
+    fn renew(&self, address: SocketAddr, connections: usize) -> Client {
+        match self {
+            Client::Executor(_) => Client::Executor(Executor::new(address, connections)),
+            Client::Worker(_) => Client::Worker(Worker::new(address, connections)),
+        }
+    }
+}
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,5 +1,31 @@
 //! Daemon of the primrosemux dispatcher.
 
-fn main() -> eyre::Result<()> {
-    Ok(())
+mod cmd;
+
+use std::process::ExitCode;
+
+use settings::{Command, StartError};
+
+/// Exit code of settings that are missing or not accepted.
+const BAD_SETTINGS: u8 = 2;
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let args: Vec<&str> = args.iter().map(String::as_str).collect();
+    match settings::parse(&args, &|name| std::env::var(name).ok()) {
+        Ok(Command::Entry(settings)) => cmd::run(cmd::entry::run(settings)),
+        Ok(Command::Agent(settings)) => cmd::run(cmd::agent::run(settings)),
+        Ok(Command::Checked) => {
+            println!("The settings are in order.");
+            ExitCode::SUCCESS
+        }
+        Err(StartError::Help(text)) => {
+            println!("{}", text.trim_end());
+            ExitCode::SUCCESS
+        }
+        Err(err) => {
+            eprintln!("{err}");
+            ExitCode::from(BAD_SETTINGS)
+        }
+    }
 }
--- /dev/null
+++ b/daemon/src/running.rs
@@ -0,0 +1,151 @@
+//! A node that has been started.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use front::Front;
+use ident::NodeId;
+use link::{Peers, Server, udp::Socket};
+use node::Event;
+use ractor::ActorRef;
+use tokio::{
+    net::TcpListener,
+    sync::watch,
+    task::JoinHandle,
+    time::{sleep, timeout},
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    inbox::{Inbox, Message},
+    shared::{Progress, Shared},
+    tasks::Tasks,
+};
+
+/// Time for the last replies to be written.
+const FLUSH_LIMIT: Duration = Duration::from_secs(1);
+/// Time for the last replies to reach their peers before connections close.
+const LINGER: Duration = Duration::from_millis(100);
+/// Time for the core to finish once callers have been answered.
+const STOP_LIMIT: Duration = Duration::from_secs(120);
+
+/// A node that runs; dropping it ends the node at once, as a crash would.
+pub struct Running {
+    pub(crate) node: NodeId,
+    pub(crate) http: Option<SocketAddr>,
+    pub(crate) front: Option<Serving>,
+    pub(crate) actor: ActorRef<Message>,
+    pub(crate) handle: Option<JoinHandle<()>>,
+    pub(crate) inbox: Inbox,
+    pub(crate) peers: Peers,
+    pub(crate) server: Server,
+    pub(crate) socket: Arc<Socket>,
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) tasks: Tasks,
+    pub(crate) stopped: watch::Receiver<bool>,
+}
+
+/// Reads what a node has in progress.
+#[derive(Clone)]
+pub struct ProgressHandle {
+    shared: Arc<Shared>,
+}
+
+/// The HTTP side of a node.
+pub(crate) struct Serving {
+    stop: CancellationToken,
+    ended: watch::Receiver<bool>,
+}
+
+impl Running {
+    /// Name of the node.
+    pub fn node(&self) -> NodeId {
+        self.node
+    }
+
+    /// Address of its HTTP side, if it has one.
+    pub fn http(&self) -> Option<SocketAddr> {
+        self.http
+    }
+
+    /// Version of the configuration in force on the node, 0 for none.
+    pub fn version(&self) -> u64 {
+        self.shared.readiness().version
+    }
+
+    /// Whether the node can serve requests.
+    pub fn is_ready(&self) -> bool {
+        self.shared.readiness().ready
+    }
+
+    /// What the node has in progress.
+    pub fn progress(&self) -> Progress {
+        self.shared.progress()
+    }
+
+    /// Reads what the node has in progress while it is being stopped.
+    pub fn progress_handle(&self) -> ProgressHandle {
+        ProgressHandle { shared: Arc::clone(&self.shared) }
+    }
+
+    /// Metrics of the node in the text format of Prometheus.
+    pub fn metrics(&self) -> String {
+        self.shared.metrics().render()
+    }
+
+    /// Finishes what is in progress and ends the node; returns whether nothing was cut off.
+    ///
+    /// Callers are answered first; only then does the core stop.
+    pub async fn stop(&mut self) -> bool {
+        self.shared.set_stopping();
+        if let Some(front) = &mut self.front {
+            front.stop.cancel();
+            let _ = front.ended.wait_for(|ended| *ended).await;
+        }
+        self.inbox.send(Event::Stop);
+        let finished = self.stopped.wait_for(|stopped| *stopped);
+        let finished = timeout(STOP_LIMIT, finished).await.is_ok_and(|result| result.is_ok());
+        self.server.flush(FLUSH_LIMIT).await;
+        sleep(LINGER).await;
+        self.end();
+        finished
+    }
+
+    /// Waits until the node fails.
+    pub async fn failed(&mut self) {
+        if let Some(handle) = &mut self.handle {
+            let _ = handle.await;
+            self.handle = None;
+        }
+    }
+
+    /// Serves HTTP until the node stops.
+    pub(crate) fn serve(&mut self, listener: TcpListener, front: Front) {
+        self.http = listener.local_addr().ok();
+        let stop = CancellationToken::new();
+        let (sender, ended) = watch::channel(false);
+        let stopping = stop.clone();
+        self.tasks.spawn(async move {
+            front::serve(listener, front, stopping.cancelled_owned()).await;
+            sender.send_replace(true);
+        });
+        self.front = Some(Serving { stop, ended });
+    }
+
+    fn end(&self) {
+        self.tasks.end();
+        self.actor.kill();
+    }
+}
+
+impl ProgressHandle {
+    /// What the node has in progress.
+    pub fn read(&self) -> Progress {
+        self.shared.progress()
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
