--- /dev/null
+++ b/components/metrics/tests/counts.rs
@@ -0,0 +1,125 @@
+//! What the metrics count.
+
+use std::{sync::Arc, time::Duration};
+
+use ident::{RequestId, Timestamp};
+use insta::assert_snapshot;
+use metrics::{Gauges, Metrics};
+use node::{
+    CallerReply, CallerRequest, CallerToken, Decision, Effect, Event, LinkError, PeerToken,
+    Request, Step,
+};
+use register::State;
+use verdict::{Answer, Outcome, Proof, Reason, Refusal};
+use wire::{Call, Fetch};
+
+const START: Timestamp = Timestamp::from_millis(1_000_000);
+
+#[test]
+fn counts_requests_by_verdict_and_times_them() {
+    let mut metrics = Metrics::new();
+
+    request(&mut metrics, 1, "yardbook", done());
+    request(&mut metrics, 2, "yardbook", refused(Reason::Overloaded));
+    request(&mut metrics, 3, "made-up-by-a-caller", refused(Reason::Unknown));
+
+    assert_snapshot!(lines(&metrics, &["requests_total", "response_time_seconds_sum"]));
+}
+
+#[test]
+fn counts_messages_retries_and_hedges() {
+    let mut metrics = Metrics::new();
+    let fetch = Call::Fetch(Fetch { have: 0 });
+    let node = "127.0.0.1:7400".parse().unwrap();
+    let timeout = Duration::from_secs(1);
+
+    for token in 0..3 {
+        let token = PeerToken(token);
+        let call = fetch.clone();
+        metrics.on_effect(START, &Effect::CallPeer { token, node, call, timeout });
+    }
+    let lost = Event::PeerReplied { token: PeerToken(0), reply: Err(LinkError::Lost) };
+    metrics.on_event(START, &lost);
+    metrics.on_effect(START, &Effect::Decide(decision(Step::Retry)));
+    metrics.on_effect(START, &Effect::Decide(decision(Step::Hedge)));
+    metrics.on_dropped_line();
+
+    assert_snapshot!(lines(
+        &metrics,
+        &["messages_sent_total", "retries_total", "hedges_total", "lost_calls", "dropped_lines"],
+    ));
+}
+
+#[test]
+fn times_the_wait_in_the_queue() {
+    let mut metrics = Metrics::new();
+
+    metrics.on_effect(START, &Effect::Decide(decision(Step::Queue)));
+    metrics.on_effect(START + Duration::from_millis(250), &Effect::Decide(decision(Step::Start)));
+
+    assert_snapshot!(lines(&metrics, &["queue_wait_seconds_sum", "queue_wait_seconds_count"]));
+}
+
+#[test]
+fn shows_gauges() {
+    let mut metrics = Metrics::new();
+
+    let state = Arc::new(State::default());
+    metrics.on_event(START, &Event::State { state, read_at: START });
+    metrics.set(Gauges { connections: 7, malformed: 2 });
+    metrics.set_ledger(40);
+    metrics.set_ejected(1);
+
+    let names = ["version", "open_connections", "malformed", "ledger_ids", "ejected_endpoints"];
+    assert_snapshot!(lines(&metrics, &names));
+}
+
+/// Lets a request pass that takes 250 ms.
+fn request(metrics: &mut Metrics, token: u64, service: &str, outcome: Outcome) {
+    let token = CallerToken(token);
+    let request = CallerRequest::Request(Request {
+        id: None,
+        service: service.to_owned(),
+        kind: "slot".to_owned(),
+        team: "owners".to_owned(),
+        deadline: None,
+        declared: None,
+        body: Vec::new(),
+    });
+    let reply = CallerReply::Outcome { id: None, outcome, ran_on: None };
+    metrics.on_event(START, &Event::Caller { token, request });
+    let end = START + Duration::from_millis(250);
+    metrics.on_effect(end, &Effect::Respond { token, reply });
+}
+
+fn done() -> Outcome {
+    Outcome::Done(Answer { status: 200, body: Vec::new() })
+}
+
+fn refused(reason: Reason) -> Outcome {
+    Outcome::Refused(Refusal::not_run(Proof::id_never_used(), reason, "No."))
+}
+
+fn decision(step: Step) -> Decision {
+    Decision {
+        id: RequestId::new(START, [0; 10]),
+        step,
+        node: None,
+        reason: None,
+        verdict: None,
+        candidates: Vec::new(),
+        detail: String::new(),
+    }
+}
+
+/// Sorted sample lines of the metrics with the given names.
+fn lines(metrics: &Metrics, names: &[&str]) -> String {
+    let text = metrics.render();
+    let is_wanted = |line: &&str| {
+        let name = line.strip_prefix("primrosemux_").unwrap_or_default();
+        names.iter().any(|wanted| name.starts_with(wanted))
+    };
+    let mut lines: Vec<&str> = text.lines().filter(is_wanted).collect();
+    lines.sort_unstable();
+    lines.join("\n")
+}
