Make ids only for shards whose owner and deputy are alive

Cause: in an outage of the log an owner whose deputy has died stops deciding, and entries went on making ids for it.

--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -10,6 +10,7 @@
 mod filter;
 mod membership;
 mod options;
+mod owners;
 mod request;
 mod retrying;
 mod route;
@@ -33,6 +34,7 @@
 pub use crate::options::Options;
 use crate::{
     asking::{Question, QuestionKey},
+    owners::Owners,
     request::{CallKey, Pending, Request, RequestKey, Timer},
 };
 
@@ -51,6 +53,7 @@
     budget: Budget,
     requests: SlotMap<RequestKey, Request>,
     by_token: HashMap<CallerToken, RequestKey>,
+    owners: Owners,
     questions: SlotMap<QuestionKey, Question>,
     calls: SlotMap<CallKey, Pending>,
     timers: BTreeSet<Timer>,
@@ -81,6 +84,7 @@
             budget: Budget::new(0),
             requests: SlotMap::with_key(),
             by_token: HashMap::new(),
+            owners: Owners::default(),
             questions: SlotMap::with_key(),
             calls: SlotMap::with_key(),
             timers: BTreeSet::new(),
--- a/components/entry/src/membership.rs
+++ b/components/entry/src/membership.rs
@@ -8,7 +8,7 @@
 use register::State;
 use wire::{AgentReport, Datagram};
 
-use crate::Entry;
+use crate::{Entry, owners::Owners};
 
 impl Entry {
     /// Takes a datagram.
@@ -82,6 +82,7 @@
         if changed {
             self.apply_config();
         }
+        self.owners = Owners::of(&self.state.table, &self.members);
     }
 
     fn apply_config(&mut self) {
@@ -106,6 +107,7 @@
             return;
         }
         self.gossip_at = self.now + HEARTBEAT_INTERVAL;
+        self.owners = Owners::of(&self.state.table, &self.members);
         self.quotas.set_share(self.members.entries().len() + 1, self.now);
         let next_offset = self.state.next_offset;
         let incarnation = self.me.incarnation;
--- /dev/null
+++ b/components/entry/src/owners.rs
@@ -0,0 +1,63 @@
+//! Shards for which ids can be made.
+//!
+//! An owner whose deputy is silent may be about to stop deciding, so shards
+//! with such a deputy are avoided, and so are those of a silent owner.
+
+use std::collections::HashMap;
+
+use ident::{Group, NodeId, SHARD_COUNT, Shard};
+use members::{Liveness, Members};
+use register::{Assignment, Table};
+
+/// Shards by owner, as far as they are steady.
+#[derive(Debug, Default)]
+pub struct Owners {
+    by_node: HashMap<NodeId, Steady>,
+}
+
+/// Steady shards of one owner.
+#[derive(Debug)]
+struct Steady {
+    group: Group,
+    shards: [bool; SHARD_COUNT as usize],
+}
+
+impl Owners {
+    /// Finds the steady shards of a table.
+    pub fn of(table: &Table, members: &Members) -> Owners {
+        let mut by_node: HashMap<NodeId, Steady> = HashMap::new();
+        for group in table.groups() {
+            let steady = table.group(group).filter(|(_, it)| is_steady(it, members));
+            for (shard, assignment) in steady {
+                let owned = by_node.entry(assignment.owner).or_insert_with(|| Steady {
+                    group: group.clone(),
+                    shards: [false; SHARD_COUNT as usize],
+                });
+                owned.shards[shard.index()] = true;
+            }
+        }
+        Owners { by_node }
+    }
+
+    /// Whether the node owns any steady shard.
+    pub fn has_any(&self, node: NodeId) -> bool {
+        self.by_node.contains_key(&node)
+    }
+
+    /// Whether the node owns the shard of its group, and steadily.
+    pub fn has(&self, node: NodeId, shard: Shard) -> bool {
+        self.by_node.get(&node).is_some_and(|steady| steady.shards[shard.index()])
+    }
+
+    /// Whether anyone owns the group's shard steadily.
+    pub fn is_steady(&self, group: &Group, shard: Shard) -> bool {
+        let mut owners = self.by_node.values().filter(|steady| steady.group == *group);
+        owners.any(|steady| steady.shards[shard.index()])
+    }
+}
+
+fn is_steady(assignment: &Assignment, members: &Members) -> bool {
+    let is_alive =
+        |node: NodeId| members.get(node).is_some_and(|member| member.liveness == Liveness::Alive);
+    is_alive(assignment.owner) && assignment.deputy.is_none_or(is_alive)
+}
--- a/components/entry/src/route.rs
+++ b/components/entry/src/route.rs
@@ -19,7 +19,7 @@
 const CALL_GRACE: Duration = Duration::from_millis(500);
 
 /// Ids that are drawn for a node's shards before any shard will do.
-const MAX_DRAWS: usize = 64 * SHARD_COUNT as usize;
+const MAX_DRAWS: usize = 8 * SHARD_COUNT as usize;
 
 /// Time after which a caller may try a service without endpoints again.
 const NO_ENDPOINT_RETRY: Duration = Duration::from_secs(1);
@@ -75,18 +75,20 @@
         self.send(key, owner, choice.candidates);
     }
 
-    /// Makes an id in one of the node's shards, or else in any shard.
+    /// Makes an id that the node decides for, or else one that any owner does.
     fn mint(&mut self, key: RequestKey, node: NodeId) -> Option<(RequestId, NodeId)> {
         let group = &self.requests[key].group;
-        let table = &self.state.table;
-        let owns = table.group(group).any(|(_, assignment)| assignment.owner == node);
-        let draws = if owns { MAX_DRAWS } else { 1 };
+        let owns = self.owners.has_any(node);
         let mut last = None;
-        for _ in 0..draws {
+        for _ in 0..MAX_DRAWS {
             let id = RequestId::new(self.now, self.rng.random());
-            let assignment = table.get(group, Shard::of(id))?;
-            last = Some((id, assignment.owner));
-            if assignment.owner == node {
+            let shard = Shard::of(id);
+            last = Some((id, self.state.table.get(group, shard)?.owner));
+            let is_wanted = match owns {
+                true => self.owners.has(node, shard),
+                false => self.owners.is_steady(group, shard),
+            };
+            if is_wanted {
                 break;
             }
         }
--- a/components/scenario/src/log.rs
+++ b/components/scenario/src/log.rs
@@ -49,18 +49,20 @@
         if self.is_cut_from_log(node) {
             return;
         }
-        self.append(record);
+        self.append(record, Some(node));
     }
 
-    fn append(&mut self, record: Record) {
+    fn append(&mut self, record: Record, by: Option<NodeId>) {
         match self.log.fault {
-            LogFault::Up | LogFault::LosesAnswers => self.schedule(APPEND, Item::Append(record)),
-            LogFault::Slow => self.schedule(SLOW, Item::Append(record)),
+            LogFault::Up | LogFault::LosesAnswers => {
+                self.schedule(APPEND, Item::Append { record, by })
+            }
+            LogFault::Slow => self.schedule(SLOW, Item::Append { record, by }),
             LogFault::Down => {}
         }
     }
 
-    pub(crate) fn on_append(&mut self, record: Record) {
+    pub(crate) fn on_append(&mut self, record: Record, by: Option<NodeId>) {
         if self.log.fault == LogFault::Down {
             return;
         }
@@ -68,13 +70,11 @@
         self.log.truth.apply(offset, &record);
         self.log.records.push(record);
         self.report.appends += 1;
-        let entries: Vec<NodeId> = self
-            .members
-            .iter()
-            .filter(|(_, member)| matches!(member.core, Core::Entry(_)))
-            .map(|(node, _)| *node)
-            .collect();
-        for node in entries {
+        let members = self.members.iter();
+        let readers = members
+            .filter(|(node, member)| matches!(member.core, Core::Entry(_)) || by == Some(**node));
+        let readers: Vec<NodeId> = readers.map(|(node, _)| *node).collect();
+        for node in readers {
             self.schedule(READ, Item::ReadLog { node, again: None });
         }
     }
@@ -126,7 +126,7 @@
             Change::Again => (base, config.text.clone()),
         };
         let record = self.log.config_record(base, text, &mut self.rng);
-        self.append(record);
+        self.append(record, None);
         self.report.published_at = Some(self.now);
     }
 }
--- a/components/scenario/src/world.rs
+++ b/components/scenario/src/world.rs
@@ -60,7 +60,7 @@
     /// A node reads the log.
     ReadLog { node: NodeId, again: Option<Duration> },
     /// A record reaches the log.
-    Append(register::Record),
+    Append { record: register::Record, by: Option<NodeId> },
     /// An endpoint finishes a request.
     Finish(u64),
     /// A task's lease may have lapsed.
@@ -158,7 +158,7 @@
             self.schedule(Duration::ZERO, Item::ReadLog { node, again: Some(again) });
         }
         let record = self.log.config_record(0, inventory_text.to_owned(), &mut self.rng);
-        self.schedule(Duration::ZERO, Item::Append(record));
+        self.schedule(Duration::ZERO, Item::Append { record, by: None });
         for index in 0..self.script.steps.len() {
             let at = self.script.steps[index].at;
             self.schedule(WARM_UP + at, Item::Step(index));
@@ -195,7 +195,7 @@
                 }
                 self.read_log(node);
             }
-            Item::Append(record) => self.on_append(record),
+            Item::Append { record, by } => self.on_append(record, by),
             Item::Finish(run) => self.on_finish(run),
             Item::CheckLease(run) => self.on_check_lease(run),
         }
