Check ownership with random schedules of faults

Cause: no scripted test covers the orders in which pauses, restarts, lost messages and outages of the log can meet. Change: a small world of agents, log and network drives tenure and ledger; variants with one mechanism switched off must be found.

--- /dev/null
+++ b/components/ledger/tests/world/network.rs
@@ -0,0 +1,105 @@
+//! Messages in flight.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use ident::{Incarnation, NodeId, RequestId, Shard, Timestamp};
+use rand::{RngExt, rngs::SmallRng};
+use register::{Assignment, Table};
+use wire::Promise;
+
+/// Something on its way to a node or to the log.
+#[derive(Debug, Clone)]
+pub enum Message {
+    PromiseRequest {
+        owner: NodeId,
+        incarnation: Incarnation,
+        next_offset: u64,
+    },
+    Promise(Promise),
+    HandOver {
+        from: NodeId,
+        ledger: Vec<u8>,
+    },
+    State {
+        table: Arc<Table>,
+        next_offset: u64,
+        read_at: Timestamp,
+    },
+    Append {
+        shards: Vec<(Shard, Assignment)>,
+    },
+    Run {
+        id: RequestId,
+        attempt: u64,
+        submitted: Timestamp,
+    },
+    Cancel {
+        id: RequestId,
+    },
+    /// The endpoint begins with what the node has admitted, or the node refuses it.
+    Begin {
+        id: RequestId,
+        attempt: u64,
+        incarnation: Incarnation,
+    },
+    /// The endpoint has ended.
+    End {
+        id: RequestId,
+        incarnation: Incarnation,
+    },
+    /// A stopping node has waited long enough.
+    Exit {
+        incarnation: Incarnation,
+    },
+}
+
+/// Messages by their time of arrival.
+pub struct Network {
+    /// Percentage of messages that are lost, repeated or late.
+    pub noise: u32,
+    queue: BTreeMap<(Timestamp, u64), (usize, Message)>,
+    sent: u64,
+}
+
+impl Network {
+    pub fn new() -> Network {
+        Network { noise: 0, queue: BTreeMap::new(), sent: 0 }
+    }
+
+    /// Sends a message, which may be lost, repeated or late.
+    pub fn send(&mut self, to: usize, message: Message, now: Timestamp, rng: &mut SmallRng) {
+        let copies = match rng.random_range(0..100) < self.noise {
+            false => 1,
+            true => rng.random_range(0..=2),
+        };
+        for _ in 0..copies {
+            let delay = self.delay(rng);
+            self.send_after(to, message.clone(), now, delay);
+        }
+    }
+
+    /// Sends a message that arrives once, after the given time.
+    pub fn send_after(&mut self, to: usize, message: Message, now: Timestamp, delay: Duration) {
+        self.sent += 1;
+        self.queue.insert((now + delay, self.sent), (to, message));
+    }
+
+    /// Time at which the next message arrives.
+    pub fn next_time(&self) -> Option<Timestamp> {
+        self.queue.keys().next().map(|(at, _)| *at)
+    }
+
+    /// Takes the next message that has arrived by `now`.
+    pub fn pop(&mut self, now: Timestamp) -> Option<(usize, Message)> {
+        let entry = self.queue.first_entry()?;
+        (entry.key().0 <= now).then(|| entry.remove())
+    }
+
+    fn delay(&self, rng: &mut SmallRng) -> Duration {
+        let usual = Duration::from_micros(rng.random_range(300..3000));
+        match rng.random_range(0..100) < self.noise {
+            false => usual,
+            true => Duration::from_millis(1 << rng.random_range(0..15)),
+        }
+    }
+}
--- /dev/null
+++ b/components/ledger/tests/world/schedule.rs
@@ -0,0 +1,178 @@
+//! Random schedules of faults and submissions.
+
+use std::time::Duration;
+
+use proptest::{collection::vec, prelude::*};
+use rand::RngExt;
+
+use super::{Broken, Message, SKEW, World, host::random_lag};
+
+/// Number of the latest ids that are submitted again after each step.
+const PROBED: usize = 6;
+
+/// One thing that happens.
+#[derive(Debug, Clone, Copy)]
+pub enum Step {
+    /// Time passes.
+    Wait { millis: u64 },
+    /// A new id is submitted, made some time before.
+    Submit { age_millis: u64 },
+    /// A recent id is cancelled at one node.
+    Cancel { host: usize },
+    /// A process dies.
+    Kill { host: usize },
+    /// A process starts, if its host has none.
+    Start { host: usize },
+    /// A process dies and a new one starts.
+    Restart { host: usize },
+    /// A process is stopped gracefully.
+    Stop { host: usize },
+    /// A process stands still, or goes on.
+    Pause { host: usize },
+    /// A host loses its peers, or gets them back.
+    Cut { host: usize },
+    /// Two hosts lose each other, or find each other again.
+    CutLink { host: usize, other: usize },
+    /// A host loses the log, or gets it back.
+    CutLog { host: usize },
+    /// Membership is wrong about a host, or right again.
+    Suspect { host: usize, other: usize },
+    /// The log goes out, or comes back.
+    Outage,
+    /// A clock is set, within the skew.
+    Drift { host: usize },
+}
+
+/// A random world and what happens in it.
+#[derive(Debug, Clone)]
+pub struct Schedule {
+    pub hosts: usize,
+    pub seed: u64,
+    pub noise: u32,
+    pub steps: Vec<Step>,
+}
+
+/// All schedules.
+pub fn schedules() -> impl Strategy<Value = Schedule> {
+    let noise = prop_oneof![Just(0), Just(5), Just(20), Just(40)];
+    (3..=4usize, any::<u64>(), noise, vec(step(), 5..40))
+        .prop_map(|(hosts, seed, noise, steps)| Schedule { hosts, seed, noise, steps })
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let host = 0..4usize;
+    let millis = prop_oneof![
+        4 => 1..400u64,
+        4 => 400..2500u64,
+        2 => 2500..6000u64,
+        1 => Just(12_000u64),
+    ];
+    prop_oneof![
+        8 => millis.prop_map(|millis| Step::Wait { millis }),
+        4 => prop_oneof![Just(0u64), 0..800u64, 0..4000u64]
+            .prop_map(|age_millis| Step::Submit { age_millis }),
+        1 => host.clone().prop_map(|host| Step::Cancel { host }),
+        2 => host.clone().prop_map(|host| Step::Kill { host }),
+        2 => host.clone().prop_map(|host| Step::Start { host }),
+        2 => host.clone().prop_map(|host| Step::Restart { host }),
+        2 => host.clone().prop_map(|host| Step::Stop { host }),
+        3 => host.clone().prop_map(|host| Step::Pause { host }),
+        2 => host.clone().prop_map(|host| Step::Cut { host }),
+        2 => host.clone().prop_map(|host| Step::CutLog { host }),
+        1 => (host.clone(), host.clone()).prop_map(|(host, other)| Step::Suspect { host, other }),
+        2 => (host.clone(), host.clone()).prop_map(|(host, other)| Step::CutLink { host, other }),
+        1 => Just(Step::Outage),
+        1 => host.prop_map(|host| Step::Drift { host }),
+    ]
+}
+
+/// Runs a schedule; returns the first violation.
+pub fn run(schedule: &Schedule, broken: Broken) -> Result<(), String> {
+    let mut world = World::assigned(schedule.hosts, schedule.seed, broken);
+    world.network.noise = schedule.noise;
+    for step in &schedule.steps {
+        world.step(*step);
+        world.probe();
+        world.advance(Duration::from_millis(5));
+        if let Some(violation) = &world.audit.violation {
+            return Err(violation.clone());
+        }
+    }
+    world.advance(Duration::from_secs(2));
+    world.audit.violation.map_or(Ok(()), Err)
+}
+
+impl World {
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Wait { millis } => self.advance(Duration::from_millis(millis)),
+            Step::Submit { age_millis } => {
+                self.make_id(Duration::from_millis(age_millis));
+            }
+            Step::Cancel { host } => self.cancel(host % self.hosts.len()),
+            Step::Kill { host } => self.kill(host % self.hosts.len()),
+            Step::Start { host } => self.start(host % self.hosts.len()),
+            Step::Restart { host } => {
+                self.kill(host % self.hosts.len());
+                self.start(host % self.hosts.len());
+            }
+            Step::Stop { host } => self.stop(host % self.hosts.len()),
+            Step::Pause { host } => self.pause(host % self.hosts.len()),
+            Step::Cut { host } => {
+                let host = host % self.hosts.len();
+                let others = (0..self.hosts.len()).filter(|other| *other != host).collect();
+                let cuts = &mut self.hosts[host].cuts;
+                *cuts = if cuts.is_empty() { others } else { Vec::new() };
+            }
+            Step::CutLog { host } => {
+                let host = host % self.hosts.len();
+                self.hosts[host].is_logless ^= true;
+            }
+            Step::Suspect { host, other } => {
+                let (host, other) = (host % self.hosts.len(), other % self.hosts.len());
+                toggle(&mut self.hosts[host].suspects, other);
+            }
+            Step::CutLink { host, other } => {
+                let (host, other) = (host % self.hosts.len(), other % self.hosts.len());
+                toggle(&mut self.hosts[host].cuts, other);
+            }
+            Step::Outage => self.log.is_up ^= true,
+            Step::Drift { host } => {
+                let host = host % self.hosts.len();
+                self.hosts[host].behind = random_lag(&mut self.rng);
+            }
+        }
+    }
+
+    fn pause(&mut self, host: usize) {
+        match self.hosts[host].is_paused {
+            true => self.resume(host),
+            false => self.hosts[host].is_paused = self.hosts[host].process.is_some(),
+        }
+    }
+
+    fn cancel(&mut self, host: usize) {
+        let Some(id) = self.ids.last().copied() else { return };
+        self.network.send(host, Message::Cancel { id }, self.now, &mut self.rng);
+    }
+
+    /// Submits the latest ids once more, to every node.
+    pub fn probe(&mut self) {
+        let recent: Vec<_> = self.ids.iter().rev().take(PROBED).copied().collect();
+        for id in recent {
+            for host in 0..self.hosts.len() {
+                let attempt = self.rng.random();
+                let submitted = self.now + SKEW / 2 - random_lag(&mut self.rng);
+                let message = Message::Run { id, attempt, submitted };
+                self.network.send(host, message, self.now, &mut self.rng);
+            }
+        }
+    }
+}
+
+fn toggle(list: &mut Vec<usize>, item: usize) {
+    match list.iter().position(|it| *it == item) {
+        Some(known) => drop(list.swap_remove(known)),
+        None => list.push(item),
+    }
+}
--- a/components/tenure/src/assign.rs
+++ b/components/tenure/src/assign.rs
@@ -5,7 +5,7 @@
 use ident::{NodeId, Shard, Timestamp};
 use register::Assignment;
 
-use crate::{Duty, TABLE_TERM, Tenure, rendezvous, tenure::is_vacant};
+use crate::{Duty, TABLE_TERM, Tenure, rendezvous, view::is_vacant};
 
 /// Age of the table up to which an assignment may be based on it.
 const FRESH_TERM: Duration = Duration::from_secs(2);
@@ -66,6 +66,7 @@
         plans.extend(self.plan_accepted(now));
         if self.is_my_turn(now) {
             plans.extend(self.plan_first(now));
+            plans.extend(self.plan_vacant(now));
             plans.extend(self.plan_abandoned(now));
         }
         plans
@@ -78,25 +79,32 @@
 
     /// Owners for shards that have none.
     fn plan_first(&self, now: Timestamp) -> Vec<Plan> {
-        let unassigned = self.table.unassigned(&self.group).into_iter();
-        let free = unassigned.filter(|shard| self.proposals.of(*shard).is_empty());
-        free.filter_map(|shard| self.plan_owner(shard, 1, now)).collect()
+        let free = self.view.unassigned().iter().filter(|it| self.proposals.of(**it).is_empty());
+        free.filter_map(|shard| self.plan_owner(*shard, 1, now)).collect()
     }
 
-    /// Gives up owners that nobody else can replace, in two steps: first nobody
-    /// decides, then a node decides for ids that no older table reaches.
-    fn plan_abandoned(&self, now: Timestamp) -> Vec<Plan> {
-        let group = self.table.group(&self.group);
-        let free = group.filter(|(shard, _)| self.proposals.of(*shard).is_empty());
-        free.filter_map(|(shard, present)| match is_vacant(present) {
-            true => self.plan_owner(shard, present.epoch + 1, now + TABLE_TERM + self.skew),
-            false => {
-                self.is_abandoned(shard, present, now).then(|| self.plan_vacant(shard, present))
-            }
+    /// Owners for shards for which nobody decides; no older table reaches the ids
+    /// that they decide for.
+    fn plan_vacant(&self, now: Timestamp) -> Vec<Plan> {
+        let free = self.view.vacant().iter().filter(|it| self.proposals.of(**it).is_empty());
+        let from = now + TABLE_TERM + self.skew;
+        free.filter_map(|shard| {
+            let present = self.view.get(*shard)?;
+            self.plan_owner(*shard, present.epoch + 1, from)
         })
         .collect()
     }
 
+    /// Makes shards vacant whose owner is gone and that no deputy can take over.
+    fn plan_abandoned(&self, now: Timestamp) -> Vec<Plan> {
+        if !self.presence.misses(ABANDON_AFTER, now) {
+            return Vec::new();
+        }
+        let free = self.view.iter().filter(|(shard, _)| self.proposals.of(*shard).is_empty());
+        let abandoned = free.filter(|(shard, present)| self.is_abandoned(*shard, present, now));
+        abandoned.map(|(shard, present)| self.vacate(shard, present)).collect()
+    }
+
     fn plan_owner(&self, shard: Shard, epoch: u64, from: Timestamp) -> Option<Plan> {
         let owner = rendezvous::choose(shard, self.presence.alive())?;
         let others = self.presence.alive().filter(|node| *node != owner);
@@ -105,7 +113,7 @@
         Some(Plan { shard, assignment, replaces: None })
     }
 
-    fn plan_vacant(&self, shard: Shard, present: &Assignment) -> Plan {
+    fn vacate(&self, shard: Shard, present: &Assignment) -> Plan {
         let assignment = Assignment {
             epoch: present.epoch + 1,
             owner: self.node,
@@ -124,6 +132,6 @@
             Some(deputy) => !is_missing(deputy),
             None => false,
         };
-        is_missing(present.owner) && !has_successor
+        !is_vacant(present) && is_missing(present.owner) && !has_successor
     }
 }
--- a/components/tenure/src/deputy.rs
+++ b/components/tenure/src/deputy.rs
@@ -2,15 +2,10 @@
 
 use std::time::Duration;
 
-use ident::{Shard, Timestamp};
+use ident::{NodeId, Shard, Timestamp};
 use register::Assignment;
 
-use crate::{
-    Tenure,
-    assign::Plan,
-    rendezvous,
-    tenure::{Deputed, MICROSECOND},
-};
+use crate::{Tenure, assign::Plan, rendezvous, tenure::MICROSECOND};
 
 /// Time after the last promise at which a deputy replaces an owner that
 /// membership holds dead.
@@ -26,26 +21,29 @@
         if !self.presence.is_awake(now) {
             return Vec::new();
         }
-        let free = self.deputed.iter().filter(|(shard, _)| self.proposals.of(**shard).is_empty());
-        free.filter_map(|(shard, deputed)| self.plan_takeover(*shard, deputed, now)).collect()
+        let overdue = self.promises.owners().filter(|(owner, until)| {
+            let delay = match self.presence.holds(*owner) {
+                true => SILENT_OWNER_DELAY,
+                false => DEAD_OWNER_DELAY,
+            };
+            now >= *until + delay
+        });
+        overdue.flat_map(|(owner, until)| self.plan_succession(owner, until)).collect()
     }
 
-    fn plan_takeover(&self, shard: Shard, deputed: &Deputed, now: Timestamp) -> Option<Plan> {
-        if !deputed.armed || self.accepted.contains_key(&shard) {
-            return None;
-        }
-        let until = self.promises.given(deputed.owner)?.until;
-        let delay = match self.presence.holds(deputed.owner) {
-            true => SILENT_OWNER_DELAY,
-            false => DEAD_OWNER_DELAY,
-        };
-        if now < until + delay {
-            return None;
-        }
-        let present = self.table.get(&self.group, shard)?;
+    fn plan_succession(&self, owner: NodeId, until: Timestamp) -> impl Iterator<Item = Plan> {
+        let deputed = self.deputed.iter().filter(move |(_, it)| it.owner == owner && it.armed);
+        let free = deputed.filter(|(shard, _)| {
+            self.proposals.of(**shard).is_empty() && !self.accepted.contains_key(shard)
+        });
+        free.filter_map(move |(shard, _)| self.plan_takeover(*shard, owner, until))
+    }
+
+    fn plan_takeover(&self, shard: Shard, owner: NodeId, until: Timestamp) -> Option<Plan> {
+        let present = self.view.get(shard)?;
         let past = until + 2 * self.skew + MICROSECOND;
         let from = past.max(present.from).max(present.grace);
-        let others = self.presence.alive().filter(|it| *it != self.node && *it != deputed.owner);
+        let others = self.presence.alive().filter(|it| *it != self.node && *it != owner);
         let assignment = Assignment {
             epoch: present.epoch + 1,
             owner: self.node,
@@ -53,6 +51,6 @@
             from,
             grace: from,
         };
-        Some(Plan { shard, assignment, replaces: Some(deputed.owner) })
+        Some(Plan { shard, assignment, replaces: Some(owner) })
     }
 }
--- a/components/tenure/src/hand_over.rs
+++ b/components/tenure/src/hand_over.rs
@@ -80,7 +80,7 @@
         }
         let mut transfers: Vec<Transfer> = Vec::new();
         for (shard, holding) in &self.held {
-            let present = self.table.get(&self.group, *shard);
+            let present = self.view.get(*shard);
             let Some(to) = present.and_then(|it| it.deputy) else { continue };
             let Some(receiver) = self.promises.incarnation(to) else { continue };
             if !self.is_ready() || !self.proposals.of(*shard).is_empty() {
@@ -128,7 +128,7 @@
             return Ok(Accepted { duties: Vec::new(), ended });
         }
         for (shard, handed) in message.shards {
-            let epoch = self.table.get(&self.group, shard).map_or(0, |it| it.epoch);
+            let epoch = self.view.get(shard).map_or(0, |it| it.epoch);
             if handed.owner == from && handed.epoch >= epoch {
                 self.accepted.entry(shard).or_insert(handed);
             }
@@ -149,7 +149,7 @@
     }
 
     fn plan_handed(&self, shard: Shard, handed: &Handed, now: Timestamp) -> Option<Plan> {
-        let present = self.table.get(&self.group, shard)?;
+        let present = self.view.get(shard)?;
         let is_current = present.epoch == handed.epoch
             && present.owner == handed.owner
             && present.deputy == Some(self.node);
--- a/components/tenure/src/lib.rs
+++ b/components/tenure/src/lib.rs
@@ -36,6 +36,7 @@
 mod proposals;
 mod rendezvous;
 mod tenure;
+mod view;
 
 use std::time::Duration;
 
--- a/components/tenure/src/owner.rs
+++ b/components/tenure/src/owner.rs
@@ -16,25 +16,43 @@
 impl Tenure {
     /// Nodes whose promises this node needs.
     pub(crate) fn deputies(&self, now: Timestamp) -> BTreeSet<NodeId> {
-        let mut deputies: BTreeSet<NodeId> = self.proposals.deputies(self.node).collect();
-        for shard in self.held.keys().filter(|shard| self.holding(**shard).is_some()) {
-            deputies.extend(self.table.get(&self.group, *shard).and_then(|it| it.deputy));
-            if self.needs_deputy(*shard, now) {
-                deputies.extend(self.candidate(*shard, now));
-            }
+        if self.released.is_some() || !self.is_ready() {
+            return BTreeSet::new();
         }
+        let mut deputies: BTreeSet<NodeId> = self.wards.keys().copied().flatten().collect();
+        deputies.extend(self.proposals.deputies(self.node));
+        let needing = self.needing_deputy(now).into_iter();
+        deputies.extend(needing.filter_map(|shard| self.candidate(shard, now)));
         deputies
     }
 
     /// New deputies for shards whose deputy is silent or gone.
     pub(crate) fn plan_deputies(&self, now: Timestamp) -> Vec<Plan> {
-        let held = self.held.keys().copied();
-        let needing = held.filter(|shard| self.needs_deputy(*shard, now));
+        let needing = self.needing_deputy(now).into_iter();
         needing.filter_map(|shard| self.plan_deputy(shard, now)).collect()
     }
 
+    fn needing_deputy(&self, now: Timestamp) -> Vec<Shard> {
+        let is_settled = self.presence.settled_for(now).is_some();
+        let wards = self.wards.iter().filter(|(deputy, _)| match deputy {
+            Some(deputy) => self.is_unavailable(*deputy, now),
+            None => is_settled,
+        });
+        let shards = wards.flat_map(|(_, shards)| shards).copied();
+        shards.filter(|shard| self.lacks_proposal(*shard, now)).collect()
+    }
+
+    fn lacks_proposal(&self, shard: Shard, now: Timestamp) -> bool {
+        let latest = self.proposals.of(shard).last().map(|it| it.assignment.deputy);
+        match latest {
+            Some(Some(deputy)) => self.is_unavailable(deputy, now),
+            Some(None) => false,
+            None => true,
+        }
+    }
+
     fn plan_deputy(&self, shard: Shard, now: Timestamp) -> Option<Plan> {
-        let present = self.table.get(&self.group, shard)?;
+        let present = self.view.get(shard)?;
         let deputy = self.candidate(shard, now);
         let is_possible = match deputy {
             Some(candidate) => self.promises.received(candidate) > now + CANDIDATE_TERM,
@@ -50,16 +68,6 @@
         is_possible.then_some(Plan { shard, assignment, replaces: None })
     }
 
-    fn needs_deputy(&self, shard: Shard, now: Timestamp) -> bool {
-        let Some(present) = self.table.get(&self.group, shard) else { return false };
-        let pending = self.proposals.of(shard);
-        let latest = pending.last().map_or(present.deputy, |it| it.assignment.deputy);
-        match latest {
-            Some(deputy) => self.is_unavailable(deputy, now),
-            None => pending.is_empty() && self.presence.settled_for(now).is_some(),
-        }
-    }
-
     fn candidate(&self, shard: Shard, now: Timestamp) -> Option<NodeId> {
         let others = self.presence.alive().filter(|node| *node != self.node);
         rendezvous::choose(shard, others.filter(|node| !self.is_unavailable(*node, now)))
--- a/components/tenure/src/presence.rs
+++ b/components/tenure/src/presence.rs
@@ -88,6 +88,11 @@
         self.missing.get(&node).map_or(Duration::ZERO, |since| now.since(*since))
     }
 
+    /// Whether some node has been missing for at least `time`.
+    pub(crate) fn misses(&self, time: Duration, now: Timestamp) -> bool {
+        self.missing.values().any(|since| now.since(*since) >= time)
+    }
+
     /// Time that has passed since the group settled; `None` while it changes.
     pub(crate) fn settled_for(&self, now: Timestamp) -> Option<Duration> {
         now.since(self.changed_at).checked_sub(SETTLE_TIME)
--- a/components/tenure/src/promises.rs
+++ b/components/tenure/src/promises.rs
@@ -69,6 +69,11 @@
         self.given.get(&owner).copied()
     }
 
+    /// Owners with the times that were promised to them.
+    pub(crate) fn owners(&self) -> impl Iterator<Item = (NodeId, Timestamp)> {
+        self.given.iter().map(|(owner, given)| (*owner, given.until))
+    }
+
     /// Latest time promised to anyone.
     pub(crate) fn latest_given(&self) -> Timestamp {
         self.given.values().map(|given| given.until).max().unwrap_or_default()
--- a/components/tenure/src/tenure.rs
+++ b/components/tenure/src/tenure.rs
@@ -10,8 +10,12 @@
 use wire::{Datagram, Promise};
 
 use crate::{
-    Authority, Duty, PROMISE_TERM, TABLE_TERM, Transfer, hand_over::Handed, presence::Presence,
-    promises::Promises, proposals::Proposals,
+    Authority, Duty, PROMISE_TERM, TABLE_TERM, Transfer,
+    hand_over::Handed,
+    presence::Presence,
+    promises::Promises,
+    proposals::Proposals,
+    view::{View, is_vacant},
 };
 
 /// Time between two requests to read the log.
@@ -27,11 +31,13 @@
     pub(crate) incarnation: Incarnation,
     pub(crate) group: Group,
     pub(crate) skew: Duration,
-    pub(crate) table: Table,
+    pub(crate) view: View,
     pub(crate) next_offset: u64,
     pub(crate) read_at: Timestamp,
     /// Shards that this node owns according to its table.
     pub(crate) held: BTreeMap<Shard, Holding>,
+    /// The same shards by their deputy.
+    pub(crate) wards: BTreeMap<Option<NodeId>, Vec<Shard>>,
     /// Shards of which this node is the deputy.
     pub(crate) deputed: BTreeMap<Shard, Deputed>,
     /// Shards whose ledger this node has accepted and does not own yet.
@@ -77,10 +83,11 @@
             incarnation,
             group,
             skew,
-            table: Table::default(),
+            view: View::new(),
             next_offset: 0,
             read_at: Timestamp::ZERO,
             held: BTreeMap::new(),
+            wards: BTreeMap::new(),
             deputed: BTreeMap::new(),
             accepted: BTreeMap::new(),
             promises: Promises::default(),
@@ -117,11 +124,15 @@
             return;
         }
         self.next_offset = next_offset;
-        self.table = table.clone();
-        let group = self.group.clone();
-        for (shard, assignment) in table.group(&group) {
+        self.view = View::of(table, &self.group);
+        for (shard, assignment) in table.group(&self.group.clone()) {
             self.learn(shard, assignment);
         }
+        self.wards.clear();
+        for shard in self.held.keys() {
+            let deputy = self.view.get(*shard).and_then(|it| it.deputy);
+            self.wards.entry(deputy).or_default().push(*shard);
+        }
         self.promises.count_early(next_offset);
         self.is_behind = self.promises.has_early();
     }
@@ -186,9 +197,7 @@
     /// membership holds alive, this one included.
     pub fn tick(&mut self, now: Timestamp, alive: &[NodeId]) -> Vec<Duty> {
         self.presence.update(alive, now);
-        let group = self.table.group(&self.group);
-        let nodes = group.flat_map(|(_, it)| [Some(it.owner), it.deputy]).flatten();
-        self.presence.note(nodes, now);
+        self.presence.note(self.view.nodes(), now);
 
         let mut duties = Vec::new();
         for deputy in self.deputies(now) {
@@ -229,7 +238,7 @@
         if self.accepted.contains_key(&shard) {
             return Some(self.node);
         }
-        let assignment = self.table.get(&self.group, shard)?;
+        let assignment = self.view.get(shard)?;
         match self.released {
             Some(_) if assignment.owner == self.node => assignment.deputy,
             Some(_) | None => (!is_vacant(assignment)).then_some(assignment.owner),
@@ -252,7 +261,7 @@
 
     /// The node decides only for ids made before this time.
     pub(crate) fn horizon(&self, shard: Shard) -> Timestamp {
-        let present = self.table.get(&self.group, shard);
+        let present = self.view.get(shard);
         let pending = self.proposals.of(shard).iter().map(|it| &it.assignment);
         let deputies: BTreeSet<NodeId> =
             present.into_iter().chain(pending).filter_map(|it| it.deputy).collect();
@@ -324,8 +333,3 @@
         self.proposals.replaces(owner) || self.accepted.values().any(|it| it.owner == owner)
     }
 }
-
-/// Whether nobody decides under the assignment.
-pub(crate) fn is_vacant(assignment: &Assignment) -> bool {
-    assignment.from == Timestamp::MAX
-}
