Add the command-line tool

Operators had no way to check, publish and drain, nor callers to submit from a terminal. The tool reads the version in force from the log, resolves a lost answer by the record's id, waits until an entry's nodes have the version, and names stragglers. An outcome never says more than the entry did: an answer without a verdict, or one that is lost, may have run, and a new id that was never sent has not run.

--- a/components/register/src/table.rs
+++ b/components/register/src/table.rs
@@ -43,6 +43,11 @@
         self.groups.get(group)?.get(&shard)
     }
 
+    /// Groups that have assignments.
+    pub fn groups(&self) -> impl Iterator<Item = &Group> {
+        self.groups.keys()
+    }
+
     /// Assignments of a group, in shard order.
     pub fn group(&self, group: &Group) -> impl Iterator<Item = (Shard, &Assignment)> {
         let shards = self.groups.get(group).into_iter().flatten();
--- /dev/null
+++ b/src/cmd/diff.rs
@@ -0,0 +1,47 @@
+//! `primrosemux diff`: compares an inventory with the version in force.
+
+use config::{Change, Inventory, diff};
+use serde::Serialize;
+
+use crate::{
+    Environment,
+    cli::Diff,
+    input::{current, read_inventory},
+    output::{Exit, Failure, Output},
+};
+
+#[derive(Serialize)]
+struct Report {
+    /// Version in force, 0 for none.
+    base: u64,
+    changes: Vec<Change>,
+}
+
+pub(crate) async fn run(args: &Diff, env: Environment<'_>) -> Result<Output, Failure> {
+    let source = read_inventory(&args.file)?;
+    let current = current(args.log.as_deref(), env).await?;
+    let present = current.config().map(|it| it.inventory.clone()).unwrap_or_default();
+    let report = Report { base: current.version(), changes: diff(&present, &source.inventory) };
+    match args.json {
+        true => Ok(Output::json(&report, Exit::Done)),
+        false => Ok(Output::text(report.to_text(&present), Exit::Done)),
+    }
+}
+
+impl Report {
+    fn to_text(&self, present: &Inventory) -> String {
+        let base = match present == &Inventory::default() {
+            true => "nothing, as no version is in force".to_owned(),
+            false => format!("version {}", self.base),
+        };
+        if self.changes.is_empty() {
+            return format!("No difference from {base}.");
+        }
+        format!("Changes from {base}:\n{}", lines(&self.changes))
+    }
+}
+
+/// One line for each change.
+pub(crate) fn lines(changes: &[Change]) -> String {
+    changes.iter().map(|it| format!("{it}\n")).collect()
+}
--- /dev/null
+++ b/src/cmd/drain.rs
@@ -0,0 +1,104 @@
+//! `primrosemux drain` and `undrain`: change the state of one endpoint.
+
+use config::{Inventory, State, set_state};
+
+use crate::{
+    Environment,
+    cli::{Drain, Undrain},
+    cmd::publish::{Patience, Report, changes, finish},
+    current::Current,
+    input::current,
+    output::{Exit, Failure, Output},
+    publish::{PublishError, publish},
+};
+
+/// Publishes that may come in between before the command gives up.
+const ATTEMPTS: usize = 3;
+
+/// Arguments of both commands.
+pub(crate) struct Args {
+    name: String,
+    log: Option<String>,
+    entry: Option<String>,
+    no_wait: bool,
+    wait_s: u64,
+    json: bool,
+}
+
+pub(crate) async fn run(
+    args: &Args,
+    state: State,
+    env: Environment<'_>,
+) -> Result<Output, Failure> {
+    let patience = Patience::parse(args.no_wait, args.entry.as_deref(), args.wait_s, env)?;
+    let mut current = current(args.log.as_deref(), env).await?;
+    let mut attempt = 1;
+    loop {
+        let Some(edit) = Edit::make(&current, &args.name, state)? else {
+            let name = &args.name;
+            let text = format!("Nothing to publish: {name} is {} already.", word(state));
+            return Ok(Output::text(text, Exit::Done));
+        };
+        match publish(&mut current, edit.base, &edit.text).await {
+            Ok(version) => {
+                let report = Report::new(version, edit.base, edit.changes);
+                return Ok(finish(report, &patience).await.output(args.json));
+            }
+            // The edit is made again on the version that came in between.
+            Err(PublishError::Conflict { .. }) if attempt < ATTEMPTS => attempt += 1,
+            Err(err) => return Err(err.into()),
+        }
+    }
+}
+
+/// The version in force with one endpoint changed.
+struct Edit {
+    base: u64,
+    text: String,
+    changes: Vec<config::Change>,
+}
+
+impl Edit {
+    /// Makes the edit, unless the endpoint is in that state.
+    fn make(current: &Current, name: &str, state: State) -> Result<Option<Edit>, Failure> {
+        let Some(config) = current.config() else {
+            return Err(Failure::not_run(
+                "No version is in force; publish one with `primrosemux publish FILE`.",
+            ));
+        };
+        if present_state(&config.inventory, name) == Some(state) {
+            return Ok(None);
+        }
+        let text = set_state(&config.text, name, state)
+            .map_err(|err| Failure::usage(format!("Nothing is published: {err}.")))?;
+        let inventory = Inventory::parse(&text).map_err(Failure::usage)?;
+        let changes = changes(current, &inventory);
+        Ok(Some(Edit { base: config.version, text, changes }))
+    }
+}
+
+fn present_state(inventory: &Inventory, name: &str) -> Option<State> {
+    let executor = inventory.executor(name).map(|it| it.state);
+    executor.or_else(|| inventory.worker(name).map(|it| it.state))
+}
+
+fn word(state: State) -> &'static str {
+    match state {
+        State::Active => "active",
+        State::Draining => "draining",
+    }
+}
+
+impl From<Drain> for Args {
+    fn from(args: Drain) -> Args {
+        let Drain { name, log, entry, no_wait, wait_s, json } = args;
+        Args { name, log, entry, no_wait, wait_s, json }
+    }
+}
+
+impl From<Undrain> for Args {
+    fn from(args: Undrain) -> Args {
+        let Undrain { name, log, entry, no_wait, wait_s, json } = args;
+        Args { name, log, entry, no_wait, wait_s, json }
+    }
+}
--- /dev/null
+++ b/src/cmd/job.rs
@@ -0,0 +1,73 @@
+//! `primrosemux job`: submits a job.
+
+use std::time::Duration;
+
+use hyper::Method;
+use ident::RequestId;
+use tokio::time::{Instant, sleep};
+
+use crate::{
+    Environment,
+    cli::Job,
+    cmd::submit::choose_id,
+    entry::{Call, Entry},
+    input::{entry, read_file},
+    outcome::{IdOrigin, Outcome},
+    output::{Exit, Failure, Output},
+};
+
+/// Pause between two questions about a job.
+const POLL_PAUSE: Duration = Duration::from_millis(200);
+/// Time for the entry to take a job.
+const SUBMIT_TIMEOUT: Duration = Duration::from_secs(120);
+
+pub(crate) async fn run(args: &Job, env: Environment<'_>) -> Result<Output, Failure> {
+    let entry = entry(args.entry.as_deref(), env)?;
+    let text = read_file(&args.file)?;
+    let mut job: node::Job = serde_json::from_str(&text).map_err(|err| {
+        Failure::usage(format!("The job {:?} is not accepted: {err}.", args.file))
+    })?;
+    let (id, origin) = choose_id(job.id);
+    job.id = Some(id);
+    let end = Instant::now() + Duration::from_secs(args.wait_s);
+    let mut outcome = submit(&entry, &job, id, origin).await;
+    while !args.no_wait && is_running(&outcome) && Instant::now() < end {
+        sleep(POLL_PAUSE).await;
+        outcome = ask(&entry, id).await;
+    }
+    let exit = match (&outcome, args.no_wait) {
+        (Outcome::Running(_), true) => Exit::Done,
+        (_, _) => outcome.exit(),
+    };
+    Ok(outcome.output(exit, args.json))
+}
+
+/// Asks what became of a job.
+pub(crate) async fn ask(entry: &Entry, id: RequestId) -> Outcome {
+    let call = Call::quick(Method::GET, format!("/v1/jobs/{id}"));
+    match entry.call(call).await {
+        Ok(response) => Outcome::parse_job(id, &response, entry.address()),
+        Err(err) => Outcome::without_answer(id, IdOrigin::Chosen, &err),
+    }
+}
+
+async fn submit(entry: &Entry, job: &node::Job, id: RequestId, origin: IdOrigin) -> Outcome {
+    let call = Call {
+        method: Method::POST,
+        path: "/v1/jobs".to_owned(),
+        headers: Vec::new(),
+        body: serde_json::to_vec(job).expect("a job has only types that JSON can hold"),
+        limit: SUBMIT_TIMEOUT,
+    };
+    match entry.call(call).await {
+        Ok(response) => Outcome::parse_job(id, &response, entry.address()),
+        Err(err) => Outcome::without_answer(id, origin, &err),
+    }
+}
+
+fn is_running(outcome: &Outcome) -> bool {
+    match outcome {
+        Outcome::Running(_) => true,
+        Outcome::Done(_) | Outcome::Complete(_) | Outcome::Refused(_) => false,
+    }
+}
--- /dev/null
+++ b/src/cmd/submit.rs
@@ -0,0 +1,83 @@
+//! `primrosemux submit`: submits one request.
+
+use std::time::Duration;
+
+use hyper::Method;
+use ident::{RequestId, Timestamp};
+
+use crate::{
+    Environment,
+    cli::Submit,
+    entry::{Call, Header},
+    input::{entry, read_file},
+    outcome::{ID, IdOrigin, Outcome},
+    output::{Failure, Output},
+};
+
+/// Time to wait for the answer to a request without a deadline.
+const DEFAULT_WAIT: Duration = Duration::from_secs(120);
+/// Time to wait for the answer after the deadline.
+const GRACE: Duration = Duration::from_secs(5);
+
+pub(crate) async fn run(args: &Submit, env: Environment<'_>) -> Result<Output, Failure> {
+    let entry = entry(args.entry.as_deref(), env)?;
+    let (id, origin) = choose_id(args.id);
+    let call = Call {
+        method: Method::POST,
+        path: format!(
+            "/v1/services/{}/kinds/{}/requests",
+            percent_encode(&args.service),
+            percent_encode(&args.kind)
+        ),
+        headers: headers(args, id),
+        body: read_body(&args.body)?,
+        limit: args.deadline_ms.map_or(DEFAULT_WAIT, |it| Duration::from_millis(it) + GRACE),
+    };
+    let outcome = match entry.call(call).await {
+        Ok(response) => Outcome::parse(id, &response, entry.address()),
+        Err(err) => Outcome::without_answer(id, origin, &err),
+    };
+    Ok(outcome.output(outcome.exit(), args.json))
+}
+
+/// The chosen id, or a new one.
+pub(crate) fn choose_id(chosen: Option<RequestId>) -> (RequestId, IdOrigin) {
+    match chosen {
+        Some(id) => (id, IdOrigin::Chosen),
+        None => (RequestId::new(Timestamp::now(), rand::random()), IdOrigin::Fresh),
+    }
+}
+
+fn headers(args: &Submit, id: RequestId) -> Vec<Header> {
+    let mut headers = vec![
+        Header { name: ID, value: id.to_string() },
+        Header { name: "primrosemux-team", value: args.team.clone() },
+    ];
+    if let Some(millis) = args.deadline_ms {
+        headers.push(Header { name: "primrosemux-deadline-ms", value: millis.to_string() });
+    }
+    if let Some(millis) = args.run_ms {
+        headers.push(Header { name: "primrosemux-run-ms", value: millis.to_string() });
+    }
+    headers
+}
+
+fn read_body(body: &str) -> Result<Vec<u8>, Failure> {
+    match body.strip_prefix('@') {
+        Some(path) => read_file(path).map(String::into_bytes),
+        None => Ok(body.as_bytes().to_vec()),
+    }
+}
+
+fn percent_encode(name: &str) -> String {
+    let mut encoded = String::new();
+    for byte in name.bytes() {
+        match byte {
+            b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' | b'-' | b'_' | b'.' => {
+                encoded.push(char::from(byte));
+            }
+            _ => encoded += &format!("%{byte:02X}"),
+        }
+    }
+    encoded
+}
--- /dev/null
+++ b/src/entry.rs
@@ -0,0 +1,165 @@
+//! Client of an entry's HTTP port.
+
+use std::{error::Error, fmt, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{HeaderMap, Method, Request};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use node::NodeStatus;
+use tokio::time::timeout;
+
+/// Time for a connection to open.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest answer that is read.
+const MAX_ANSWER_BYTES: usize = 256 * 1024 * 1024;
+/// Time for an answer that the entry has at hand.
+pub(crate) const QUICK_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Client of one entry.
+#[derive(Debug, Clone)]
+pub(crate) struct Entry {
+    address: SocketAddr,
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+/// One call.
+#[derive(Debug, Clone)]
+pub(crate) struct Call {
+    pub(crate) method: Method,
+    pub(crate) path: String,
+    pub(crate) headers: Vec<Header>,
+    pub(crate) body: Vec<u8>,
+    /// Time after which the answer counts as lost.
+    pub(crate) limit: Duration,
+}
+
+/// A header of a call.
+#[derive(Debug, Clone)]
+pub(crate) struct Header {
+    pub(crate) name: &'static str,
+    pub(crate) value: String,
+}
+
+/// A whole answer.
+#[derive(Debug, Clone)]
+pub(crate) struct Response {
+    pub(crate) status: u16,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+/// Why a call has no answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum CallError {
+    /// Nothing was sent.
+    NotSent(String),
+    /// The call may have arrived.
+    Lost(String),
+}
+
+impl Call {
+    /// A call without headers or body, which the entry answers at once.
+    pub(crate) fn quick(method: Method, path: impl Into<String>) -> Call {
+        Call { method, path: path.into(), headers: vec![], body: vec![], limit: QUICK_TIMEOUT }
+    }
+}
+
+impl Entry {
+    /// Makes a client of the entry at `address`.
+    pub(crate) fn new(address: SocketAddr) -> Entry {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_nodelay(true);
+        // Every call opens a connection, so that none is sent on a silent one.
+        let client =
+            Client::builder(TokioExecutor::new()).pool_max_idle_per_host(0).build(connector);
+        Entry { address, client }
+    }
+
+    /// Address of the entry's HTTP port.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Calls the entry.
+    pub(crate) async fn call(&self, call: Call) -> Result<Response, CallError> {
+        let limit = call.limit;
+        match timeout(limit, self.exchange(call)).await {
+            Ok(result) => result,
+            Err(_) => {
+                let address = self.address;
+                Err(CallError::Lost(format!("{address} did not answer within {limit:?}")))
+            }
+        }
+    }
+
+    /// Asks what the entry knows of the system.
+    pub(crate) async fn status(&self) -> Result<NodeStatus, CallError> {
+        let response = self.call(Call::quick(Method::GET, "/v1/status")).await?;
+        serde_json::from_slice(&response.body)
+            .map_err(|_| CallError::Lost(response.describe(self.address)))
+    }
+
+    async fn exchange(&self, call: Call) -> Result<Response, CallError> {
+        let address = self.address;
+        let url = format!("http://{address}{}", call.path);
+        let mut request = Request::builder().method(call.method).uri(url);
+        for header in &call.headers {
+            request = request.header(header.name, &header.value);
+        }
+        let request = request
+            .body(Full::from(call.body))
+            .map_err(|err| CallError::NotSent(format!("the request cannot be made: {err}")))?;
+        let response = self.client.request(request).await.map_err(|err| {
+            let message = format!("{address}: {}", causes(&err));
+            match err.is_connect() {
+                true => CallError::NotSent(message),
+                false => CallError::Lost(message),
+            }
+        })?;
+        let (parts, body) = response.into_parts();
+        let body = Limited::new(body, MAX_ANSWER_BYTES)
+            .collect()
+            .await
+            .map_err(|err| CallError::Lost(format!("{address}: {err}")))?;
+        let status = parts.status.as_u16();
+        Ok(Response { status, headers: parts.headers, body: body.to_bytes() })
+    }
+}
+
+impl Response {
+    /// Text of a header, if it was sent.
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    /// Describes an answer that is none of the API's.
+    pub(crate) fn describe(&self, address: SocketAddr) -> String {
+        let text = String::from_utf8_lossy(&self.body);
+        let start: String = text.trim().chars().take(200).collect();
+        format!("{address} answered {} with {start:?}, as no entry does", self.status)
+    }
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            CallError::NotSent(message) => write!(f, "The entry cannot be reached: {message}."),
+            CallError::Lost(message) => write!(f, "The entry's answer is lost: {message}."),
+        }
+    }
+}
+
+fn causes(err: &dyn Error) -> String {
+    let mut text = err.to_string();
+    let mut source = err.source();
+    while let Some(cause) = source {
+        text = format!("{text}: {cause}");
+        source = cause.source();
+    }
+    text
+}
--- /dev/null
+++ b/src/input.rs
@@ -0,0 +1,67 @@
+//! Settings and files that commands read.
+
+use std::{
+    fs,
+    io::{self, Read},
+    net::SocketAddr,
+};
+
+use config::{CheckError, Inventory};
+use settings::parse_address;
+
+use crate::{Environment, current::Current, entry::Entry, output::Failure};
+
+/// Name of the standard input.
+const STDIN: &str = "-";
+
+/// An inventory with its text.
+pub(crate) struct Source {
+    pub(crate) text: String,
+    pub(crate) inventory: Inventory,
+}
+
+/// Reads an inventory that passes its checks.
+pub(crate) fn read_inventory(path: &str) -> Result<Source, Failure> {
+    let text = read_file(path)?;
+    match Inventory::parse(&text) {
+        Ok(inventory) => Ok(Source { text, inventory }),
+        Err(err) => Err(Failure::usage(describe(path, &err))),
+    }
+}
+
+/// Reads a file, or the standard input for `-`.
+pub(crate) fn read_file(path: &str) -> Result<String, Failure> {
+    let text = match path {
+        STDIN => read_stdin(),
+        _ => fs::read_to_string(path),
+    };
+    text.map_err(|err| Failure::usage(format!("The file {path:?} cannot be read: {err}.")))
+}
+
+/// Lists the problems of an inventory.
+pub(crate) fn describe(path: &str, err: &CheckError) -> String {
+    let count = err.problems.len();
+    let noun = if count == 1 { "problem" } else { "problems" };
+    format!("The inventory {path:?} has {count} {noun}:\n{err}")
+}
+
+/// Connects to the entry that is set.
+pub(crate) fn entry(flag: Option<&str>, env: Environment<'_>) -> Result<Entry, Failure> {
+    parse_address("entry", flag, env).map(Entry::new).map_err(Failure::usage)
+}
+
+/// Address of the log that is set.
+pub(crate) fn log(flag: Option<&str>, env: Environment<'_>) -> Result<SocketAddr, Failure> {
+    parse_address("log", flag, env).map_err(Failure::usage)
+}
+
+/// Reads the version in force from the log that is set.
+pub(crate) async fn current(flag: Option<&str>, env: Environment<'_>) -> Result<Current, Failure> {
+    Current::read(log(flag, env)?).await.map_err(Failure::not_run)
+}
+
+fn read_stdin() -> io::Result<String> {
+    let mut text = String::new();
+    io::stdin().read_to_string(&mut text)?;
+    Ok(text)
+}
--- /dev/null
+++ b/src/rollout.rs
@@ -0,0 +1,149 @@
+//! On which nodes a version is in force.
+
+use std::time::Duration;
+
+use ident::{Group, NodeId};
+use node::NodeStatus;
+use serde::Serialize;
+use tokio::time::{Instant, sleep};
+use wire::AgentReport;
+
+use crate::entry::{CallError, Entry};
+
+/// Pause between two looks at an entry.
+const POLL_PAUSE: Duration = Duration::from_millis(200);
+
+/// A node as an entry sees it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
+pub(crate) struct Node {
+    pub(crate) node: NodeId,
+    /// Name of its endpoint; an entry has none.
+    pub(crate) name: Option<String>,
+    pub(crate) role: String,
+    pub(crate) availability_zone: Option<String>,
+    pub(crate) slots_busy: Option<u32>,
+    pub(crate) slots: Option<u32>,
+    pub(crate) progress: Progress,
+}
+
+/// How far a node has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum Progress {
+    /// The version is in force on it.
+    InForce,
+    /// An older version is in force on it.
+    Behind,
+    /// It is stopping and need not follow.
+    Leaving,
+}
+
+/// Where a version stands after a wait.
+#[derive(Debug)]
+pub(crate) enum Rollout {
+    /// It is in force on every node.
+    Complete {
+        /// Number of nodes.
+        nodes: usize,
+    },
+    /// Some nodes are behind.
+    Stragglers(Vec<Node>),
+    /// The entry did not say.
+    Unknown(CallError),
+}
+
+/// Lists the nodes that an entry knows, itself first.
+pub(crate) fn nodes(status: &NodeStatus, version: u64) -> Vec<Node> {
+    let own = entry_node(status.node, progress(status.next_offset, version));
+    let others = status.entries.iter().filter(|(node, _)| *node != status.node);
+    let entries = others.map(|(node, next)| entry_node(*node, progress(*next, version)));
+    let mut agents: Vec<&AgentReport> = status.agents.iter().collect();
+    agents.sort_by_key(|it| (&it.group, &it.name, it.node));
+    let agents = agents.into_iter().map(|report| agent_node(report, version));
+    std::iter::once(own).chain(entries).chain(agents).collect()
+}
+
+/// Nodes on which an older version is in force.
+pub(crate) fn stragglers(nodes: Vec<Node>) -> Vec<Node> {
+    nodes.into_iter().filter(|it| it.progress == Progress::Behind).collect()
+}
+
+/// Waits until `version` is in force on every node that the entry knows.
+pub(crate) async fn wait(entry: &Entry, version: u64, patience: Duration) -> Rollout {
+    let end = Instant::now() + patience;
+    loop {
+        let rollout = match entry.status().await {
+            Ok(status) => look(&status, version),
+            Err(err) => Rollout::Unknown(err),
+        };
+        match rollout {
+            Rollout::Complete { nodes } => return Rollout::Complete { nodes },
+            Rollout::Stragglers(_) | Rollout::Unknown(_) if Instant::now() >= end => {
+                return rollout;
+            }
+            Rollout::Stragglers(_) | Rollout::Unknown(_) => sleep(POLL_PAUSE).await,
+        }
+    }
+}
+
+impl Node {
+    /// Name and address for people.
+    pub(crate) fn label(&self) -> String {
+        match &self.name {
+            Some(name) => format!("{name} ({})", self.node),
+            None => format!("entry {}", self.node),
+        }
+    }
+}
+
+fn look(status: &NodeStatus, version: u64) -> Rollout {
+    let nodes = nodes(status, version);
+    let count = nodes.len();
+    let stragglers = stragglers(nodes);
+    match stragglers.is_empty() {
+        true => Rollout::Complete { nodes: count },
+        false => Rollout::Stragglers(stragglers),
+    }
+}
+
+fn entry_node(node: NodeId, progress: Progress) -> Node {
+    Node {
+        node,
+        name: None,
+        role: "entry".to_owned(),
+        availability_zone: None,
+        slots_busy: None,
+        slots: None,
+        progress,
+    }
+}
+
+fn agent_node(report: &AgentReport, version: u64) -> Node {
+    let progress = match report.leaving {
+        true => Progress::Leaving,
+        false => progress(report.next_offset, version),
+    };
+    let role = match &report.group {
+        Group::Service(service) => format!("executor of {service}"),
+        Group::Workers => "worker".to_owned(),
+    };
+    Node {
+        node: report.node,
+        name: Some(report.name.clone()),
+        role,
+        availability_zone: Some(report.availability_zone.clone()),
+        slots_busy: Some(report.load.busy),
+        slots: Some(report.load.slots),
+        progress,
+    }
+}
+
+/// A version is its offset: it is in force once that offset is applied.
+fn progress(next_offset: u64, version: u64) -> Progress {
+    match next_offset > version {
+        true => Progress::InForce,
+        false => Progress::Behind,
+    }
+}
