Name what a second signal cuts off, and log an outage once

Requests that are still arriving were not counted, so the message of a second signal said that nothing was cut off. An outage of the log wrote two lines a second.

--- a/components/front/src/server.rs
+++ b/components/front/src/server.rs
@@ -4,7 +4,7 @@
     convert::Infallible,
     sync::{
         Arc,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -75,6 +75,7 @@
     pages: Pages,
     limits: Limits,
     next_token: AtomicU64,
+    in_progress: AtomicUsize,
 }
 
 impl Front {
@@ -97,7 +98,13 @@
 
     fn with(sink: Option<Sink>, pages: Pages, limits: Limits) -> Front {
         let next_token = AtomicU64::new(0);
-        Front { shared: Arc::new(Shared { sink, pages, limits, next_token }) }
+        let in_progress = AtomicUsize::new(0);
+        Front { shared: Arc::new(Shared { sink, pages, limits, next_token, in_progress }) }
+    }
+
+    /// Requests that have begun to arrive and have no answer yet.
+    pub fn in_progress(&self) -> usize {
+        self.shared.in_progress.load(Ordering::Relaxed)
     }
 }
 
@@ -165,6 +172,7 @@
 
 impl Front {
     async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let _counted = Counted::new(&self.shared.in_progress);
         let pages = &self.shared.pages;
         match route(request.method(), request.uri().path()) {
             Ok(Route::Health) => render_text("ok\n".to_owned()),
@@ -253,6 +261,22 @@
     }
 }
 
+/// Counts a request until it is answered or given up.
+struct Counted<'a>(&'a AtomicUsize);
+
+impl Counted<'_> {
+    fn new(count: &AtomicUsize) -> Counted<'_> {
+        count.fetch_add(1, Ordering::Relaxed);
+        Counted(count)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Reports a caller whose connection closes before the reply.
 struct Gone<'a> {
     token: CallerToken,
--- a/daemon/src/replica.rs
+++ b/daemon/src/replica.rs
@@ -6,10 +6,10 @@
 use std::time::Duration;
 
 use ident::{NodeId, Timestamp};
-use journal::Journal;
+use journal::{Journal, ReadError};
 use link::Peers;
 use node::Event;
-use register::{Change, Follower, State};
+use register::{Change, Follower, Page, State};
 use tokio::{sync::mpsc, time::sleep};
 use uuid::Uuid;
 use wire::{Call, Fetch, Reply, Snapshot};
@@ -56,6 +56,8 @@
     pub(crate) refreshes: mpsc::Receiver<Refresh>,
     /// Seed to ask next.
     pub(crate) next_seed: usize,
+    /// Whether the log could not be read last time.
+    pub(crate) outage: bool,
 }
 
 /// A follower that repeats its state in the log at the usual interval.
@@ -100,8 +102,8 @@
         interval.mul_f64(0.5 + rand::random::<f64>())
     }
 
-    async fn on_outage(&mut self, err: &journal::ReadError) {
-        log::warn!("{err}");
+    async fn on_outage(&mut self, err: &ReadError) {
+        self.note_outage(err);
         self.ask_seed().await;
         sleep(OUTAGE_PAUSE.mul_f64(0.5 + rand::random::<f64>())).await;
     }
@@ -174,14 +176,26 @@
                     }
                 }
                 Err(err) => {
-                    log::warn!("{err}");
+                    self.note_outage(&err);
                     return;
                 }
             }
         }
     }
 
-    fn take(&mut self, page: &register::Page) {
+    /// Writes one line for an outage, however long it lasts.
+    fn note_outage(&mut self, err: &ReadError) {
+        if !self.outage {
+            self.outage = true;
+            log::warn!("{err}");
+        }
+    }
+
+    fn take(&mut self, page: &Page) {
+        if self.outage {
+            self.outage = false;
+            log::info!("the log can be read again");
+        }
         for Change { offset, applied } in self.follower.take(page, Timestamp::now()) {
             log::info!("record {offset}: {applied:?}");
         }
--- a/daemon/src/running.rs
+++ b/daemon/src/running.rs
@@ -48,10 +48,12 @@
 #[derive(Clone)]
 pub struct ProgressHandle {
     shared: Arc<Shared>,
+    front: Option<Front>,
 }
 
 /// The HTTP side of a node.
 pub(crate) struct Serving {
+    front: Front,
     stop: CancellationToken,
     ended: watch::Receiver<bool>,
 }
@@ -79,12 +81,13 @@
 
     /// What the node has in progress.
     pub fn progress(&self) -> Progress {
-        self.shared.progress()
+        self.progress_handle().read()
     }
 
     /// Reads what the node has in progress while it is being stopped.
     pub fn progress_handle(&self) -> ProgressHandle {
-        ProgressHandle { shared: Arc::clone(&self.shared) }
+        let front = self.front.as_ref().map(|serving| serving.front.clone());
+        ProgressHandle { shared: Arc::clone(&self.shared), front }
     }
 
     /// Metrics of the node in the text format of Prometheus.
@@ -124,11 +127,12 @@
         let stop = CancellationToken::new();
         let (sender, ended) = watch::channel(false);
         let stopping = stop.clone();
+        let served = front.clone();
         self.tasks.spawn(async move {
-            front::serve(listener, front, stopping.cancelled_owned()).await;
+            front::serve(listener, served, stopping.cancelled_owned()).await;
             sender.send_replace(true);
         });
-        self.front = Some(Serving { stop, ended });
+        self.front = Some(Serving { front, stop, ended });
     }
 
     fn end(&self) {
@@ -140,7 +144,11 @@
 impl ProgressHandle {
     /// What the node has in progress.
     pub fn read(&self) -> Progress {
-        self.shared.progress()
+        Progress {
+            requests: self.front.as_ref().map_or(0, Front::in_progress),
+            calls: self.shared.calls(),
+            runs: self.shared.runs(),
+        }
     }
 }
 
--- a/daemon/src/shared.rs
+++ b/daemon/src/shared.rs
@@ -15,15 +15,17 @@
 pub(crate) struct Shared {
     metrics: Mutex<Metrics>,
     readiness: Mutex<Readiness>,
-    callers: AtomicUsize,
+    calls: AtomicUsize,
     runs: AtomicUsize,
 }
 
 /// What a node has in progress.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Progress {
-    /// Callers that wait for an answer.
-    pub callers: usize,
+    /// Callers' requests that have no answer yet.
+    pub requests: usize,
+    /// Calls of peers that have no reply yet.
+    pub calls: usize,
     /// Requests and tasks that run on the endpoint.
     pub runs: usize,
 }
@@ -34,7 +36,7 @@
         Shared {
             metrics: Mutex::new(Metrics::new()),
             readiness: Mutex::new(not_ready(0, "the node has no configuration yet")),
-            callers: AtomicUsize::new(0),
+            calls: AtomicUsize::new(0),
             runs: AtomicUsize::new(0),
         }
     }
@@ -65,17 +67,24 @@
         *readiness = not_ready(readiness.version, STOPPING);
     }
 
-    /// What is in progress.
-    pub(crate) fn progress(&self) -> Progress {
-        Progress {
-            callers: self.callers.load(Ordering::Relaxed),
-            runs: self.runs.load(Ordering::Relaxed),
-        }
+    /// Calls of peers that have no reply yet.
+    pub(crate) fn calls(&self) -> usize {
+        self.calls.load(Ordering::Relaxed)
+    }
+
+    /// Requests and tasks that run on the endpoint.
+    pub(crate) fn runs(&self) -> usize {
+        self.runs.load(Ordering::Relaxed)
+    }
+
+    /// Notes that a peer has called.
+    pub(crate) fn start_call(&self) {
+        self.calls.fetch_add(1, Ordering::Relaxed);
     }
 
-    /// Sets the number of callers that wait.
-    pub(crate) fn set_callers(&self, callers: usize) {
-        self.callers.store(callers, Ordering::Relaxed);
+    /// Notes that a peer's call has its reply.
+    pub(crate) fn end_call(&self) {
+        self.calls.fetch_sub(1, Ordering::Relaxed);
     }
 
     /// Notes that a request or task starts on the endpoint.
@@ -106,10 +115,10 @@
 
 impl fmt::Display for Progress {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Progress { requests, calls, runs } = self;
         write!(
             f,
-            "{} callers that wait for an answer, {} requests and tasks on the endpoint",
-            self.callers, self.runs
+            "{requests} requests of callers, {calls} calls of peers, {runs} runs on the endpoint"
         )
     }
 }
--- a/daemon/src/shell.rs
+++ b/daemon/src/shell.rs
@@ -86,14 +86,11 @@
     /// Remembers a caller that waits for a reply.
     pub(crate) fn add_caller(&mut self, token: CallerToken, reply: oneshot::Sender<CallerReply>) {
         self.callers.insert(token, reply);
-        self.parts.shared.set_callers(self.callers.len());
     }
 
     /// Forgets a caller; returns whether it still waited.
     pub(crate) fn remove_caller(&mut self, token: CallerToken) -> bool {
-        let waited = self.callers.remove(&token).is_some();
-        self.parts.shared.set_callers(self.callers.len());
-        waited
+        self.callers.remove(&token).is_some()
     }
 
     /// Takes note of an event on its way to the core.
@@ -113,9 +110,9 @@
                 }
             }
             Event::Stop => self.parts.shared.set_stopping(),
+            Event::Call { .. } => self.parts.shared.start_call(),
             Event::Caller { .. }
             | Event::CallerGone { .. }
-            | Event::Call { .. }
             | Event::PeerReplied { .. }
             | Event::Executed { .. }
             | Event::Datagram(_)
@@ -129,7 +126,10 @@
         self.parts.shared.metrics().on_effect(now, &effect);
         match effect {
             Effect::Respond { token, reply } => self.respond(token, reply),
-            Effect::Reply { to, reply } => self.parts.server.reply(to, reply),
+            Effect::Reply { to, reply } => {
+                self.parts.shared.end_call();
+                self.parts.server.reply(to, reply);
+            }
             Effect::CallPeer { token, node, call, timeout } => {
                 self.call_peer(token, node, call, timeout);
             }
@@ -174,7 +174,6 @@
         if let Some(caller) = self.callers.remove(&token) {
             let _ = caller.send(reply);
         }
-        self.parts.shared.set_callers(self.callers.len());
     }
 
     fn call_peer(&self, token: PeerToken, node: NodeId, call: Call, timeout: Duration) {
--- a/daemon/src/start.rs
+++ b/daemon/src/start.rs
@@ -159,6 +159,7 @@
         tasks: tasks.clone(),
         refreshes: asked,
         next_seed: 0,
+        outage: false,
     };
     let running = Running {
         node,
