Queue by due time and keep slots free of long requests

Earliest deadline first let tasks of 50 ms wait behind tasks of seconds with the same deadline. While short requests come in, long ones leave them slots according to their recent work. Something whose expected run time alone passes the deadline is tried once in 5 s, since the expectation may be wrong and nothing else would correct it. Equal requests start in order.

--- /dev/null
+++ b/components/queue/src/mix.rs
@@ -0,0 +1,51 @@
+//! Slots kept free of long requests.
+
+use std::time::Duration;
+
+use ident::Timestamp;
+
+/// Run time from which a request counts as long.
+const LONG: Duration = Duration::from_secs(1);
+/// Time over which the work of short requests is averaged.
+const AVERAGING_TIME: Duration = Duration::from_secs(5);
+/// Slots' worth of short requests below which no slot is kept for them.
+const MIN_SHORT_LOAD: f64 = 0.05;
+
+/// Recent work of short requests.
+#[derive(Debug, Default)]
+pub(crate) struct Mix {
+    short_seconds: f64,
+    updated_at: Timestamp,
+}
+
+/// Whether a request would hold its slot for long.
+pub(crate) fn is_long(expected: Duration) -> bool {
+    expected >= LONG
+}
+
+impl Mix {
+    /// Counts a request that came in.
+    pub(crate) fn on_arrival(&mut self, expected: Duration, now: Timestamp) {
+        if is_long(expected) {
+            return;
+        }
+        self.short_seconds = self.remaining(now) + expected.as_secs_f64();
+        self.updated_at = self.updated_at.max(now);
+    }
+
+    /// Slots that long requests may hold together: enough are left for the
+    /// short ones that come in, and one more, but at least half are granted.
+    pub(crate) fn long_slots(&self, slots: u32, now: Timestamp) -> u32 {
+        let load = self.remaining(now) / AVERAGING_TIME.as_secs_f64();
+        if load < MIN_SHORT_LOAD {
+            return slots;
+        }
+        let kept = load.ceil() as u32 + 1;
+        slots.saturating_sub(kept).max(slots.div_ceil(2))
+    }
+
+    fn remaining(&self, now: Timestamp) -> f64 {
+        let passed = now.since(self.updated_at).as_secs_f64();
+        self.short_seconds * (-passed / AVERAGING_TIME.as_secs_f64()).exp()
+    }
+}
--- /dev/null
+++ b/components/queue/src/pace.rs
@@ -0,0 +1,51 @@
+//! Speed of the endpoint, compared with what is expected of it.
+
+use std::time::Duration;
+
+use ident::Timestamp;
+
+/// Weight of the newest sample.
+const WEIGHT: f64 = 0.05;
+/// Largest factor that one sample or the pace may reach.
+const MAX_FACTOR: f64 = 10.0;
+/// Time without samples after which the pace begins to return to one.
+const FRESH_TIME: Duration = Duration::from_secs(5);
+/// Time in which the logarithm of the pace halves.
+const HALF_LIFE: Duration = Duration::from_secs(10);
+
+/// Mean ratio of actual to expected run times.
+///
+/// It returns to one while nothing finishes, so that an endpoint which was slow
+/// for a while and refused everything gets requests again.
+#[derive(Debug)]
+pub(crate) struct Pace {
+    ratio: f64,
+    updated_at: Timestamp,
+}
+
+impl Pace {
+    pub(crate) fn new() -> Pace {
+        Pace { ratio: 1.0, updated_at: Timestamp::ZERO }
+    }
+
+    /// Learns from a request that ran for `actual`.
+    pub(crate) fn learn(&mut self, expected: Duration, actual: Duration, now: Timestamp) {
+        if expected.is_zero() {
+            return;
+        }
+        let ratio = self.ratio(now);
+        let sample = actual.as_secs_f64() / expected.as_secs_f64();
+        self.ratio = ratio + WEIGHT * (sample.clamp(1.0 / MAX_FACTOR, MAX_FACTOR) - ratio);
+        self.updated_at = self.updated_at.max(now);
+    }
+
+    /// Run time that the endpoint will probably need.
+    pub(crate) fn apply(&self, expected: Duration, now: Timestamp) -> Duration {
+        expected.mul_f64(self.ratio(now))
+    }
+
+    fn ratio(&self, now: Timestamp) -> f64 {
+        let stale = now.since(self.updated_at).saturating_sub(FRESH_TIME).as_secs_f64();
+        self.ratio.powf(0.5f64.powf(stale / HALF_LIFE.as_secs_f64()))
+    }
+}
--- a/components/queue/src/queue.rs
+++ b/components/queue/src/queue.rs
@@ -9,15 +9,17 @@
     Cause, Item, Rejection,
     fair::Shares,
     forecast::Forecast,
+    mix::{Mix, is_long},
     order::{self, Queued},
+    pace::Pace,
 };
 
 /// Shortest time to come back that a caller is told.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
-/// Weight of the newest sample in the pace of the endpoint.
-const PACE_WEIGHT: f64 = 0.05;
-/// Least and greatest ratio of actual to expected run time that counts.
-const PACE_RANGE: (f64, f64) = (0.1, 10.0);
+/// Time between two trials of requests that seem to take too long.
+const TRIAL_INTERVAL: Duration = Duration::from_secs(5);
+/// Factor by which an expected run time may be too high for a trial.
+const MAX_DOUBT: u32 = 8;
 
 /// Slots of an endpoint with the requests that run or wait.
 #[derive(Debug)]
@@ -27,8 +29,10 @@
     queued: Vec<Queued<K>>,
     running: HashMap<K, Running>,
     shares: Shares,
+    mix: Mix,
     starts: u32,
-    pace: f64,
+    pace: Pace,
+    trial_at: Timestamp,
 }
 
 #[derive(Debug)]
@@ -46,8 +50,10 @@
             queued: Vec::new(),
             running: HashMap::new(),
             shares: Shares::default(),
+            mix: Mix::default(),
             starts: 0,
-            pace: 1.0,
+            pace: Pace::new(),
+            trial_at: Timestamp::ZERO,
         }
     }
 
@@ -58,19 +64,16 @@
 
     /// Queues a request, unless it could not be answered in time.
     pub fn push(&mut self, item: Item<K>, now: Timestamp) -> Result<(), Rejection> {
-        let wait = self.wait_of(item.rank, item.deadline, now);
-        let run_time = self.at_pace(item.expected);
-        let left = item.deadline.since(now);
-        if wait + run_time > left {
-            let retry_after =
-                (run_time <= left).then(|| (wait + run_time - left).max(MIN_RETRY_AFTER));
-            return Err(Rejection { cause: Cause::Late, wait, retry_after });
-        }
-        if self.queued.len() >= self.limit {
-            let retry_after = Some((wait / 2).max(MIN_RETRY_AFTER));
-            return Err(Rejection { cause: Cause::Full, wait, retry_after });
+        self.mix.on_arrival(item.expected, now);
+        let mut queued = Queued::new(item, now);
+        match self.check(&queued, now) {
+            Err(_) if self.is_trial(&queued, now) => {
+                queued.trial = true;
+                self.trial_at = now;
+            }
+            checked => checked?,
         }
-        self.queued.push(Queued { item, since: now });
+        self.queued.push(queued);
         Ok(())
     }
 
@@ -82,10 +85,12 @@
         if self.free() == 0 {
             return None;
         }
-        let pace = self.pace;
-        let in_time = |it: &Queued<K>| !is_late(it, pace, now);
-        let index = order::next(&self.queued, in_time, &self.shares, self.starts, now)?;
-        let item = self.queued.swap_remove(index).item;
+        let pace = &self.pace;
+        let may_be_long = self.running_long() < self.mix.long_slots(self.slots, now);
+        let admits =
+            |it: &Queued<K>| !is_late(it, pace, now) && (may_be_long || !is_long(it.item.expected));
+        let index = order::next(&self.queued, admits, &self.shares, self.starts, now)?;
+        let item = self.queued.remove(index).item;
         self.starts = self.starts.wrapping_add(1);
         let waiting = self.queued.iter().map(|it| it.item.team);
         self.shares.on_start(item.team, item.expected, waiting);
@@ -95,7 +100,7 @@
 
     /// Takes out the requests that can no longer be answered in time.
     pub fn take_late(&mut self, now: Timestamp) -> Vec<K> {
-        let pace = self.pace;
+        let pace = &self.pace;
         let late = self.queued.extract_if(.., |it| is_late(it, pace, now));
         late.map(|it| it.item.key).collect()
     }
@@ -103,7 +108,7 @@
     /// Takes out a request that waits; false if it does not wait here.
     pub fn remove(&mut self, key: K) -> bool {
         let found = self.queued.iter().position(|it| it.item.key == key);
-        found.map(|index| self.queued.swap_remove(index)).is_some()
+        found.map(|index| self.queued.remove(index)).is_some()
     }
 
     /// Frees the slot of a request that ran.
@@ -111,17 +116,12 @@
         let Some(running) = self.running.remove(&key) else {
             return;
         };
-        let expected = running.expected.as_secs_f64();
-        if expected > 0.0 {
-            let (least, greatest) = PACE_RANGE;
-            let ratio = now.since(running.since).as_secs_f64() / expected;
-            self.pace += PACE_WEIGHT * (ratio.clamp(least, greatest) - self.pace);
-        }
+        self.pace.learn(running.expected, now.since(running.since), now);
     }
 
-    /// Wait that a request of the rank would have if it came now.
+    /// Wait of a request of the rank that comes now and is due after all others.
     pub fn predicted_wait(&self, rank: u8, now: Timestamp) -> Duration {
-        self.wait_of(rank, Timestamp::MAX, now)
+        self.wait_before(rank, Timestamp::MAX, now)
     }
 
     /// Load for reports and replies.
@@ -132,7 +132,7 @@
             busy: self.busy(),
             slots: self.slots,
             queued: self.queued.len() as u32,
-            work: running + self.at_pace(queued),
+            work: running + self.pace.apply(queued, now),
         }
     }
 
@@ -156,31 +156,82 @@
         self.queued.len()
     }
 
-    fn wait_of(&self, rank: u8, deadline: Timestamp, now: Timestamp) -> Duration {
+    fn check(&self, queued: &Queued<K>, now: Timestamp) -> Result<(), Rejection> {
+        let wait = self.wait_of(queued, now);
+        let run_time = self.pace.apply(queued.item.expected, now);
+        let left = queued.item.deadline.since(now);
+        if wait + run_time > left {
+            let excess = (wait + run_time).saturating_sub(left);
+            let retry_after = (run_time <= left).then(|| excess.max(MIN_RETRY_AFTER));
+            return Err(Rejection { cause: Cause::Late, wait, retry_after });
+        }
+        if self.queued.len() >= self.limit {
+            let retry_after = Some((wait / 2).max(MIN_RETRY_AFTER));
+            return Err(Rejection { cause: Cause::Full, wait, retry_after });
+        }
+        Ok(())
+    }
+
+    fn wait_of(&self, queued: &Queued<K>, now: Timestamp) -> Duration {
+        let wait = self.wait_before(queued.item.rank, queued.due, now);
+        match is_long(queued.item.expected) {
+            true => wait.max(self.wait_of_long(queued, now)),
+            false => wait,
+        }
+    }
+
+    /// Wait for any slot.
+    fn wait_before(&self, rank: u8, due: Timestamp, now: Timestamp) -> Duration {
         if self.free() as usize > self.queued.len() {
             return Duration::ZERO;
         }
         let running = self.running.values().map(|it| self.remaining(it, now));
         let mut forecast = Forecast::new(self.slots, running);
-        for it in &self.queued {
-            if (it.item.rank, it.item.deadline) <= (rank, deadline) {
-                forecast.assign(self.at_pace(it.item.expected));
-            }
+        for it in self.queued.iter().filter(|it| it.precedes(rank, due)) {
+            forecast.assign(self.pace.apply(it.item.expected, now));
         }
         forecast.wait()
     }
 
+    /// Wait for one of the slots that long requests may hold.
+    fn wait_of_long(&self, queued: &Queued<K>, now: Timestamp) -> Duration {
+        let running = self.running.values().filter(|it| is_long(it.expected));
+        let slots = self.mix.long_slots(self.slots, now);
+        let mut forecast = Forecast::new(slots, running.map(|it| self.remaining(it, now)));
+        let ahead = self.queued.iter().filter(|it| it.precedes(queued.item.rank, queued.due));
+        for it in ahead.filter(|it| is_long(it.item.expected)) {
+            forecast.assign(self.pace.apply(it.item.expected, now));
+        }
+        forecast.wait()
+    }
+
+    fn running_long(&self) -> u32 {
+        self.running.values().filter(|it| is_long(it.expected)).count() as u32
+    }
+
     fn remaining(&self, running: &Running, now: Timestamp) -> Duration {
         let elapsed = now.since(running.since);
-        let expected = self.at_pace(running.expected);
+        let expected = self.pace.apply(running.expected, now);
         expected.saturating_sub(elapsed).max(elapsed / 4)
     }
 
-    fn at_pace(&self, expected: Duration) -> Duration {
-        expected.mul_f64(self.pace)
+    /// Whether to let a request through although its expected run time alone
+    /// passes the deadline: the expectation may be wrong, and stays so if nothing
+    /// runs.
+    fn is_trial(&self, queued: &Queued<K>, now: Timestamp) -> bool {
+        let left = queued.item.deadline.since(now);
+        let run_time = self.pace.apply(queued.item.expected, now);
+        self.free() > 0
+            && self.queued.is_empty()
+            && run_time <= left * MAX_DOUBT
+            && now.since(self.trial_at) >= TRIAL_INTERVAL
     }
 }
 
-fn is_late<K>(queued: &Queued<K>, pace: f64, now: Timestamp) -> bool {
-    now + queued.item.expected.mul_f64(pace) > queued.item.deadline
+fn is_late<K>(queued: &Queued<K>, pace: &Pace, now: Timestamp) -> bool {
+    let run_time = match queued.trial {
+        true => Duration::ZERO,
+        false => pace.apply(queued.item.expected, now),
+    };
+    now + run_time > queued.item.deadline
 }
--- a/components/routing/tests/support/mod.rs
+++ b/components/routing/tests/support/mod.rs
@@ -64,6 +64,11 @@
     pub fn quantile(&self, fraction: f64) -> f64 {
         self.ratios[((self.ratios.len() - 1) as f64 * fraction) as usize]
     }
+
+    /// What a quantile is above the ideal.
+    pub fn excess(&self, fraction: f64) -> f64 {
+        self.quantile(fraction) - 1.0
+    }
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
