--- a/components/register/src/follower.rs
+++ b/components/register/src/follower.rs
@@ -11,7 +11,7 @@
 
 use ident::Timestamp;
 
-use crate::{Applied, Page, Record, RecordId, Schedule, State};
+use crate::{Applied, Entry, Page, Record, RecordId, Schedule, State};
 
 /// Offset of the first record that a log ever holds.
 const FIRST_OFFSET: u64 = 1;
@@ -101,7 +101,8 @@
     /// Takes a peer's state and the read that it rests on; returns whether it was later.
     pub fn adopt(&mut self, state: State, read_at: Timestamp) -> bool {
         let current = state.next_offset >= self.state.next_offset;
-        let later = Arc::make_mut(&mut self.state).adopt(state);
+        let later = state.next_offset > self.state.next_offset
+            && Arc::make_mut(&mut self.state).adopt(state);
         if later || (current && self.state.next_offset > 0) {
             self.read_at = self.read_at.max(read_at);
         }
@@ -124,23 +125,17 @@
     }
 
     fn apply(&mut self, page: &Page) -> Vec<Change> {
-        let state = Arc::make_mut(&mut self.state);
         let mut changes = Vec::new();
-        for entry in &page.entries {
-            if entry.offset < state.next_offset {
-                continue;
-            }
-            match &entry.record {
-                Some(record) => {
-                    let applied = state.apply(entry.offset, record);
-                    changes.push(Change { offset: entry.offset, applied });
-                }
-                None => state.skip_to(entry.offset + 1),
+        // An unchanged state stays shared with those who hold it.
+        if page.next > self.state.next_offset {
+            let state = Arc::make_mut(&mut self.state);
+            for entry in &page.entries {
+                changes.extend(apply_entry(state, entry));
             }
+            state.skip_to(page.next);
         }
-        state.skip_to(page.next);
         // A log that ends before the state does shows nothing about it.
-        if page.reaches_end() && page.end == state.next_offset {
+        if page.reaches_end() && page.end == self.next_apply() {
             self.read_at = self.read_at.max(page.read_at);
         }
         changes
@@ -173,3 +168,17 @@
         self.state.next_offset.max(FIRST_OFFSET)
     }
 }
+
+fn apply_entry(state: &mut State, entry: &Entry) -> Option<Change> {
+    let offset = entry.offset;
+    if offset < state.next_offset {
+        return None;
+    }
+    match &entry.record {
+        Some(record) => Some(Change { offset, applied: state.apply(offset, record) }),
+        None => {
+            state.skip_to(offset + 1);
+            None
+        }
+    }
+}
--- a/components/register/tests/follower.rs
+++ b/components/register/tests/follower.rs
@@ -245,6 +245,19 @@
     assert_eq!(follower.next_read(), 3);
 }
 
+#[test]
+fn an_empty_page_shows_that_the_state_is_current_and_leaves_it_shared() {
+    let (log, _) = log();
+    let mut follower = follower();
+    read(&mut follower, &log, at(1));
+    let before = follower.state().clone();
+
+    read(&mut follower, &log, at(7));
+
+    assert_eq!(follower.read_at(), at(7));
+    assert!(std::sync::Arc::ptr_eq(&before, follower.state()));
+}
+
 #[test]
 fn the_text_of_a_snapshot_record_can_be_read_back() {
     let (_, state) = log();
