--- /dev/null
+++ b/daemon/tests/common/mod.rs
@@ -0,0 +1,60 @@
+//! Fixtures: a small system in one process.
+
+#![allow(dead_code, reason = "each test file uses a part of the fixtures")]
+
+use std::time::Duration;
+
+use hyper::Method;
+use ident::{RequestId, Timestamp};
+use load::{Answer, Caller, Cluster, Plan, Submission};
+use serde_json::Value;
+
+const INVENTORY: &str = include_str!("inventory.toml");
+
+/// Time between two looks at a condition.
+pub const PAUSE: Duration = Duration::from_millis(10);
+
+/// Starts two entries and an agent beside each of two executors.
+pub async fn start(seed: u64) -> Cluster {
+    let plan = Plan { inventory: INVENTORY.to_owned(), entries: 2, seed };
+    Cluster::start(&plan).await.unwrap()
+}
+
+/// Calls the given entry.
+pub fn caller(cluster: &Cluster, entry: usize) -> Caller {
+    Caller::new(cluster.entries[entry].http().unwrap())
+}
+
+/// A non-idempotent request of the given run time.
+pub fn wrap_ticket(id: RequestId, run_time: Duration) -> Submission<'static> {
+    Submission {
+        id: Some(id),
+        service: "yardbook",
+        kind: "wrap-ticket",
+        team: "yard",
+        deadline: Some(Duration::from_secs(20)),
+        declared: Some(run_time),
+        run_time,
+    }
+}
+
+/// An id made now.
+pub fn new_id(number: u8) -> RequestId {
+    RequestId::new(Timestamp::now(), [number; 10])
+}
+
+/// Waits until an executor has started a request, and names it.
+pub async fn wait_for_start(cluster: &Cluster) -> String {
+    loop {
+        if let Some(host) = cluster.hosts.iter().find(|host| host.starts() > 0) {
+            return host.name.clone();
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+/// Gets a page in JSON.
+pub async fn get_json(caller: &Caller, path: &str) -> Value {
+    let answer: Answer = caller.call(Method::GET, path).await.unwrap();
+    serde_json::from_slice(&answer.body).unwrap()
+}
