Keep ejection sound when most agents fail, and learn run times again

Failure rates were compared with the group's median: with six of ten agents failing, the failing ones were the norm. The lower quartile is the norm now. A restart no longer ends a probation, the first trial waits up to 5 s for an idempotent request, and the lag outlives an ejection, so that a straggler goes out again after its five trials. Estimates shrink only if they are used again and again without a sample; a changed run time in the inventory replaces what was learnt. The tolerance of the choice was as large as the latency between zones; it is 0.2 ms now.

--- a/components/routing/src/agent.rs
+++ b/components/routing/src/agent.rs
@@ -9,6 +9,8 @@
 
 /// Time between two trial requests to an agent on probation.
 const TRIAL_INTERVAL: Duration = Duration::from_millis(250);
+/// Time for which the first trial waits for an idempotent request.
+const IDEMPOTENT_TRIAL_TIME: Duration = Duration::from_secs(5);
 /// Power by which the risk of a wait grows with the share of busy slots.
 const RISK_POWER: i32 = 4;
 /// Mean run times per slot that the risk amounts to when all slots are busy.
@@ -61,7 +63,8 @@
             return;
         }
         if report.incarnation > self.report.incarnation {
-            *self = Agent::new(report, now);
+            let health = self.health.after_restart(now);
+            *self = Agent { health, ..Agent::new(report, now) };
             return;
         }
         let leaving = self.report.leaving || report.leaving;
@@ -117,6 +120,15 @@
         !self.suspected && self.sent.is_empty() && now.since(self.sent_at) >= TRIAL_INTERVAL
     }
 
+    /// Whether an agent on probation has waited long for an idempotent request.
+    pub(crate) fn lacks_idempotent_trials(&self, now: Timestamp) -> bool {
+        match self.health.phase {
+            Phase::Probation { since, healthy: 0 } => now.since(since) >= IDEMPOTENT_TRIAL_TIME,
+            Phase::Probation { .. } => true,
+            Phase::Active | Phase::Ejected { .. } => false,
+        }
+    }
+
     /// Time that a request sent now would wait for a slot.
     pub(crate) fn predicted_wait(&self) -> Duration {
         let (requests, work) = self.known();
--- a/components/routing/src/choose.rs
+++ b/components/routing/src/choose.rs
@@ -16,8 +16,8 @@
 const ZONE_LATENCY: Duration = Duration::from_millis(2);
 /// Time that a failed attempt costs.
 const FAILURE_COST: Duration = Duration::from_secs(1);
-/// Difference in time that does not count, as a share of the expected run time.
-const TOLERANCE: f64 = 0.02;
+/// Difference in time that does not count.
+const TOLERANCE: Duration = Duration::from_micros(200);
 
 /// A request that looks for an agent.
 #[derive(Debug, Clone, Copy)]
@@ -60,7 +60,7 @@
     ) -> Option<Choice> {
         self.review(group, now);
         let pool = self.pools.get(group)?;
-        if let Some(choice) = self.trial(pool, want, now) {
+        if let Some(choice) = self.trial(group, pool, want, now) {
             return Some(choice);
         }
         let usual = &pool.usual;
@@ -73,16 +73,22 @@
         if scores.is_empty() {
             scores = self.scores(&nodes, want, usual, Standing::Doubtful);
         }
-        let best = pick(&scores, want.expected, rng)?;
+        let best = pick(&scores, rng)?;
         let candidates = nodes.iter().map(|node| self.candidate(*node, want)).collect();
         Some(Choice { node: best.node, wait: best.wait, candidates })
     }
 
     /// An agent on probation that is due for a trial request.
-    fn trial(&self, pool: &Pool, want: &Want<'_>, now: Timestamp) -> Option<Choice> {
+    fn trial(&self, group: &Group, pool: &Pool, want: &Want<'_>, now: Timestamp) -> Option<Choice> {
+        if pool.probation.is_empty() {
+            return None;
+        }
+        let is_idempotent = self.declared.is_idempotent(group, want.kind);
         let node = pool.probation.iter().copied().find(|node| {
             let agent = &self.agents[node];
-            self.objection(agent, want).is_none() && agent.is_due_for_trial(now)
+            self.objection(agent, want).is_none()
+                && agent.is_due_for_trial(now)
+                && (is_idempotent || agent.lacks_idempotent_trials(now))
         })?;
         let wait = self.agents[&node].predicted_wait();
         Some(Choice { node, wait, candidates: vec![self.candidate(node, want)] })
@@ -106,12 +112,12 @@
 
     fn score(&self, agent: &Agent, want: &Want<'_>, usual: &Usual) -> Score {
         let wait = agent.predicted_wait();
-        let run_time = want.expected.mul_f64(agent.health.slowdown(&usual.medians));
+        let run_time = want.expected.mul_f64(agent.health.slowdown(&usual.health));
         let latency = match agent.report.availability_zone == self.zone {
             true => Duration::ZERO,
             false => ZONE_LATENCY,
         };
-        let failure = FAILURE_COST.mul_f64(agent.health.excess_failures(&usual.medians));
+        let failure = FAILURE_COST.mul_f64(agent.health.excess_failures(&usual.health));
         let cost = (wait + agent.risk(usual.run_time) + run_time + latency + failure).as_secs_f64();
         Score { node: agent.report.node, wait, cost }
     }
@@ -135,8 +141,8 @@
 }
 
 /// One of the best at random; each that lies within the tolerance counts alike.
-fn pick(scores: &[Score], expected: Duration, rng: &mut impl Rng) -> Option<Score> {
+fn pick(scores: &[Score], rng: &mut impl Rng) -> Option<Score> {
     let least = scores.iter().map(|it| it.cost).min_by(f64::total_cmp)?;
-    let limit = least + expected.as_secs_f64() * TOLERANCE;
+    let limit = least + TOLERANCE.as_secs_f64();
     scores.iter().copied().filter(|it| it.cost <= limit).choose(rng)
 }
--- a/components/routing/src/health.rs
+++ b/components/routing/src/health.rs
@@ -8,13 +8,15 @@
 const FAILURE_WEIGHT: f64 = 0.1;
 /// Weight of the newest sample in the lag.
 const LAG_WEIGHT: f64 = 0.03;
+/// Weight of a trial in the lag.
+const TRIAL_LAG_WEIGHT: f64 = 0.3;
 /// Largest factor by which one run time may differ from what was expected.
 const MAX_FACTOR: f64 = 16.0;
-/// Failure rate above that of the group's median from which an agent is ejected.
+/// Failure rate above the usual one of the group from which an agent is ejected.
 const MAX_FAILURES: f64 = 0.35;
-/// Multiple of the median lag of the group from which an agent is ejected.
+/// Multiple of the usual lag of the group from which an agent is ejected.
 const MAX_LAG: f64 = 3.0;
-/// Multiple of the median lag of the group that does not count.
+/// Multiple of the usual lag of the group up to which it does not count.
 const USUAL_LAG: f64 = 1.3;
 /// Time in which the failure rate halves.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(2);
@@ -43,10 +45,12 @@
     faded_at: Timestamp,
 }
 
-/// Medians of a group, to which its agents are compared.
+/// Health that is usual in a group, to which its agents are compared.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub(crate) struct Medians {
+pub(crate) struct UsualHealth {
+    /// Lower quartile, so that agents stand out even if most of them fail.
     pub(crate) failures: f64,
+    /// Median.
     pub(crate) lag: f64,
 }
 
@@ -58,7 +62,7 @@
     /// It gets none until the given time.
     Ejected { until: Timestamp },
     /// It gets one trial request at a time; so many have ended well.
-    Probation { healthy: u32 },
+    Probation { since: Timestamp, healthy: u32 },
 }
 
 impl Health {
@@ -67,16 +71,33 @@
         Health { phase, failures: 0.0, lag: 0.0, ejections: 0, faded_at: now }
     }
 
+    /// Health after a restart: what was out of favour has to prove itself.
+    pub(crate) fn after_restart(&self, now: Timestamp) -> Health {
+        match self.phase {
+            Phase::Active => Health::new(now),
+            Phase::Ejected { .. } | Phase::Probation { .. } => self.on_probation(now),
+        }
+    }
+
+    fn on_probation(&self, now: Timestamp) -> Health {
+        let phase = Phase::Probation { since: now, healthy: 0 };
+        Health { phase, ejections: self.ejections, ..Health::new(now) }
+    }
+
     /// Learns from a request that ran in `ratio` times the expected time.
     pub(crate) fn on_success(&mut self, ratio: f64, now: Timestamp) {
         self.fade(now);
         self.failures -= FAILURE_WEIGHT * self.failures;
         let limit = MAX_FACTOR.ln();
         let sample = ratio.max(f64::MIN_POSITIVE).ln().clamp(-limit, limit);
-        self.lag += LAG_WEIGHT * (sample - self.lag);
-        if let Phase::Probation { healthy } = self.phase {
+        let weight = match self.phase {
+            Phase::Active | Phase::Ejected { .. } => LAG_WEIGHT,
+            Phase::Probation { .. } => TRIAL_LAG_WEIGHT,
+        };
+        self.lag += weight * (sample - self.lag);
+        if let Phase::Probation { since, healthy } = self.phase {
             self.phase = match healthy + 1 < TRIALS {
-                true => Phase::Probation { healthy: healthy + 1 },
+                true => Phase::Probation { since, healthy: healthy + 1 },
                 false => Phase::Active,
             };
         }
@@ -93,19 +114,19 @@
     }
 
     /// Whether the samples speak for ejection.
-    pub(crate) fn is_outlier(&self, medians: &Medians) -> bool {
-        self.failures > medians.failures + MAX_FAILURES || self.lag > medians.lag + MAX_LAG.ln()
+    pub(crate) fn is_outlier(&self, usual: &UsualHealth) -> bool {
+        self.failures > usual.failures + MAX_FAILURES || self.lag > usual.lag + MAX_LAG.ln()
     }
 
     /// Factor by which the agent's run times exceed the usual.
-    pub(crate) fn slowdown(&self, medians: &Medians) -> f64 {
-        let factor = (self.lag - medians.lag).exp();
+    pub(crate) fn slowdown(&self, usual: &UsualHealth) -> f64 {
+        let factor = (self.lag - usual.lag).exp();
         if factor < USUAL_LAG { 1.0 } else { factor }
     }
 
     /// Failures beyond what is usual in the group.
-    pub(crate) fn excess_failures(&self, medians: &Medians) -> f64 {
-        (self.failures - medians.failures).max(0.0)
+    pub(crate) fn excess_failures(&self, usual: &UsualHealth) -> f64 {
+        (self.failures - usual.failures).max(0.0)
     }
 
     /// Whether it gets trial requests only.
@@ -125,9 +146,8 @@
         self.fade(now);
         match self.phase {
             Phase::Ejected { until } if now >= until => {
-                self.phase = Phase::Probation { healthy: 0 };
-                self.failures = 0.0;
-                self.lag = 0.0;
+                let lag = self.lag;
+                *self = Health { lag, ..self.on_probation(now) };
             }
             Phase::Active if self.failures < FORGIVEN => self.ejections = 0,
             Phase::Active | Phase::Ejected { .. } | Phase::Probation { .. } => {}
--- a/components/routing/src/inventory.rs
+++ b/components/routing/src/inventory.rs
@@ -1,6 +1,6 @@
 //! What the published inventory says of agents.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use config::{Inventory, State};
 use ident::Group;
@@ -10,6 +10,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Declared {
     endpoints: HashMap<String, (Group, State)>,
+    /// Idempotent kinds of each service.
+    idempotent: HashMap<Group, HashSet<String>>,
 }
 
 impl Declared {
@@ -20,7 +22,17 @@
             .map(|it| (it.name.clone(), (Group::Service(it.service.clone()), it.state)));
         let workers =
             inventory.workers.iter().map(|it| (it.name.clone(), (Group::Workers, it.state)));
-        Declared { endpoints: executors.chain(workers).collect() }
+        let mut idempotent: HashMap<Group, HashSet<String>> = HashMap::new();
+        for kind in inventory.kinds.iter().filter(|it| it.idempotent) {
+            let group = Group::Service(kind.service.clone());
+            idempotent.entry(group).or_default().insert(kind.name.clone());
+        }
+        Declared { endpoints: executors.chain(workers).collect(), idempotent }
+    }
+
+    /// Whether running the kind twice does no harm.
+    pub(crate) fn is_idempotent(&self, group: &Group, kind: &str) -> bool {
+        self.idempotent.get(group).is_some_and(|kinds| kinds.contains(kind))
     }
 
     /// Why the agent gets no new work, if it gets none.
--- a/components/routing/src/pool.rs
+++ b/components/routing/src/pool.rs
@@ -5,7 +5,7 @@
 use ident::{NodeId, Timestamp};
 use rand::{Rng, seq::IndexedRandom};
 
-use crate::health::Medians;
+use crate::health::UsualHealth;
 
 /// Agents up to which all of them are compared, and sampled beyond, in the own
 /// availability zone and outside of it.
@@ -19,8 +19,8 @@
 pub(crate) struct Usual {
     /// Mean expected run time of the requests sent lately.
     pub(crate) run_time: Duration,
-    /// Medians of the agents' health.
-    pub(crate) medians: Medians,
+    /// UsualHealth of the agents' health.
+    pub(crate) health: UsualHealth,
 }
 
 /// Agents of a group, by whether they stand in the router's availability zone.
--- a/components/routing/src/review.rs
+++ b/components/routing/src/review.rs
@@ -5,7 +5,7 @@
 use ident::{Group, NodeId, Timestamp};
 
 use crate::{
-    health::{Medians, Phase},
+    health::{Phase, UsualHealth},
     router::Router,
 };
 
@@ -28,34 +28,34 @@
                 agent.health.tick(now);
             }
         }
-        let medians = self.medians(&nodes);
-        self.eject(&nodes, &medians, now);
+        let usual = self.usual_health(&nodes);
+        self.eject(&nodes, &usual, now);
         let on_probation =
             |node: &NodeId| self.agents.get(node).is_some_and(|it| it.health.is_on_probation());
         let probation = nodes.iter().copied().filter(on_probation).collect();
         if let Some(pool) = self.pools.get_mut(group) {
-            pool.usual.medians = medians;
+            pool.usual.health = usual;
             pool.probation = probation;
         }
     }
 
-    fn medians(&self, nodes: &[NodeId]) -> Medians {
+    fn usual_health(&self, nodes: &[NodeId]) -> UsualHealth {
         let health = || nodes.iter().filter_map(|node| Some(&self.agents.get(node)?.health));
-        Medians {
-            failures: median(health().map(|it| it.failures)),
-            lag: median(health().map(|it| it.lag)),
+        UsualHealth {
+            failures: quantile(health().map(|it| it.failures), 0.25),
+            lag: quantile(health().map(|it| it.lag), 0.5),
         }
     }
 
     /// Ejects the worst outliers, as far as the limit allows.
-    fn eject(&mut self, nodes: &[NodeId], medians: &Medians, now: Timestamp) {
+    fn eject(&mut self, nodes: &[NodeId], usual: &UsualHealth, now: Timestamp) {
         let agents =
             || nodes.iter().filter_map(|node| Some((*node, &self.agents.get(node)?.health)));
         let out = agents().filter(|(_, health)| health.phase != Phase::Active).count();
         let room = max_ejected(nodes.len(), self.eject_percent).saturating_sub(out);
         let active = agents().filter(|(_, health)| health.phase == Phase::Active);
         let mut outliers: Vec<(NodeId, f64)> = active
-            .filter(|(_, health)| health.is_outlier(medians))
+            .filter(|(_, health)| health.is_outlier(usual))
             .map(|(node, health)| (node, health.failures))
             .collect();
         outliers.sort_by(|(_, a), (_, b)| b.total_cmp(a));
@@ -76,8 +76,9 @@
     (total * percent.min(100) as usize / 100).max(1)
 }
 
-fn median(values: impl Iterator<Item = f64>) -> f64 {
+fn quantile(values: impl Iterator<Item = f64>, fraction: f64) -> f64 {
     let mut values: Vec<f64> = values.collect();
     values.sort_by(f64::total_cmp);
-    values.get(values.len() / 2).copied().unwrap_or_default()
+    let index = (values.len() as f64 * fraction) as usize;
+    values.get(index).copied().unwrap_or_default()
 }
--- a/components/routing/src/run_time.rs
+++ b/components/routing/src/run_time.rs
@@ -1,6 +1,6 @@
 //! Learnt run times.
 
-use std::{collections::HashMap, time::Duration};
+use std::{cell::Cell, collections::HashMap, time::Duration};
 
 use ident::Timestamp;
 use retry::Latency;
@@ -11,12 +11,14 @@
 const WEIGHT: f64 = 0.05;
 /// Largest factor by which one sample may differ from the estimate.
 const MAX_FACTOR: f64 = 8.0;
-/// Time without samples after which an estimate begins to shrink.
+/// Time without samples after which an estimate is in doubt, if it is used.
 const FRESH_TIME: Duration = Duration::from_secs(10);
-/// Time without samples in which an estimate halves.
-const HALF_LIFE: Duration = Duration::from_secs(60);
+/// Uses without a sample after which an estimate is in doubt.
+const MAX_UNCONFIRMED: u32 = 20;
+/// Time in which an estimate that is in doubt halves.
+const HALF_LIFE: Duration = Duration::from_secs(10);
 /// Smallest part that is left of an estimate.
-const MIN_PART: f64 = 0.125;
+const MIN_PART: f64 = 1.0 / 16.0;
 /// Fraction of responses that are faster than the hedge delay.
 const HEDGE_QUANTILE: f64 = 0.95;
 
@@ -33,6 +35,7 @@
     actual: Estimate,
     ratio: Estimate,
     learnt_at: Timestamp,
+    unconfirmed: Cell<u32>,
     responses: Latency,
 }
 
@@ -45,9 +48,14 @@
 }
 
 impl RunTimes {
-    /// Sets the run time that the inventory gives for the kind.
+    /// Sets the run time that the inventory gives for the kind; what was learnt
+    /// is forgotten if it changes.
     pub(crate) fn publish(&mut self, service: &str, kind: &str, run_time: Duration) {
-        self.kind_mut(service, kind).published = Some(run_time);
+        let kind = self.kind_mut(service, kind);
+        if kind.published.is_some_and(|it| it != run_time) {
+            *kind = Kind::default();
+        }
+        kind.published = Some(run_time);
     }
 
     /// Learns from a request that ran.
@@ -66,6 +74,7 @@
             kind.ratio.update(seconds / declared.as_secs_f64());
         }
         kind.learnt_at = now;
+        kind.unconfirmed.set(0);
     }
 
     /// Learns from a response.
@@ -75,8 +84,8 @@
 
     /// Run time to expect.
     ///
-    /// An estimate that no sample confirms shrinks, so that a kind which is
-    /// refused for its estimate gets another trial.
+    /// An estimate that is used again and again while no sample confirms it
+    /// shrinks, so that a kind which is refused for its estimate gets a trial.
     pub(crate) fn expected(
         &self,
         service: &str,
@@ -90,7 +99,7 @@
         let Some(learnt) = kind.estimate(declared) else {
             return declared.or(kind.published).unwrap_or(DEFAULT_RUN_TIME);
         };
-        learnt.mul_f64(part_left(now.since(kind.learnt_at)))
+        learnt.mul_f64(kind.part_left(learnt, now))
     }
 
     /// Time after which a response is late enough for a hedge.
@@ -121,6 +130,18 @@
         }
         (self.actual.samples > 0).then(|| Duration::from_secs_f64(self.actual.mean.exp()))
     }
+
+    /// Part that is left of an estimate; counts the use.
+    fn part_left(&self, estimate: Duration, now: Timestamp) -> f64 {
+        let uses = self.unconfirmed.get().saturating_add(1);
+        self.unconfirmed.set(uses);
+        if uses <= MAX_UNCONFIRMED {
+            return 1.0;
+        }
+        let fresh = FRESH_TIME + estimate * 2;
+        let stale = now.since(self.learnt_at).saturating_sub(fresh).as_secs_f64();
+        0.5f64.powf(stale / HALF_LIFE.as_secs_f64()).max(MIN_PART)
+    }
 }
 
 impl Estimate {
@@ -139,9 +160,3 @@
         self.mean += weight * difference;
     }
 }
-
-fn part_left(silent: Duration) -> f64 {
-    let stale = silent.saturating_sub(FRESH_TIME);
-    let halvings = stale.as_secs_f64() / HALF_LIFE.as_secs_f64();
-    0.5f64.powf(halvings).max(MIN_PART)
-}
--- /dev/null
+++ b/components/routing/tests/routing/main.rs
@@ -0,0 +1,7 @@
+//! Tests of the router.
+
+mod choose;
+mod fixture;
+mod policies;
+mod run_time;
+mod simulation;
--- a/components/routing/tests/policies.rs
+++ b/components/routing/tests/routing/policies.rs
@@ -1,10 +1,8 @@
 //! Comparison of policies under load, faults and stale reports.
 
-mod support;
-
 use std::time::Duration;
 
-use support::{Behaviour, Outcome, Policy, Setting, run};
+use crate::simulation::{Behaviour, Outcome, Policy, Setting, run};
 
 fn setting(policy: Policy, load: f64) -> Setting {
     Setting {
--- /dev/null
+++ b/components/routing/tests/routing/run_time.rs
@@ -0,0 +1,161 @@
+//! Learning of run times.
+
+use std::time::Duration;
+
+use config::Inventory;
+use ident::{Group, Incarnation, NodeId, Timestamp};
+use routing::{Router, Sample, SampleOutcome};
+use wire::{AgentReport, Load};
+
+const SERVICE: &str = "elig-desk";
+const KIND: &str = "check";
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(1_000_000 + millis)
+}
+
+fn node() -> NodeId {
+    "10.0.0.1:7000".parse().expect("the address is valid")
+}
+
+fn router() -> Router {
+    let mut router = Router::new("suva-a");
+    let report = AgentReport {
+        node: node(),
+        incarnation: Incarnation(at(0)),
+        sequence: 1,
+        name: "desk-1".to_owned(),
+        group: Group::Service(SERVICE.to_owned()),
+        availability_zone: "suva-a".to_owned(),
+        leaving: false,
+        load: Load::default(),
+        next_offset: 0,
+    };
+    router.on_report(&report, at(0));
+    router
+}
+
+fn run(router: &mut Router, declared: Option<Duration>, run_time: Duration, now: Timestamp) {
+    let sample = Sample {
+        kind: KIND,
+        declared,
+        expected: run_time,
+        sent_at: now,
+        run_time,
+        outcome: SampleOutcome::Healthy,
+        load: None,
+    };
+    router.on_reply(node(), &sample, now + run_time);
+}
+
+fn published(run_ms: u64) -> Inventory {
+    let text = format!(
+        "[[services]]\nname = \"{SERVICE}\"\n\
+         [[urgencies]]\nname = \"urgent\"\nrank = 0\ndeadline_ms = 2000\n\
+         [[kinds]]\nservice = \"{SERVICE}\"\nname = \"{KIND}\"\nidempotent = false\n\
+         urgency = \"urgent\"\nrun_ms = {run_ms}\n"
+    );
+    Inventory::parse(&text).expect("the inventory is valid")
+}
+
+fn assert_near(actual: Duration, expected: Duration) {
+    let ratio = actual.as_secs_f64() / expected.as_secs_f64();
+    assert!((0.8..1.25).contains(&ratio), "{actual:?} is not near {expected:?}");
+}
+
+#[test]
+fn learns_by_which_factor_declared_times_are_off() {
+    let mut router = router();
+
+    for index in 0..100 {
+        let declared = ms(50 + 37 * (index % 20));
+        run(&mut router, Some(declared), declared * 4, at(index));
+    }
+
+    assert_near(router.expected(SERVICE, KIND, Some(ms(1000)), at(100)), ms(4000));
+    assert_near(router.expected(SERVICE, KIND, Some(ms(60)), at(100)), ms(240));
+}
+
+#[test]
+fn ignores_declared_times_that_say_nothing() {
+    let mut router = router();
+
+    for index in 0..200 {
+        let declared = ms([1, 10, 100, 1000, 10_000][index as usize % 5]);
+        run(&mut router, Some(declared), ms(200), at(index));
+    }
+
+    assert_near(router.expected(SERVICE, KIND, Some(ms(10_000)), at(200)), ms(200));
+}
+
+#[test]
+fn one_outlier_changes_little() {
+    let mut router = router();
+    for index in 0..100 {
+        run(&mut router, None, ms(100), at(index));
+    }
+
+    run(&mut router, None, ms(600_000), at(100));
+
+    assert_near(router.expected(SERVICE, KIND, None, at(101)), ms(100));
+}
+
+#[test]
+fn follows_an_endpoint_that_changes_at_once() {
+    let mut router = router();
+    for index in 0..1000 {
+        run(&mut router, None, ms(100), at(index));
+    }
+
+    for index in 1000..1060 {
+        run(&mut router, None, ms(400), at(index));
+    }
+
+    assert_near(router.expected(SERVICE, KIND, None, at(1060)), ms(400));
+}
+
+#[test]
+fn a_changed_inventory_replaces_what_was_learnt() {
+    let mut router = router();
+    router.set_inventory(&published(100));
+    run(&mut router, None, ms(150), at(1));
+
+    router.set_inventory(&published(100));
+    let kept = router.expected(SERVICE, KIND, None, at(2000));
+    router.set_inventory(&published(700));
+    let replaced = router.expected(SERVICE, KIND, None, at(2000));
+
+    assert_eq!((kept, replaced), (ms(150), ms(700)));
+}
+
+#[test]
+fn an_estimate_that_is_only_refused_shrinks_and_a_rare_one_does_not() {
+    let mut router = router();
+    run(&mut router, None, ms(800), at(0));
+
+    let rare = router.expected(SERVICE, KIND, None, at(3_600_000));
+    for _ in 0..30 {
+        router.expected(SERVICE, KIND, None, at(3_600_000));
+    }
+    let refused = router.expected(SERVICE, KIND, None, at(3_600_000));
+
+    assert_near(rare, ms(800));
+    assert_near(refused, ms(50));
+}
+
+#[test]
+fn hedges_after_most_responses() {
+    let mut router = router();
+    for index in 0..1000 {
+        run(&mut router, None, ms(index % 100 + 1), at(index));
+    }
+
+    let delay = router.hedge_delay(SERVICE, KIND).expect("there are samples");
+
+    assert_near(delay, ms(95));
+    assert_eq!(router.hedge_delay(SERVICE, "other"), None);
+}
--- a/components/routing/tests/support/mod.rs
+++ b/components/routing/tests/routing/simulation.rs
@@ -1,15 +1,14 @@
 //! Entries that share executors, on a virtual clock.
 
-use std::{cmp::Reverse, collections::BinaryHeap, net::SocketAddr, time::Duration};
+use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
 
-use config::Inventory;
-use ident::{Group, Incarnation, NodeId, Timestamp};
+use ident::Timestamp;
 use queue::{Item, Queue, TeamKey};
 use rand::{RngExt, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
 use routing::{Router, Sample, SampleOutcome, Want};
-use wire::{AgentReport, Load};
+use wire::Load;
 
-pub const SERVICE: &str = "yardbook";
+use crate::fixture::{SERVICE, group, inventory, node, report, zone};
 
 /// How an entry chooses an executor.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -119,49 +118,6 @@
     simulation.outcome
 }
 
-pub fn node(index: usize) -> NodeId {
-    NodeId(SocketAddr::from(([10, 0, (index / 250) as u8, (index % 250) as u8], 7000)))
-}
-
-pub fn group() -> Group {
-    Group::Service(SERVICE.to_owned())
-}
-
-pub fn zone(index: usize) -> &'static str {
-    ["mystic-shed", "pier-yard", "lift-bay"][index % 3]
-}
-
-pub fn inventory(agents: usize, slots: u32) -> Inventory {
-    let mut text = format!(
-        "[[services]]\nname = \"{SERVICE}\"\n[[urgencies]]\nname = \"urgent\"\nrank = 0\ndeadline_ms = 2000\n"
-    );
-    for index in 0..3 {
-        let name = zone(index);
-        text += &format!("[[availability_zones]]\nname = \"{name}\"\nregion = \"coast\"\n");
-    }
-    for index in 0..agents {
-        let zone = zone(index);
-        text += &format!(
-            "[[executors]]\nname = \"e{index}\"\nservice = \"{SERVICE}\"\navailability_zone = \"{zone}\"\nslots = {slots}\nconnections = 60\n"
-        );
-    }
-    Inventory::parse(&text).expect("the inventory is valid")
-}
-
-pub fn report(index: usize, sequence: u64, load: Load) -> AgentReport {
-    AgentReport {
-        node: node(index),
-        incarnation: Incarnation(Timestamp::from_millis(1)),
-        sequence,
-        name: format!("e{index}"),
-        group: group(),
-        availability_zone: zone(index).to_owned(),
-        leaving: false,
-        load,
-        next_offset: 0,
-    }
-}
-
 impl Simulation {
     fn new(setting: Setting, behaviours: &[Behaviour]) -> Simulation {
         let mut behaviours = behaviours.to_vec();
