Bound the memory of bodies and tell idle connections from slow ones

The limit on slow headers also closed connections that were idle between two requests, at which a balancer loses requests; idle time now has a limit of its own. The bodies of all requests in progress share 512 MiB.

--- /dev/null
+++ b/components/front/src/body.rs
@@ -0,0 +1,75 @@
+//! Reads the bodies of requests within limits on size, time and memory.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Body, Incoming};
+use tokio::{
+    sync::{OwnedSemaphorePermit, Semaphore},
+    time::timeout,
+};
+
+use crate::{error::RequestError, limits::Limits};
+
+/// Unit in which room for bodies is counted.
+const ROOM_UNIT_BYTES: usize = 1024;
+
+/// Room for the bodies of all requests in progress.
+pub(crate) struct Room {
+    units: Arc<Semaphore>,
+}
+
+/// A body with its room, which is free again when it is dropped.
+pub(crate) struct Held {
+    /// The body.
+    pub(crate) bytes: Bytes,
+    /// Room that it takes up.
+    pub(crate) permit: OwnedSemaphorePermit,
+}
+
+impl Room {
+    /// Room as the limits have it.
+    pub(crate) fn new(limits: &Limits) -> Room {
+        Room { units: Arc::new(Semaphore::new(limits.buffered_bytes / ROOM_UNIT_BYTES)) }
+    }
+
+    /// Reads a body of at most `max_bytes`.
+    pub(crate) async fn read(
+        &self,
+        body: Incoming,
+        max_bytes: usize,
+        limits: &Limits,
+    ) -> Result<Held, RequestError> {
+        let expected = body.size_hint().upper().map_or(max_bytes, |len| len as usize);
+        if expected > max_bytes {
+            return Err(RequestError::invalid(
+                "body",
+                format!("The body has {expected} bytes; at most {max_bytes} are taken."),
+            ));
+        }
+        let permit = self.reserve(expected)?;
+        let limit = limits.body_time;
+        match timeout(limit, Limited::new(body, max_bytes).collect()).await {
+            Ok(Ok(body)) => Ok(Held { bytes: body.to_bytes(), permit }),
+            Ok(Err(err)) => Err(RequestError::invalid(
+                "body",
+                format!("The body could not be read: {err}; at most {max_bytes} bytes are taken."),
+            )),
+            Err(_) => Err(RequestError::invalid(
+                "body",
+                format!("The body had not arrived whole after {limit:?}; send it faster."),
+            )),
+        }
+    }
+
+    fn reserve(&self, bytes: usize) -> Result<OwnedSemaphorePermit, RequestError> {
+        let units = bytes.div_ceil(ROOM_UNIT_BYTES) as u32;
+        let permit = Arc::clone(&self.units).try_acquire_many_owned(units);
+        permit.map_err(|_| {
+            RequestError::overloaded(format!(
+                "The entry has no room for a body of {bytes} bytes now; come back later."
+            ))
+        })
+    }
+}
--- a/components/front/src/connection.rs
+++ b/components/front/src/connection.rs
@@ -1,8 +1,16 @@
-//! A caller's connection that does not wait for ever for its answer to be read.
+//! A caller's connection that does not wait for ever.
+//!
+//! Reads fail when the head of a request does not arrive whole in time, writes
+//! when the caller does not read its answer. The time that a connection may be
+//! idle between two requests is another one, and limited by hyper.
 
 use std::{
     io,
     pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     task::{Context, Poll, ready},
     time::Duration,
 };
@@ -13,57 +21,120 @@
     time::{Instant, Sleep, sleep},
 };
 
-/// A stream whose writes fail after a time without progress.
-pub(crate) struct WriteLimited {
+use crate::limits::Limits;
+
+/// Progress of a connection: even between two requests, odd during one.
+#[derive(Clone, Default)]
+pub(crate) struct Phase(Arc<AtomicU64>);
+
+/// Ends the present request of a connection when it is dropped.
+pub(crate) struct InRequest<'a>(&'a Phase);
+
+/// A caller's connection with limits on slow reads and writes.
+pub(crate) struct CallerStream {
     stream: TcpStream,
-    limit: Duration,
-    timer: Pin<Box<Sleep>>,
+    phase: Phase,
+    /// Phase in which the first bytes of a head have arrived.
+    arriving: Option<u64>,
+    head_time: Duration,
+    head_timer: Pin<Box<Sleep>>,
     blocked: bool,
+    write_time: Duration,
+    write_timer: Pin<Box<Sleep>>,
 }
 
-impl WriteLimited {
-    /// Limits the writes of `stream`.
-    pub(crate) fn new(stream: TcpStream, limit: Duration) -> WriteLimited {
-        WriteLimited { stream, limit, timer: Box::pin(sleep(limit)), blocked: false }
+impl Phase {
+    /// Notes that the head of a request has arrived.
+    pub(crate) fn begin_request(&self) -> InRequest<'_> {
+        self.0.fetch_add(1, Ordering::Relaxed);
+        InRequest(self)
     }
 
-    /// Passes a finished write on and starts the timer of one that is blocked.
-    fn watch<T>(
-        &mut self,
-        poll: Poll<io::Result<T>>,
-        context: &mut Context<'_>,
-    ) -> Poll<io::Result<T>> {
-        if poll.is_ready() {
-            self.blocked = false;
-            return poll;
+    fn number(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for InRequest<'_> {
+    fn drop(&mut self) {
+        let InRequest(phase) = self;
+        phase.0.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+impl CallerStream {
+    /// Limits `stream`.
+    pub(crate) fn new(stream: TcpStream, phase: Phase, limits: &Limits) -> CallerStream {
+        CallerStream {
+            stream,
+            phase,
+            arriving: None,
+            head_time: limits.header_time,
+            head_timer: Box::pin(sleep(limits.header_time)),
+            blocked: false,
+            write_time: limits.write_time,
+            write_timer: Box::pin(sleep(limits.write_time)),
         }
+    }
+
+    /// Starts the timer with the first bytes that come between two requests.
+    fn begin_head(&mut self) {
+        let phase = self.phase.number();
+        if phase.is_multiple_of(2) && self.arriving != Some(phase) {
+            self.arriving = Some(phase);
+            self.head_timer.as_mut().reset(Instant::now() + self.head_time);
+        }
+    }
+
+    /// Fails a read that waits for the rest of a head for too long.
+    fn poll_head(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.arriving != Some(self.phase.number()) {
+            return Poll::Pending;
+        }
+        ready!(self.head_timer.as_mut().poll(context));
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
+
+    /// Fails a write that has been blocked for too long.
+    fn poll_blocked<T>(&mut self, context: &mut Context<'_>) -> Poll<io::Result<T>> {
         if !self.blocked {
             self.blocked = true;
-            self.timer.as_mut().reset(Instant::now() + self.limit);
+            self.write_timer.as_mut().reset(Instant::now() + self.write_time);
         }
-        ready!(self.timer.as_mut().poll(context));
+        ready!(self.write_timer.as_mut().poll(context));
         Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
     }
 }
 
-impl AsyncRead for WriteLimited {
+impl AsyncRead for CallerStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        match Pin::new(&mut self.stream).poll_read(context, buffer) {
+            Poll::Ready(result) => {
+                self.begin_head();
+                Poll::Ready(result)
+            }
+            Poll::Pending => self.poll_head(context),
+        }
     }
 }
 
-impl AsyncWrite for WriteLimited {
+impl AsyncWrite for CallerStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let poll = Pin::new(&mut self.stream).poll_write(context, bytes);
-        self.watch(poll, context)
+        match Pin::new(&mut self.stream).poll_write(context, bytes) {
+            Poll::Ready(result) => {
+                self.blocked = false;
+                Poll::Ready(result)
+            }
+            Poll::Pending => self.poll_blocked(context),
+        }
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -4,6 +4,7 @@
 //! of the core is rendered whole. Everything that a caller may get wrong is
 //! answered by a JSON error that names the field and the value.
 
+mod body;
 mod connection;
 mod error;
 mod limits;
@@ -11,11 +12,13 @@
 mod parse;
 mod refuse;
 mod render;
+mod report;
 mod routes;
 mod server;
 
 pub use crate::{
     limits::Limits,
     pages::{Pages, Readiness},
-    server::{FromCaller, Front, serve},
+    report::FromCaller,
+    server::{Front, serve},
 };
--- a/components/front/src/limits.rs
+++ b/components/front/src/limits.rs
@@ -11,6 +11,10 @@
     pub request_bytes: usize,
     /// Bytes in the body of a job.
     pub job_bytes: usize,
+    /// Bytes in the bodies of all requests that are in progress.
+    pub buffered_bytes: usize,
+    /// Time that a connection may be idle between two requests.
+    pub idle_time: Duration,
     /// Time that a caller may take to send the headers.
     pub header_time: Duration,
     /// Time that a caller may take to send the body.
@@ -27,6 +31,8 @@
             connections: 10_000,
             request_bytes: 1024 * 1024,
             job_bytes: 8 * 1024 * 1024,
+            buffered_bytes: 512 * 1024 * 1024,
+            idle_time: Duration::from_secs(75),
             header_time: Duration::from_secs(10),
             body_time: Duration::from_secs(10),
             write_time: Duration::from_secs(30),
--- a/components/front/src/parse.rs
+++ b/components/front/src/parse.rs
@@ -75,9 +75,9 @@
 pub(crate) fn parse_job(body: &[u8]) -> Result<Job, RequestError> {
     let job: Job = serde_json::from_slice(body).map_err(|err| {
         RequestError::invalid("body", format!("The body is not a job in JSON: {err}."))
-            .with_id(named_id(body))
+            .naming(named_id(body).into())
     })?;
-    check_job(&job).map_err(|err| err.with_id(job.id))?;
+    check_job(&job).map_err(|err| err.naming(job.id.into()))?;
     Ok(job)
 }
 
--- a/components/front/src/render.rs
+++ b/components/front/src/render.rs
@@ -47,7 +47,7 @@
 
 /// Renders an error in the request.
 pub(crate) fn render_error(error: &RequestError) -> Response<Full<Bytes>> {
-    render_refusal(error.id, Some(&error.field), &error.refusal())
+    render_refusal(error.id(), Some(&error.field), &error.refusal())
 }
 
 /// Renders a refusal that the core gave.
--- a/components/front/src/server.rs
+++ b/components/front/src/server.rs
@@ -10,14 +10,14 @@
 };
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::{
     rt::{TokioIo, TokioTimer},
     server::graceful::{GracefulShutdown, Watcher},
 };
 use ident::RequestId;
-use node::{CallerReply, CallerRequest, CallerToken};
+use node::{CallerRequest, CallerToken};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{OwnedSemaphorePermit, Semaphore, oneshot},
@@ -26,13 +26,15 @@
 use verdict::{Reason, Refusal};
 
 use crate::{
-    connection::WriteLimited,
-    error::RequestError,
+    body::{Held, Room},
+    connection::{CallerStream, Phase},
+    error::{Naming, RequestError},
     limits::Limits,
     pages::Pages,
     parse::{join_request, parse_head, parse_id, parse_job},
     refuse::turn_away,
     render::{render_error, render_readiness, render_refusal, render_reply, render_text},
+    report::{Counted, FromCaller, Gone, Sink},
     routes::{Route, route},
 };
 
@@ -42,38 +44,17 @@
 /// Connections above the limit that are told so at a time; more are closed at once.
 const MAX_REFUSALS: usize = 256;
 
-/// What callers' connections report.
-#[derive(Debug)]
-pub enum FromCaller {
-    /// A caller sent a request and waits for the reply.
-    Request {
-        /// Names the request.
-        token: CallerToken,
-        /// What the caller asks.
-        request: CallerRequest,
-        /// Where the reply goes.
-        reply: oneshot::Sender<CallerReply>,
-    },
-    /// A caller closed its connection before the reply.
-    Gone {
-        /// Names the request.
-        token: CallerToken,
-    },
-}
-
 /// HTTP side of a node; clones share it.
 #[derive(Clone)]
 pub struct Front {
     shared: Arc<Shared>,
 }
 
-/// Where reports of callers' connections go.
-type Sink = Box<dyn Fn(FromCaller) + Send + Sync>;
-
 struct Shared {
     sink: Option<Sink>,
     pages: Pages,
     limits: Limits,
+    room: Room,
     next_token: AtomicU64,
     in_progress: AtomicUsize,
 }
@@ -97,9 +78,15 @@
     }
 
     fn with(sink: Option<Sink>, pages: Pages, limits: Limits) -> Front {
-        let next_token = AtomicU64::new(0);
-        let in_progress = AtomicUsize::new(0);
-        Front { shared: Arc::new(Shared { sink, pages, limits, next_token, in_progress }) }
+        let shared = Shared {
+            sink,
+            pages,
+            limits,
+            room: Room::new(&limits),
+            next_token: AtomicU64::new(0),
+            in_progress: AtomicUsize::new(0),
+        };
+        Front { shared: Arc::new(shared) }
     }
 
     /// Requests that have begun to arrive and have no answer yet.
@@ -153,14 +140,18 @@
         log::debug!("a caller's connection failed: {err}");
         return;
     }
-    let stream = WriteLimited::new(stream, limits.write_time);
+    let phase = Phase::default();
+    let stream = CallerStream::new(stream, phase.clone(), &limits);
     let service = service_fn(move |request| {
-        let front = front.clone();
-        async move { Ok::<_, Infallible>(front.answer(request).await) }
+        let (front, phase) = (front.clone(), phase.clone());
+        async move {
+            let _in_request = phase.begin_request();
+            Ok::<_, Infallible>(front.answer(request).await)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.header_time)
+        .header_read_timeout(limits.idle_time)
         .serve_connection(TokioIo::new(stream), service);
     tokio::spawn(async move {
         if let Err(err) = watcher.watch(connection).await {
@@ -179,7 +170,11 @@
             Ok(Route::Ready) => render_readiness(&pages.readiness()),
             Ok(Route::Metrics) => render_text(pages.metrics()),
             Ok(route) => match self.parse(route, request).await {
-                Ok(request) => self.ask(request).await,
+                Ok(Parsed { request, room }) => {
+                    let response = self.ask(request).await;
+                    drop(room);
+                    response
+                }
                 Err(err) => render_error(&err),
             },
             Err(err) => render_error(&err),
@@ -190,23 +185,23 @@
         &self,
         route: Route,
         request: Request<Incoming>,
-    ) -> Result<CallerRequest, RequestError> {
-        match route {
-            Route::Request { service, kind } => self.parse_request(service, kind, request).await,
-            Route::Job => {
-                let body = self.read_body(request, self.shared.limits.job_bytes).await?;
-                parse_job(&body).map(CallerRequest::Job)
+    ) -> Result<Parsed, RequestError> {
+        let request = match route {
+            Route::Request { service, kind } => {
+                return self.parse_request(service, kind, request).await;
             }
-            Route::Ask(id) => Ok(CallerRequest::Ask(id)),
-            Route::Cancel(id) => Ok(CallerRequest::Cancel(id)),
-            Route::AskJob(id) => Ok(CallerRequest::AskJob(id)),
-            Route::CancelJob(id) => Ok(CallerRequest::CancelJob(id)),
-            Route::Status => Ok(CallerRequest::Status),
-            Route::Explain(id) => Ok(CallerRequest::Explain(id)),
+            Route::Job => return self.parse_job(request).await,
+            Route::Ask(id) => CallerRequest::Ask(id),
+            Route::Cancel(id) => CallerRequest::Cancel(id),
+            Route::AskJob(id) => CallerRequest::AskJob(id),
+            Route::CancelJob(id) => CallerRequest::CancelJob(id),
+            Route::Status => CallerRequest::Status,
+            Route::Explain(id) => CallerRequest::Explain(id),
             Route::Health | Route::Ready | Route::Metrics => {
-                Err(RequestError::unknown("path", "This page takes no request."))
+                return Err(RequestError::unknown("path", "This page takes no request."));
             }
-        }
+        };
+        Ok(Parsed { request, room: None })
     }
 
     async fn parse_request(
@@ -214,32 +209,22 @@
         service: String,
         kind: String,
         request: Request<Incoming>,
-    ) -> Result<CallerRequest, RequestError> {
+    ) -> Result<Parsed, RequestError> {
+        let Shared { room, limits, .. } = &*self.shared;
         let id = parse_id(request.headers())?;
-        let head = parse_head(request.headers(), id).map_err(|err| err.with_id(id))?;
-        let body = self.read_body(request, self.shared.limits.request_bytes).await;
-        let body = body.map_err(|err| err.with_id(id))?;
-        Ok(CallerRequest::Request(join_request(head, service, kind, body.into())))
+        let head = parse_head(request.headers(), id).map_err(|err| err.naming(id.into()))?;
+        let held = room.read(request.into_body(), limits.request_bytes, limits).await;
+        let Held { bytes, permit } = held.map_err(|err| err.naming(id.into()))?;
+        let request = join_request(head, service, kind, bytes.into());
+        Ok(Parsed { request: CallerRequest::Request(request), room: Some(permit) })
     }
 
-    async fn read_body(
-        &self,
-        request: Request<Incoming>,
-        max_bytes: usize,
-    ) -> Result<Bytes, RequestError> {
-        let limit = self.shared.limits.body_time;
-        let body = Limited::new(request.into_body(), max_bytes);
-        match timeout(limit, body.collect()).await {
-            Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(err)) => Err(RequestError::invalid(
-                "body",
-                format!("The body could not be read: {err}; at most {max_bytes} bytes are taken."),
-            )),
-            Err(_) => Err(RequestError::invalid(
-                "body",
-                format!("The body had not arrived whole after {limit:?}; send it faster."),
-            )),
-        }
+    async fn parse_job(&self, request: Request<Incoming>) -> Result<Parsed, RequestError> {
+        let Shared { room, limits, .. } = &*self.shared;
+        let held = room.read(request.into_body(), limits.job_bytes, limits).await;
+        let Held { bytes, permit } = held.map_err(|err| err.naming(Naming::Unread))?;
+        let job = parse_job(&bytes)?;
+        Ok(Parsed { request: CallerRequest::Job(job), room: Some(permit) })
     }
 
     /// Passes a request to the core and waits for the reply.
@@ -251,9 +236,9 @@
         let token = CallerToken(self.shared.next_token.fetch_add(1, Ordering::Relaxed));
         let (reply, receiver) = oneshot::channel();
         sink(FromCaller::Request { token, request, reply });
-        let mut gone = Gone { token, sink, armed: true };
+        let gone = Gone::new(token, sink);
         let reply = receiver.await;
-        gone.armed = false;
+        gone.disarm();
         match reply {
             Ok(reply) => render_reply(reply),
             Err(_) => render_refusal(id, None, &stopped()),
@@ -261,35 +246,10 @@
     }
 }
 
-/// Counts a request until it is answered or given up.
-struct Counted<'a>(&'a AtomicUsize);
-
-impl Counted<'_> {
-    fn new(count: &AtomicUsize) -> Counted<'_> {
-        count.fetch_add(1, Ordering::Relaxed);
-        Counted(count)
-    }
-}
-
-impl Drop for Counted<'_> {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-/// Reports a caller whose connection closes before the reply.
-struct Gone<'a> {
-    token: CallerToken,
-    sink: &'a Sink,
-    armed: bool,
-}
-
-impl Drop for Gone<'_> {
-    fn drop(&mut self) {
-        if self.armed {
-            (self.sink)(FromCaller::Gone { token: self.token });
-        }
-    }
+/// A request for the core, with the room that its body takes up.
+struct Parsed {
+    request: CallerRequest,
+    room: Option<OwnedSemaphorePermit>,
 }
 
 /// The core ended with the request in its hands.
--- a/components/front/tests/limits.rs
+++ b/components/front/tests/limits.rs
@@ -60,6 +60,34 @@
     assert!(fixture.reports.try_recv().is_err());
 }
 
+#[tokio::test]
+async fn refuses_a_body_for_which_there_is_no_room() {
+    let limits = Limits { buffered_bytes: 2048, ..Limits::default() };
+    let mut fixture = start(limits).await;
+    let address = fixture.address;
+    let large = "x".repeat(1500);
+    let first = post(PATH, TEAM, &large);
+    let caller = tokio::spawn(async move { exchange(address, &first).await });
+    let Asked { reply, .. } = fixture.asked().await;
+
+    let refused = exchange(address, &post(PATH, TEAM, &large)).await;
+    let job = exchange(address, &post("/v1/jobs", "", &large)).await;
+    reply.send(CallerReply::Running(id())).unwrap();
+    caller.await.unwrap();
+    let again = post(PATH, TEAM, &large);
+    let caller = tokio::spawn(async move { exchange(address, &again).await });
+    let asked = fixture.asked().await;
+    caller.abort();
+
+    let error =
+        |body: &str| serde_json::from_str::<serde_json::Value>(body).unwrap()["error"].take();
+    assert_eq!((refused.status, job.status), (503, 503));
+    assert_eq!(error(&refused.body)["verdict"], "not_run");
+    assert_eq!(error(&refused.body)["retry_after_ms"], 1000);
+    assert_eq!(error(&job.body)["verdict"], "may_have_run");
+    assert!(matches!(asked.request, node::CallerRequest::Request(_)));
+}
+
 #[tokio::test]
 async fn closes_a_connection_whose_headers_come_too_slowly() {
     let fixture = start(Limits { header_time: SHORT, ..Limits::default() }).await;
@@ -134,3 +162,20 @@
 async fn exchange_health(fixture: &common::Fixture) -> u16 {
     exchange(fixture.address, &get("/health")).await.status
 }
+
+#[tokio::test]
+async fn keeps_an_idle_connection_open_for_longer_than_headers_may_take() {
+    let fixture = start(Limits { header_time: SHORT, ..Limits::default() }).await;
+    let mut caller = TcpStream::connect(fixture.address).await.unwrap();
+    let mut status = [0; 12];
+
+    caller.write_all(b"GET /health HTTP/1.1\r\nhost: test\r\n\r\n").await.unwrap();
+    caller.read_exact(&mut status).await.unwrap();
+    tokio::time::sleep(4 * SHORT).await;
+    caller.write_all(get("/health").as_bytes()).await.unwrap();
+    let mut rest = String::new();
+    caller.read_to_string(&mut rest).await.unwrap();
+
+    assert_eq!(&status, b"HTTP/1.1 200");
+    assert!(rest.contains("HTTP/1.1 200"), "{rest}");
+}
