Measure against two baselines over loopback

The load tool sends open-loop arrivals with the users' run times to this project and to two baselines that send straight to executors, in the same run, through steady load and faults. It prints response time over run time, missed deadlines, messages beyond two for each answer, double starts, and processor time.

--- a/components/agent/src/coordinate.rs
+++ b/components/agent/src/coordinate.rs
@@ -43,9 +43,9 @@
         if let Some(Entry::Finished(outcome)) = self.ledger.get(id) {
             return self.reply(from, Reply::Job(JobStatus::Ended(outcome)));
         }
-        match self.park(from, ParkedCall::Submit(spec)) {
-            Ok(()) | Err(ParkedCall::Run(_)) => {}
-            Err(ParkedCall::Submit(spec)) => self.decide_job(from, spec),
+        match self.must_wait(id) {
+            true => self.park(from, ParkedCall::Submit(Box::new(spec))),
+            false => self.decide_job(from, spec),
         }
     }
 
--- a/components/agent/src/own.rs
+++ b/components/agent/src/own.rs
@@ -47,9 +47,9 @@
         if let Some(Entry::Finished(outcome)) = self.ledger.get(run.id) {
             return self.repeat(from, run.id, outcome);
         }
-        match self.park(from, ParkedCall::Run(run)) {
-            Ok(()) | Err(ParkedCall::Submit(_)) => {}
-            Err(ParkedCall::Run(run)) => self.decide_run(from, run),
+        match self.must_wait(run.id) {
+            true => self.park(from, ParkedCall::Run(Box::new(run))),
+            false => self.decide_run(from, run),
         }
     }
 
--- a/components/agent/src/parking.rs
+++ b/components/agent/src/parking.rs
@@ -36,9 +36,9 @@
 #[derive(Debug)]
 pub enum ParkedCall {
     /// A request.
-    Run(Run),
+    Run(Box<Run>),
     /// A job.
-    Submit(JobSpec),
+    Submit(Box<JobSpec>),
 }
 
 impl ParkedCall {
@@ -66,15 +66,16 @@
 }
 
 impl Agent {
-    /// Lets the call wait if this agent will soon know whether it may decide.
-    pub(crate) fn park(&mut self, from: ReplyTo, asked: ParkedCall) -> Result<(), ParkedCall> {
-        let undecided = self.tenure.decide(asked.id(), self.now) == Authority::PastHorizon;
-        if !undecided || self.parking.calls.len() >= PARKED_LIMIT {
-            return Err(asked);
-        }
+    /// Whether this agent will soon know if it may decide for the id.
+    pub(crate) fn must_wait(&self, id: RequestId) -> bool {
+        self.parking.calls.len() < PARKED_LIMIT
+            && self.tenure.decide(id, self.now) == Authority::PastHorizon
+    }
+
+    /// Lets the call wait.
+    pub(crate) fn park(&mut self, from: ReplyTo, asked: ParkedCall) {
         let until = self.now + MAX_PARKED.min(asked.budget());
         self.parking.calls.push(Parked { from, asked, until });
-        Ok(())
     }
 
     /// Takes calls up again that can be decided now or have waited long enough.
@@ -88,8 +89,8 @@
             let limit = MAX_PARKED.min(asked.budget());
             asked.shorten(limit.saturating_sub(until.since(now)));
             match asked {
-                ParkedCall::Run(run) => self.decide_run(from, run),
-                ParkedCall::Submit(spec) => self.decide_job(from, spec),
+                ParkedCall::Run(run) => self.decide_run(from, *run),
+                ParkedCall::Submit(spec) => self.decide_job(from, *spec),
             }
         }
     }
--- /dev/null
+++ b/load/src/cli.rs
@@ -0,0 +1,54 @@
+//! Arguments of the load tool.
+
+use argh::FromArgs;
+
+/// Measures primrosemux on loopback against two baselines.
+#[derive(Debug, FromArgs)]
+pub struct Args {
+    #[argh(subcommand)]
+    pub command: Command,
+}
+
+/// What to measure.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum Command {
+    /// Response times, deadlines and messages under load and faults.
+    Compare(Compare),
+    /// Processor time that the dispatcher adds to a request.
+    Cost(Cost),
+}
+
+/// Compare response times, missed deadlines and messages, side by side.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "compare")]
+pub struct Compare {
+    /// inventory file; its workers are left out
+    #[argh(option, default = "\"inventories/harborlift.toml\".to_owned()")]
+    pub inventory: String,
+
+    /// scenario; may be repeated; all of them if there is none
+    #[argh(option)]
+    pub scenario: Vec<load::scenario::Scenario>,
+
+    /// seconds during which requests arrive
+    #[argh(option, default = "20")]
+    pub seconds: u64,
+
+    /// seed of the arrivals
+    #[argh(option, default = "1")]
+    pub seed: u64,
+}
+
+/// Measure the processor time of requests that take no time on the executor.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "cost")]
+pub struct Cost {
+    /// requests to send
+    #[argh(option, default = "20000")]
+    pub requests: u32,
+
+    /// requests in progress at a time
+    #[argh(option, default = "64")]
+    pub parallel: u32,
+}
--- a/load/src/cluster.rs
+++ b/load/src/cluster.rs
@@ -63,6 +63,7 @@
     /// Agents with their endpoints, in the order of the inventory.
     pub hosts: Vec<Host>,
     journal: Journal,
+    text: String,
     seed: u64,
 }
 
@@ -91,8 +92,14 @@
         let inventory = Inventory::parse(&plan.inventory).wrap_err("checking the inventory")?;
         let log = LogServer::start().await?;
         let journal = Journal::new(log.address());
-        let mut cluster =
-            Cluster { log, entries: Vec::new(), hosts: Vec::new(), journal, seed: plan.seed };
+        let mut cluster = Cluster {
+            log,
+            entries: Vec::new(),
+            hosts: Vec::new(),
+            journal,
+            text: plan.inventory.clone(),
+            seed: plan.seed,
+        };
         cluster.start_entries(&inventory, plan.entries).await?;
         cluster.start_executors(&inventory).await?;
         cluster.start_workers(&inventory).await?;
@@ -114,6 +121,22 @@
             .ok_or_else(|| eyre!("version {version} is not in force everywhere in {limit:?}"))
     }
 
+    /// Version in force on the first entry.
+    pub fn version(&self) -> u64 {
+        self.entries.first().map_or(0, Running::version)
+    }
+
+    /// Inventory that the system was started with.
+    pub fn inventory(&self) -> Result<Inventory> {
+        Inventory::parse(&self.text).wrap_err("checking the inventory")
+    }
+
+    /// Messages between nodes so far, on behalf of requests and jobs.
+    pub fn messages(&self) -> u64 {
+        let agents = self.hosts.iter().filter_map(|host| host.agent.as_ref());
+        self.entries.iter().chain(agents).map(|node| count_messages(&node.metrics())).sum()
+    }
+
     /// Host of the endpoint with the given name.
     pub fn host(&mut self, name: &str) -> Result<&mut Host> {
         let host = self.hosts.iter_mut().find(|host| host.name == name);
@@ -316,3 +339,26 @@
     }
     None
 }
+
+/// Adds up the messages that carry requests, jobs and their answers.
+fn count_messages(metrics: &str) -> u64 {
+    const TYPES: [&str; 14] = [
+        "run",
+        "execute",
+        "cancel",
+        "ask",
+        "await",
+        "submit",
+        "ask_job",
+        "start_task",
+        "renew_tasks",
+        "stop_tasks",
+        "run_reply",
+        "status_reply",
+        "job_reply",
+        "task_reply",
+    ];
+    let lines = metrics.lines().filter(|line| line.starts_with("primrosemux_messages"));
+    let counted = lines.filter(|line| TYPES.iter().any(|it| line.contains(&format!("=\"{it}\""))));
+    counted.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok()).sum()
+}
--- /dev/null
+++ b/load/src/cmd/compare.rs
@@ -0,0 +1,68 @@
+//! Response times, missed deadlines and messages, side by side.
+
+use std::{fs, time::Duration};
+
+use config::Inventory;
+use eyre::{Result, WrapErr};
+use load::{measure::measure, scenario::Scenario, system::Kind, tally::Tally};
+
+use crate::cli::Compare;
+
+/// Runs the scenarios on every system and prints a table.
+pub async fn compare(args: &Compare) -> Result<()> {
+    let path = &args.inventory;
+    let text = fs::read_to_string(path).wrap_err_with(|| format!("reading {path}"))?;
+    let mut inventory = Inventory::parse(&text).wrap_err_with(|| format!("checking {path}"))?;
+    inventory.workers.clear();
+    let scenarios = match args.scenario.is_empty() {
+        true => Scenario::ALL.to_vec(),
+        false => args.scenario.clone(),
+    };
+    println!(
+        "{:<15} {:<15} {:>6} {:>6} {:>6} {:>7} {:>8} {:>8} {:>7} {:>7} {:>7} {:>7}",
+        "scenario",
+        "system",
+        "sent",
+        "p50",
+        "p99",
+        "p99.9",
+        "missed‰",
+        "wasted%",
+        "notrun",
+        "mayrun",
+        "double",
+        "cpu µs"
+    );
+    for scenario in scenarios {
+        for kind in Kind::ALL {
+            let length = Duration::from_secs(args.seconds);
+            let tally = measure(kind, scenario, &inventory, length, args.seed).await?;
+            print_row(scenario, kind, &tally);
+        }
+    }
+    Ok(())
+}
+
+fn print_row(scenario: Scenario, kind: Kind, tally: &Tally) {
+    let cpu = tally.cpu.as_micros() as u64 / tally.sent.max(1);
+    println!(
+        "{:<15} {:<15} {:>6} {:>6.3} {:>6.3} {:>7.3} {:>8.2} {:>8.2} {:>7} {:>7} {:>7} {:>7}",
+        scenario.name(),
+        kind.name(),
+        tally.sent,
+        tally.ratio(0.5),
+        tally.ratio(0.99),
+        tally.ratio(0.999),
+        tally.missed_per_mille(),
+        tally.wasted_percent(),
+        tally.not_run,
+        tally.may_have_run,
+        tally.double_starts,
+        cpu,
+    );
+    let classes = tally
+        .classes
+        .iter()
+        .map(|(name, class)| format!("{name} {}/{}", class.missed, class.feasible));
+    println!("{:<15}   missed by class: {}", "", classes.collect::<Vec<String>>().join(", "));
+}
--- /dev/null
+++ b/load/src/cmd/mod.rs
@@ -0,0 +1,4 @@
+//! One file for each sub-command.
+
+pub mod compare;
+pub mod cost;
--- a/load/src/lib.rs
+++ b/load/src/lib.rs
@@ -1,10 +1,16 @@
-//! A whole system in one process, on loopback, and callers for it.
+//! A whole system in one process, on loopback, callers for it, and baselines.
 //!
 //! The nodes are the daemon's own code with its real sockets; the platform's
 //! log, the executors and the workers are the stand-ins.
 
+pub mod baseline;
 mod caller;
 mod cluster;
+pub mod measure;
+pub mod scenario;
+pub mod system;
+pub mod tally;
+pub mod workload;
 
 pub use crate::{
     caller::{Answer, Caller, Submission},
--- /dev/null
+++ b/load/src/main.rs
@@ -0,0 +1,15 @@
+//! Load tool of the primrosemux dispatcher.
+
+mod cli;
+mod cmd;
+
+use crate::cli::{Args, Command};
+
+#[tokio::main]
+async fn main() -> eyre::Result<()> {
+    let args: Args = argh::from_env();
+    match args.command {
+        Command::Compare(args) => cmd::compare::compare(&args).await,
+        Command::Cost(args) => cmd::cost::cost(&args).await,
+    }
+}
--- /dev/null
+++ b/load/src/measure.rs
@@ -0,0 +1,59 @@
+//! One measured run of one system.
+
+use std::{sync::Arc, time::Duration};
+
+use config::Inventory;
+use eyre::Result;
+use tokio::{
+    sync::mpsc,
+    time::{Instant, sleep_until},
+};
+
+use crate::{
+    scenario::Scenario,
+    system::{Kind, System, cpu_time},
+    tally::Tally,
+};
+
+/// Runs a scenario on a system and measures it.
+pub async fn measure(
+    kind: Kind,
+    scenario: Scenario,
+    inventory: &Inventory,
+    length: Duration,
+    seed: u64,
+) -> Result<Tally> {
+    let mut system = System::start(kind, inventory, seed).await?;
+    let arrivals = scenario.shape(length, seed).arrivals(inventory);
+    let team = inventory.teams.first().map(|team| team.name.clone()).unwrap_or_default();
+    let client = Arc::new(system.client());
+    let (messages, cpu) = (system.messages(), cpu_time()?);
+    let (ended, mut endings) = mpsc::unbounded_channel();
+    let start = Instant::now();
+
+    let senders = tokio::spawn(async move {
+        for arrival in arrivals {
+            let at = start + arrival.at;
+            sleep_until(at).await;
+            let (client, team, ended) = (Arc::clone(&client), team.clone(), ended.clone());
+            tokio::spawn(async move {
+                let ending = client.send(&arrival, &team, at).await;
+                let _ = ended.send((arrival, ending));
+            });
+        }
+    });
+    let mut tally = Tally::new();
+    let collector = tokio::spawn(async move {
+        while let Some((arrival, ending)) = endings.recv().await {
+            tally.add(&arrival, ending);
+        }
+        tally
+    });
+    system.disturb(scenario, length).await?;
+    senders.await?;
+    let mut tally = collector.await?;
+    tally.messages = system.messages() - messages;
+    tally.double_starts = system.double_starts();
+    tally.cpu = cpu_time()?.saturating_sub(cpu);
+    Ok(tally)
+}
--- /dev/null
+++ b/load/src/scenario.rs
@@ -0,0 +1,106 @@
+//! Faults that a measured run goes through.
+
+use std::{fmt, str::FromStr, time::Duration};
+
+use crate::workload::Shape;
+
+/// A measured run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Scenario {
+    /// Half of the slots are busy.
+    Steady50,
+    /// Four fifths of the slots are busy.
+    Steady80,
+    /// Nearly all slots are busy.
+    Steady95,
+    /// Five times the rate for a tenth of the time.
+    Burst,
+    /// One executor takes ten times as long.
+    Straggler,
+    /// One executor fails everything at once.
+    FailsAll,
+    /// The executors of one availability zone go down with their agents.
+    ZoneLost,
+    /// Open connections to an executor go silent.
+    Silent,
+    /// Declared run times are off by factors of up to ten.
+    Misdeclared,
+    /// A thousand cancellations a second.
+    Cancellations,
+    /// The platform's log is out.
+    LogOutage,
+    /// A configuration is published every second.
+    ConfigChanges,
+}
+
+impl Scenario {
+    /// Every scenario, in the order of the report.
+    pub const ALL: [Scenario; 12] = [
+        Scenario::Steady50,
+        Scenario::Steady80,
+        Scenario::Steady95,
+        Scenario::Burst,
+        Scenario::Straggler,
+        Scenario::FailsAll,
+        Scenario::ZoneLost,
+        Scenario::Silent,
+        Scenario::Misdeclared,
+        Scenario::Cancellations,
+        Scenario::LogOutage,
+        Scenario::ConfigChanges,
+    ];
+
+    /// Name in arguments and reports.
+    pub fn name(self) -> &'static str {
+        match self {
+            Scenario::Steady50 => "steady-50",
+            Scenario::Steady80 => "steady-80",
+            Scenario::Steady95 => "steady-95",
+            Scenario::Burst => "burst-x5",
+            Scenario::Straggler => "straggler",
+            Scenario::FailsAll => "fails-all",
+            Scenario::ZoneLost => "zone-lost",
+            Scenario::Silent => "silent",
+            Scenario::Misdeclared => "declared-x10",
+            Scenario::Cancellations => "cancellations",
+            Scenario::LogOutage => "log-outage",
+            Scenario::ConfigChanges => "config-changes",
+        }
+    }
+
+    /// How requests arrive.
+    pub fn shape(self, length: Duration, seed: u64) -> Shape {
+        let load = match self {
+            Scenario::Steady50 | Scenario::ZoneLost | Scenario::Burst => 0.5,
+            Scenario::Steady95 => 0.95,
+            Scenario::Steady80 => 0.8,
+            Scenario::Straggler
+            | Scenario::FailsAll
+            | Scenario::Silent
+            | Scenario::Misdeclared
+            | Scenario::Cancellations
+            | Scenario::LogOutage
+            | Scenario::ConfigChanges => 0.6,
+        };
+        let burst = if self == Scenario::Burst { 5.0 } else { 1.0 };
+        let misdeclared = if self == Scenario::Misdeclared { 10.0 } else { 2.0 };
+        Shape { length, load, burst, misdeclared, seed }
+    }
+}
+
+impl FromStr for Scenario {
+    type Err = String;
+
+    fn from_str(s: &str) -> Result<Scenario, String> {
+        Scenario::ALL.into_iter().find(|it| it.name() == s).ok_or_else(|| {
+            let names: Vec<&str> = Scenario::ALL.into_iter().map(Scenario::name).collect();
+            format!("{s:?} is no scenario; there are {}", names.join(", "))
+        })
+    }
+}
+
+impl fmt::Display for Scenario {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
--- /dev/null
+++ b/load/src/system.rs
@@ -0,0 +1,275 @@
+//! The systems that are compared.
+
+use std::{
+    fs,
+    sync::atomic::{AtomicUsize, Ordering},
+    time::Duration,
+};
+
+use config::Inventory;
+use eyre::{Result, WrapErr};
+use hyper::Method;
+use ident::{RequestId, Timestamp};
+use standin::executor::{ExecutorServer, Fault};
+use tokio::time::sleep;
+use verdict::Verdict;
+use wire::Run;
+
+use crate::{
+    Caller, Cluster, Endpoint, Plan, Submission,
+    baseline::{Baseline, Policy, Sender},
+    scenario::Scenario,
+    tally::Ending,
+    workload::Arrival,
+};
+
+/// Factor of a straggler.
+const STRAGGLER: u32 = 10;
+
+/// Cancellations a second in a wave.
+const CANCELLATIONS_PER_S: u32 = 1000;
+
+/// Clock ticks a second in the kernel's account of processor time.
+const CLOCK_TICKS_PER_S: u64 = 100;
+
+/// A system that is compared.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// This project.
+    Primrosemux,
+    /// Random choice with blind retry.
+    Random,
+    /// Least loaded by stale report, with blind retry.
+    LeastReported,
+}
+
+impl Kind {
+    /// Every system, in the order of the report.
+    pub const ALL: [Kind; 3] = [Kind::Primrosemux, Kind::Random, Kind::LeastReported];
+
+    /// Name in reports.
+    pub fn name(self) -> &'static str {
+        match self {
+            Kind::Primrosemux => "primrosemux",
+            Kind::Random => "random",
+            Kind::LeastReported => "least-reported",
+        }
+    }
+}
+
+/// A system that runs.
+pub enum System {
+    /// This project.
+    Cluster(Box<Cluster>),
+    /// A baseline.
+    Baseline(Baseline),
+}
+
+/// Sends requests to a system.
+pub enum Client {
+    /// To entries in turn.
+    Entries(Vec<Caller>, AtomicUsize),
+    /// Straight to executors.
+    Baseline(Sender),
+}
+
+impl System {
+    /// Starts the system for an inventory.
+    pub async fn start(kind: Kind, inventory: &Inventory, seed: u64) -> Result<System> {
+        let policy = match kind {
+            Kind::Primrosemux => {
+                let plan = Plan { inventory: inventory.to_toml(), entries: 3, seed };
+                return Ok(System::Cluster(Box::new(Cluster::start(&plan).await?)));
+            }
+            Kind::Random => Policy::Random,
+            Kind::LeastReported => Policy::LeastReported,
+        };
+        Ok(System::Baseline(Baseline::start(policy, inventory, seed).await?))
+    }
+
+    /// Something that sends requests.
+    pub fn client(&self) -> Client {
+        match self {
+            System::Cluster(cluster) => {
+                let entries = cluster.entries.iter().filter_map(|entry| entry.http());
+                Client::Entries(entries.map(Caller::new).collect(), AtomicUsize::new(0))
+            }
+            System::Baseline(baseline) => Client::Baseline(baseline.sender()),
+        }
+    }
+
+    /// Messages between nodes so far, on behalf of requests.
+    pub fn messages(&self) -> u64 {
+        match self {
+            System::Cluster(cluster) => cluster.messages(),
+            System::Baseline(baseline) => baseline.messages(),
+        }
+    }
+
+    /// Starts beyond the first of one id.
+    pub fn double_starts(&self) -> u64 {
+        match self {
+            System::Cluster(cluster) => cluster.double_starts() as u64,
+            System::Baseline(baseline) => {
+                baseline.executors.iter().map(|it| it.double_runs().len() as u64).sum()
+            }
+        }
+    }
+
+    /// Brings the scenario's fault about, for as long as it lasts.
+    pub async fn disturb(&mut self, scenario: Scenario, length: Duration) -> Result<()> {
+        match scenario {
+            Scenario::Steady50
+            | Scenario::Steady80
+            | Scenario::Steady95
+            | Scenario::Burst
+            | Scenario::Misdeclared => {}
+            Scenario::Straggler => self.set_fault(1, Fault::Straggler(STRAGGLER)),
+            Scenario::FailsAll => self.set_fault(1, Fault::FailAll),
+            Scenario::ZoneLost => {
+                sleep(length / 3).await;
+                self.lose_zone();
+            }
+            Scenario::Silent => {
+                sleep(length / 3).await;
+                if let Some(executor) = self.executor(1) {
+                    executor.silence_connections();
+                }
+            }
+            Scenario::Cancellations => self.cancel_in_waves(length).await?,
+            Scenario::LogOutage => {
+                if let System::Cluster(cluster) = self {
+                    cluster.log.set_outage(true);
+                }
+            }
+            Scenario::ConfigChanges => self.publish_changes(length).await?,
+        }
+        Ok(())
+    }
+
+    fn executor(&self, index: usize) -> Option<&ExecutorServer> {
+        match self {
+            System::Cluster(cluster) => match &cluster.hosts.get(index)?.endpoint {
+                Endpoint::Executor(executor) => Some(executor),
+                Endpoint::Worker(_) => None,
+            },
+            System::Baseline(baseline) => baseline.executors.get(index),
+        }
+    }
+
+    fn set_fault(&self, index: usize, fault: Fault) {
+        if let Some(executor) = self.executor(index) {
+            executor.set_fault(fault);
+        }
+    }
+
+    /// Executors stand in three availability zones in turn.
+    fn lose_zone(&mut self) {
+        let mut index = 1;
+        while self.executor(index).is_some() {
+            self.set_fault(index, Fault::Down);
+            if let System::Cluster(cluster) = self {
+                cluster.hosts[index].kill();
+            }
+            index += 3;
+        }
+    }
+
+    async fn cancel_in_waves(&self, length: Duration) -> Result<()> {
+        let Client::Entries(callers, _) = self.client() else { return Ok(()) };
+        let pause = Duration::from_millis(100);
+        let count = CANCELLATIONS_PER_S / 10;
+        for _ in 0..length.as_millis() / pause.as_millis() {
+            for _ in 0..count {
+                let caller = callers[0].clone();
+                let id = RequestId::new(Timestamp::now(), rand::random());
+                tokio::spawn(async move {
+                    let _ = caller.call(Method::DELETE, &format!("/v1/requests/{id}")).await;
+                });
+            }
+            sleep(pause).await;
+        }
+        Ok(())
+    }
+
+    async fn publish_changes(&self, length: Duration) -> Result<()> {
+        let System::Cluster(cluster) = self else { return Ok(()) };
+        let mut inventory = cluster.inventory()?;
+        let mut base = cluster.version();
+        for _ in 0..length.as_secs() {
+            sleep(Duration::from_secs(1)).await;
+            for team in &mut inventory.teams {
+                team.burst += 1;
+            }
+            base = cluster.publish(base, &inventory.to_toml()).await?;
+        }
+        Ok(())
+    }
+}
+
+impl Client {
+    /// Sends a request and waits for its end; `started` is its planned arrival.
+    pub async fn send(
+        &self,
+        arrival: &Arrival,
+        team: &str,
+        started: tokio::time::Instant,
+    ) -> Ending {
+        let id = RequestId::new(
+            Timestamp::now(),
+            *arrival.id.uuid().as_bytes().last_chunk().unwrap_or(&[0; 10]),
+        );
+        match self {
+            Client::Entries(callers, turn) => {
+                let caller = &callers[turn.fetch_add(1, Ordering::Relaxed) % callers.len()];
+                let submission = Submission {
+                    id: Some(id),
+                    service: &arrival.kind.service,
+                    kind: &arrival.kind.name,
+                    team,
+                    deadline: Some(arrival.deadline),
+                    declared: Some(arrival.declared),
+                    run_time: arrival.run_time,
+                };
+                let answer = caller.submit(&submission).await;
+                let response_time = started.elapsed();
+                match answer {
+                    Ok(answer) => {
+                        Ending { verdict: answer.verdict, done: answer.is_done(), response_time }
+                    }
+                    Err(_) => Ending { verdict: None, done: false, response_time },
+                }
+            }
+            Client::Baseline(sender) => {
+                let done = sender.send(&run(arrival, id)).await;
+                let verdict = done.then_some(Verdict::Done);
+                Ending { verdict, done, response_time: started.elapsed() }
+            }
+        }
+    }
+}
+
+fn run(arrival: &Arrival, id: RequestId) -> Run {
+    Run {
+        id,
+        attempt: 0,
+        submitted: Timestamp::now(),
+        over_quota: false,
+        service: arrival.kind.service.clone(),
+        kind: arrival.kind.name.clone(),
+        team: String::new(),
+        budget: arrival.deadline,
+        declared: Some(arrival.declared),
+        body: format!("{{\"run_ms\":{}}}", arrival.run_time.as_millis()).into_bytes(),
+    }
+}
+
+/// Processor time that this process has used.
+pub fn cpu_time() -> Result<Duration> {
+    const USER_FIELD: usize = 11;
+    let text = fs::read_to_string("/proc/self/stat").wrap_err("reading the processor time")?;
+    let after_name = text.rsplit(')').next().unwrap_or_default();
+    let fields = after_name.split_whitespace().skip(USER_FIELD).take(2);
+    let ticks: u64 = fields.filter_map(|field| field.parse::<u64>().ok()).sum();
+    Ok(Duration::from_millis(ticks * 1000 / CLOCK_TICKS_PER_S))
+}
--- /dev/null
+++ b/load/src/tally.rs
@@ -0,0 +1,115 @@
+//! What a run has measured.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use hdrhistogram::Histogram;
+use verdict::Verdict;
+
+use crate::workload::Arrival;
+
+/// Unit of the histogram of response time over run time.
+const RATIO_UNIT: f64 = 1000.0;
+
+/// How a request ended, as its caller saw it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ending {
+    /// Verdict, if an answer came.
+    pub verdict: Option<Verdict>,
+    /// Whether it was the executor's own answer, without an error.
+    pub done: bool,
+    /// Time from the planned arrival to the answer.
+    pub response_time: Duration,
+}
+
+/// Figures of one run.
+#[derive(Debug, Clone)]
+pub struct Tally {
+    /// Response time over true run time, in thousandths, of answered requests.
+    pub ratios: Histogram<u64>,
+    /// Requests by urgency class.
+    pub classes: BTreeMap<String, Class>,
+    /// Requests that were sent.
+    pub sent: u64,
+    /// Requests that were answered by an executor.
+    pub done: u64,
+    /// Requests that were refused as not run.
+    pub not_run: u64,
+    /// Requests without an answer that may have run.
+    pub may_have_run: u64,
+    /// Messages between nodes on behalf of requests.
+    pub messages: u64,
+    /// Starts beyond the first of non-idempotent requests.
+    pub double_starts: u64,
+    /// Processor time of the whole process.
+    pub cpu: Duration,
+}
+
+/// Requests of an urgency class.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Class {
+    /// Requests whose deadline is later than their run time.
+    pub feasible: u64,
+    /// Of these, those without an answer by their deadline.
+    pub missed: u64,
+}
+
+impl Tally {
+    /// Starts with nothing.
+    pub fn new() -> Tally {
+        Tally {
+            ratios: Histogram::new(3).expect("three digits are valid"),
+            classes: BTreeMap::new(),
+            sent: 0,
+            done: 0,
+            not_run: 0,
+            may_have_run: 0,
+            messages: 0,
+            double_starts: 0,
+            cpu: Duration::ZERO,
+        }
+    }
+
+    /// Adds one request.
+    pub fn add(&mut self, arrival: &Arrival, ending: Ending) {
+        self.sent += 1;
+        if ending.done {
+            self.done += 1;
+            let ratio = ending.response_time.as_secs_f64() / arrival.run_time.as_secs_f64();
+            self.ratios.saturating_record((ratio * RATIO_UNIT) as u64);
+        } else {
+            match ending.verdict {
+                Some(Verdict::NotRun) => self.not_run += 1,
+                Some(Verdict::MayHaveRun | Verdict::Done) | None => self.may_have_run += 1,
+            }
+        }
+        let class = self.classes.entry(arrival.kind.urgency.clone()).or_default();
+        if arrival.run_time < arrival.deadline {
+            class.feasible += 1;
+            class.missed += u64::from(!ending.done || ending.response_time > arrival.deadline);
+        }
+    }
+
+    /// Response time over run time at a quantile.
+    pub fn ratio(&self, quantile: f64) -> f64 {
+        self.ratios.value_at_quantile(quantile) as f64 / RATIO_UNIT
+    }
+
+    /// Messages beyond two for each answered request, in percent of those two.
+    pub fn wasted_percent(&self) -> f64 {
+        let needed = 2.0 * self.done as f64;
+        (self.messages as f64 - needed).max(0.0) * 100.0 / needed.max(1.0)
+    }
+
+    /// Missed deadlines in a thousand feasible requests of every class.
+    pub fn missed_per_mille(&self) -> f64 {
+        let feasible: u64 = self.classes.values().map(|class| class.feasible).sum();
+        let missed: u64 = self.classes.values().map(|class| class.missed).sum();
+        missed as f64 * 1000.0 / feasible.max(1) as f64
+    }
+}
+
+impl Default for Tally {
+    fn default() -> Tally {
+        Tally::new()
+    }
+}
--- /dev/null
+++ b/load/src/workload.rs
@@ -0,0 +1,119 @@
+//! Open-loop arrivals with the run times of the users' tasks.
+
+use std::time::Duration;
+
+use config::{Inventory, Kind};
+use ident::{RequestId, Timestamp};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+/// Run times of most tasks.
+const SHORT: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
+
+/// Run times of the few long tasks.
+const LONG: (Duration, Duration) = (Duration::from_secs(2), Duration::from_secs(5));
+
+/// Share of long tasks.
+const LONG_SHARE: f64 = 0.02;
+
+/// Multiple of its run time that a long task has until its deadline.
+const LONG_DEADLINE: u32 = 3;
+
+/// One request that will arrive.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    /// When it arrives, from the start.
+    pub at: Duration,
+    /// Request kind.
+    pub kind: Kind,
+    /// Id that the caller chooses.
+    pub id: RequestId,
+    /// True run time.
+    pub run_time: Duration,
+    /// Run time that the caller declares.
+    pub declared: Duration,
+    /// Time until the answer is needed.
+    pub deadline: Duration,
+}
+
+/// How requests arrive.
+#[derive(Debug, Clone, Copy)]
+pub struct Shape {
+    /// Time during which requests arrive.
+    pub length: Duration,
+    /// Busy share of all slots.
+    pub load: f64,
+    /// Factor on the rate in the middle tenth of the time.
+    pub burst: f64,
+    /// Largest factor between declared and true run time.
+    pub misdeclared: f64,
+    /// Seed of the randomness.
+    pub seed: u64,
+}
+
+impl Shape {
+    /// Draws the arrivals for the first service of an inventory.
+    pub fn arrivals(&self, inventory: &Inventory) -> Vec<Arrival> {
+        let mut rng = StdRng::seed_from_u64(self.seed);
+        let service = &inventory.services[0].name;
+        let kinds: Vec<&Kind> =
+            inventory.kinds.iter().filter(|it| it.service == *service).collect();
+        let slots: u32 = inventory.executors.iter().map(|executor| executor.slots).sum();
+        let rate = self.load * f64::from(slots) / mean_run_time().as_secs_f64();
+        let mut arrivals = Vec::new();
+        let mut at = Duration::ZERO;
+        loop {
+            let rate = if self.is_burst(at) { rate * self.burst } else { rate };
+            let pause = -(1.0 - rng.random::<f64>()).ln() / rate;
+            at += Duration::from_secs_f64(pause);
+            if at >= self.length {
+                return arrivals;
+            }
+            let kind = kinds[rng.random_range(0..kinds.len())];
+            arrivals.push(self.arrival(at, kind, inventory, &mut rng));
+        }
+    }
+
+    fn arrival(
+        &self,
+        at: Duration,
+        kind: &Kind,
+        inventory: &Inventory,
+        rng: &mut StdRng,
+    ) -> Arrival {
+        let is_long = rng.random_bool(LONG_SHARE);
+        let run_time = if is_long { uniform(LONG, rng) } else { log_uniform(SHORT, rng) };
+        let spread = self.misdeclared.ln();
+        let factor = if spread > 0.0 { rng.random_range(-spread..spread).exp() } else { 1.0 };
+        let urgency = inventory.urgency(&kind.urgency);
+        let class = Duration::from_millis(urgency.map_or(0, |urgency| urgency.deadline_ms));
+        Arrival {
+            at,
+            kind: kind.clone(),
+            id: RequestId::new(Timestamp::ZERO, rng.random()),
+            run_time,
+            declared: run_time.mul_f64(factor),
+            deadline: if is_long { class.max(run_time * LONG_DEADLINE) } else { class },
+        }
+    }
+
+    fn is_burst(&self, at: Duration) -> bool {
+        let middle = self.length / 2;
+        at >= middle && at < middle + self.length / 10
+    }
+}
+
+fn uniform((low, high): (Duration, Duration), rng: &mut StdRng) -> Duration {
+    Duration::from_secs_f64(rng.random_range(low.as_secs_f64()..high.as_secs_f64()))
+}
+
+fn log_uniform((low, high): (Duration, Duration), rng: &mut StdRng) -> Duration {
+    let exponent = rng.random_range(low.as_secs_f64().ln()..high.as_secs_f64().ln());
+    Duration::from_secs_f64(exponent.exp())
+}
+
+fn mean_run_time() -> Duration {
+    let (low, high) = (SHORT.0.as_secs_f64(), SHORT.1.as_secs_f64());
+    let short = (high - low) / (high / low).ln();
+    let long = (LONG.0 + LONG.1).as_secs_f64() / 2.0;
+    Duration::from_secs_f64(short * (1.0 - LONG_SHARE) + long * LONG_SHARE)
+}
