--- /dev/null
+++ b/components/standin/src/control.rs
@@ -0,0 +1,215 @@
+//! Second port of a stand-in, on which a person switches its faults.
+//!
+//! - `POST /fault` with a fault in words as body, such as `straggler 5`.
+//! - `GET /counts` tells what the stand-in has done so far.
+
+use std::{fmt, net::SocketAddr, str::FromStr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use eyre::WrapErr;
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use serde::Serialize;
+
+use crate::{
+    executor::ExecutorServer,
+    fault::{Fault, Faults},
+    log::LogServer,
+    serve::{self, Handler, json},
+    worker::{TaskId, WorkerServer},
+};
+
+/// Connections to the second port.
+const CONNECTIONS: usize = 16;
+
+/// The stand-in whose faults are switched.
+#[derive(Debug)]
+pub enum Target {
+    /// The platform's log.
+    Log(LogServer),
+    /// An executor.
+    Executor(ExecutorServer),
+    /// A worker.
+    Worker(WorkerServer),
+}
+
+/// A fault in words that the stand-in does not know.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UnknownFault {
+    text: String,
+    known: &'static str,
+}
+
+/// What a stand-in has done so far.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[serde(untagged)]
+pub enum Counts {
+    /// Records that the log took, and the offset that comes next.
+    Log {
+        /// Appends that took effect.
+        appends: u64,
+        /// Offset of the next record.
+        end: u64,
+    },
+    /// Starts on an endpoint.
+    Endpoint {
+        /// Requests or tasks that were started.
+        starts: u32,
+        /// Names of those that were started more than once.
+        started_twice: Vec<String>,
+    },
+}
+
+/// A word and the number behind it, 0 if there is none.
+struct Words<'a> {
+    word: &'a str,
+    number: u64,
+}
+
+#[derive(Serialize)]
+struct Message {
+    message: String,
+}
+
+/// Serves the second port for ever.
+pub async fn serve(target: Target, address: SocketAddr) -> eyre::Result<()> {
+    let listener = serve::bind(address).await.wrap_err("cannot bind the port for faults")?;
+    serve::serve(listener, CONNECTIONS, Arc::new(Faults::new()), Arc::new(target)).await;
+    Ok(())
+}
+
+impl Target {
+    /// Puts a fault in force that is given in words.
+    pub fn set_fault(&self, text: &str) -> Result<(), UnknownFault> {
+        match self {
+            Target::Log(log) => set_log_fault(log, text),
+            Target::Executor(executor) => match text.trim() {
+                "silence_connections" => {
+                    executor.silence_connections();
+                    Ok(())
+                }
+                text => text.parse().map(|fault| executor.set_fault(fault)),
+            },
+            Target::Worker(worker) => match text.trim() {
+                "silence_connections" => {
+                    worker.silence_connections();
+                    Ok(())
+                }
+                text => text.parse().map(|fault| worker.set_fault(fault)),
+            },
+        }
+    }
+
+    /// What the stand-in has done so far.
+    pub fn counts(&self) -> Counts {
+        match self {
+            Target::Log(log) => Counts::Log { appends: log.appends(), end: log.end() },
+            Target::Executor(executor) => Counts::Endpoint {
+                starts: executor.total_runs(),
+                started_twice: executor.double_runs().iter().map(ToString::to_string).collect(),
+            },
+            Target::Worker(worker) => Counts::Endpoint {
+                starts: worker.total_starts(),
+                started_twice: worker.double_starts().iter().map(task_name).collect(),
+            },
+        }
+    }
+}
+
+impl Handler for Target {
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        match (request.method(), request.uri().path()) {
+            (&Method::GET, "/counts") => json(StatusCode::OK, &self.counts()),
+            (&Method::POST, "/fault") => self.take_fault(request).await,
+            _ => message(StatusCode::NOT_FOUND, "Only POST /fault and GET /counts are known."),
+        }
+    }
+}
+
+impl Target {
+    async fn take_fault(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let Ok(body) = request.into_body().collect().await else {
+            return message(StatusCode::BAD_REQUEST, "The body ended early.");
+        };
+        let text = String::from_utf8_lossy(&body.to_bytes()).into_owned();
+        match self.set_fault(&text) {
+            Ok(()) => message(StatusCode::OK, &format!("In force: {}.", text.trim())),
+            Err(err) => message(StatusCode::BAD_REQUEST, &err.to_string()),
+        }
+    }
+}
+
+impl UnknownFault {
+    const ENDPOINT: &'static str = "none, fail_all, silent, down, silence_connections, \
+                                    straggler FACTOR, late MILLISECONDS";
+    const LOG: &'static str =
+        "none, outage, unreachable, delay MILLISECONDS, drop_before OFFSET, lose_answers COUNT";
+
+    fn new(text: &str, known: &'static str) -> UnknownFault {
+        UnknownFault { text: text.to_owned(), known }
+    }
+}
+
+impl FromStr for Fault {
+    type Err = UnknownFault;
+
+    fn from_str(text: &str) -> Result<Fault, UnknownFault> {
+        let unknown = || UnknownFault::new(text, UnknownFault::ENDPOINT);
+        let Words { word, number } = Words::parse(text).ok_or_else(unknown)?;
+        match word {
+            "none" => Ok(Fault::None),
+            "fail_all" => Ok(Fault::FailAll),
+            "silent" => Ok(Fault::Silent),
+            "down" => Ok(Fault::Down),
+            "straggler" => u32::try_from(number).map(Fault::Straggler).map_err(|_| unknown()),
+            "late" => Ok(Fault::Late(Duration::from_millis(number))),
+            _ => Err(unknown()),
+        }
+    }
+}
+
+impl fmt::Display for UnknownFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "The fault {:?} is not known; give one of: {}.", self.text, self.known)
+    }
+}
+
+impl std::error::Error for UnknownFault {}
+
+impl<'a> Words<'a> {
+    fn parse(text: &'a str) -> Option<Words<'a>> {
+        let mut words = text.split_whitespace();
+        let word = words.next()?;
+        let number = match words.next() {
+            Some(number) => number.parse().ok()?,
+            None => 0,
+        };
+        words.next().is_none().then_some(Words { word, number })
+    }
+}
+
+fn set_log_fault(log: &LogServer, text: &str) -> Result<(), UnknownFault> {
+    let unknown = || UnknownFault::new(text, UnknownFault::LOG);
+    let Words { word, number } = Words::parse(text).ok_or_else(unknown)?;
+    match word {
+        "none" => {
+            log.set_outage(false);
+            log.set_delay(Duration::ZERO);
+        }
+        "outage" => log.set_outage(true),
+        "unreachable" => log.set_unreachable(true),
+        "delay" => log.set_delay(Duration::from_millis(number)),
+        "drop_before" => log.drop_before(number),
+        "lose_answers" => log.lose_answers(u32::try_from(number).map_err(|_| unknown())?),
+        _ => return Err(unknown()),
+    }
+    Ok(())
+}
+
+fn task_name(task: &TaskId) -> String {
+    format!("{}/{}", task.job, task.index)
+}
+
+fn message(status: StatusCode, text: &str) -> Response<Full<Bytes>> {
+    json(status, &Message { message: text.to_owned() })
+}
--- a/components/standin/src/executor.rs
+++ b/components/standin/src/executor.rs
@@ -18,7 +18,7 @@
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, body::Incoming};
 use ident::RequestId;
 use serde::{Deserialize, Serialize};
-use tokio::{net::TcpListener, sync::Semaphore, task::JoinHandle};
+use tokio::{sync::Semaphore, task::JoinHandle};
 
 pub use crate::fault::Fault;
 use crate::{
@@ -83,9 +83,15 @@
 impl ExecutorServer {
     /// Starts an executor on an ephemeral port of 127.0.0.1.
     pub async fn start(options: ExecutorOptions) -> eyre::Result<ExecutorServer> {
-        let listener = TcpListener::bind(("127.0.0.1", 0))
-            .await
-            .wrap_err("cannot bind the executor's port")?;
+        ExecutorServer::start_at(options, serve::ANY_PORT).await
+    }
+
+    /// Starts an executor on a loopback address.
+    pub async fn start_at(
+        options: ExecutorOptions,
+        address: SocketAddr,
+    ) -> eyre::Result<ExecutorServer> {
+        let listener = serve::bind(address).await.wrap_err("cannot bind the executor's port")?;
         let address = listener.local_addr().wrap_err("cannot read the executor's address")?;
         let faults = Arc::new(Faults::new());
         let shared = Arc::new(Shared {
--- a/components/standin/src/lib.rs
+++ b/components/standin/src/lib.rs
@@ -1,5 +1,7 @@
-//! Small stand-ins for the platform and the endpoints, for tests and the quickstart.
+//! Small stand-ins for the platform and the endpoints, for tests, the quickstart
+//! and trials by hand.
 
+pub mod control;
 pub mod executor;
 mod fault;
 pub mod log;
--- a/components/standin/src/log/server.rs
+++ b/components/standin/src/log/server.rs
@@ -5,9 +5,10 @@
 use eyre::WrapErr;
 use journal::protocol::RawRecord;
 use serde_json::value::RawValue;
-use tokio::{net::TcpListener, task::JoinHandle};
+use tokio::task::JoinHandle;
 
 use super::{faults::Outage, http, shared::Shared};
+use crate::serve;
 
 /// A running log server; it stops when the handle is dropped.
 #[derive(Debug)]
@@ -20,8 +21,12 @@
 impl LogServer {
     /// Starts an empty log on an ephemeral port of 127.0.0.1.
     pub async fn start() -> eyre::Result<LogServer> {
-        let listener =
-            TcpListener::bind(("127.0.0.1", 0)).await.wrap_err("cannot bind the log's port")?;
+        LogServer::start_at(serve::ANY_PORT).await
+    }
+
+    /// Starts an empty log on a loopback address.
+    pub async fn start_at(address: SocketAddr) -> eyre::Result<LogServer> {
+        let listener = serve::bind(address).await.wrap_err("cannot bind the log's port")?;
         let address = listener.local_addr().wrap_err("cannot read the log's address")?;
         let shared = Arc::new(Shared::new());
         let task = tokio::spawn(http::accept(listener, Arc::clone(&shared)));
--- a/components/standin/src/serve.rs
+++ b/components/standin/src/serve.rs
@@ -1,8 +1,14 @@
 //! HTTP server of an endpoint with a bounded number of connections.
 
-use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
+use eyre::{WrapErr, ensure};
 use http_body_util::Full;
 use hyper::{Request, Response, StatusCode, body::Incoming, server::conn::http1};
 use hyper_util::rt::TokioIo;
@@ -18,6 +24,9 @@
 /// Time between attempts to bind the port again.
 const REBIND_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Any free port of 127.0.0.1.
+pub(crate) const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
 /// Answers the requests of an endpoint.
 pub(crate) trait Handler: Send + Sync + 'static {
     /// Answers one request.
@@ -27,6 +36,15 @@
     ) -> impl Future<Output = Response<Full<Bytes>>> + Send;
 }
 
+/// Listens on a loopback address; a stand-in is not for other hosts.
+pub(crate) async fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
+    ensure!(
+        address.ip().is_loopback(),
+        "{address} is not a loopback address; give one such as 127.0.0.1:7000"
+    );
+    TcpListener::bind(address).await.wrap_err_with(|| format!("cannot listen on {address}"))
+}
+
 /// Serves for ever; connections above `connections` are closed at once.
 pub(crate) async fn serve<H: Handler>(
     listener: TcpListener,
--- a/components/standin/src/worker/mod.rs
+++ b/components/standin/src/worker/mod.rs
@@ -21,7 +21,7 @@
 
 use eyre::WrapErr;
 use ident::RequestId;
-use tokio::{net::TcpListener, task::JoinHandle};
+use tokio::task::JoinHandle;
 
 pub use self::protocol::{
     LeaseBody, StartBody, StopBody, StopCause, Stopped, TaskAnswer, TaskId, ThrottleBody, Usage,
@@ -58,8 +58,15 @@
 impl WorkerServer {
     /// Starts a worker on an ephemeral port of 127.0.0.1.
     pub async fn start(options: WorkerOptions) -> eyre::Result<WorkerServer> {
-        let listener =
-            TcpListener::bind(("127.0.0.1", 0)).await.wrap_err("cannot bind the worker's port")?;
+        WorkerServer::start_at(options, serve::ANY_PORT).await
+    }
+
+    /// Starts a worker on a loopback address.
+    pub async fn start_at(
+        options: WorkerOptions,
+        address: SocketAddr,
+    ) -> eyre::Result<WorkerServer> {
+        let listener = serve::bind(address).await.wrap_err("cannot bind the worker's port")?;
         let address = listener.local_addr().wrap_err("cannot read the worker's address")?;
         let connections = options.connections;
         let faults = Arc::new(Faults::new());
