--- a/daemon/src/replica.rs
+++ b/daemon/src/replica.rs
@@ -84,10 +84,10 @@
 
     /// Asks entries for an agent.
     pub(crate) async fn poll(mut self) {
+        self.ask_any().await;
         loop {
-            self.ask_any().await;
             tokio::select! {
-                () = sleep(self.pause()) => {}
+                () = sleep(self.pause()) => self.ask_any().await,
                 Some(refresh) = self.refreshes.recv() => self.refresh(refresh).await,
             }
         }
--- a/daemon/src/running.rs
+++ b/daemon/src/running.rs
@@ -17,11 +17,12 @@
 
 use crate::{
     inbox::{Inbox, Message},
+    lines::Lines,
     shared::{Progress, Shared},
     tasks::Tasks,
 };
 
-/// Time for the last replies to be written.
+/// Time for the last replies, and for the last log lines, to be written.
 const FLUSH_LIMIT: Duration = Duration::from_secs(1);
 /// Time for the last replies to reach their peers before connections close.
 const LINGER: Duration = Duration::from_millis(100);
@@ -41,6 +42,7 @@
     pub(crate) socket: Arc<Socket>,
     pub(crate) shared: Arc<Shared>,
     pub(crate) tasks: Tasks,
+    pub(crate) lines: Lines,
     pub(crate) stopped: watch::Receiver<bool>,
 }
 
@@ -108,6 +110,7 @@
         let finished = self.stopped.wait_for(|stopped| *stopped);
         let finished = timeout(STOP_LIMIT, finished).await.is_ok_and(|result| result.is_ok());
         self.server.flush(FLUSH_LIMIT).await;
+        self.lines.flush(FLUSH_LIMIT).await;
         sleep(LINGER).await;
         self.end();
         finished
--- a/daemon/src/start.rs
+++ b/daemon/src/start.rs
@@ -124,6 +124,7 @@
     let journal = Journal::new(role.log);
     let shared = Arc::new(Shared::new());
     let tasks = Tasks::default();
+    let lines = Lines::start()?;
     let (datagrams, outgoing) = mpsc::channel(MAX_DATAGRAMS);
     let (refreshes, asked) = mpsc::channel(MAX_REFRESHES);
     let (stopped, is_stopped) = watch::channel(false);
@@ -136,7 +137,7 @@
         journal: journal.clone(),
         refreshes,
         beside: role.beside,
-        lines: Lines::start()?,
+        lines: lines.clone(),
         stopped,
     };
     let arguments = Arguments { core: role.core, parts };
@@ -173,6 +174,7 @@
         socket,
         shared,
         tasks,
+        lines,
         stopped: is_stopped,
     };
     Ok((running, replica))
