Bound the routing comparison more tightly

Turning off the risk of a taken slot, the cost of failures, the slowdown or the growing ejections left the tests green; each turns one red now.

--- a/components/routing/tests/routing/choose.rs
+++ b/components/routing/tests/routing/choose.rs
@@ -151,6 +151,25 @@
     assert!(trials.len() > 100, "{trials:?}");
 }
 
+#[test]
+fn each_ejection_in_a_row_lasts_longer() {
+    let mut router = router(10);
+    for _ in 0..20 {
+        end(&mut router, node(0), SampleOutcome::Failed, at(10));
+    }
+
+    let mut trials = Vec::new();
+    for millis in (200..100_000).step_by(50) {
+        if choose(&mut router, at(millis)) == node(0) {
+            end(&mut router, node(0), SampleOutcome::Failed, at(millis));
+            trials.push(millis);
+        }
+    }
+
+    let gaps: Vec<u64> = trials.windows(2).map(|pair| pair[1] - pair[0]).collect();
+    assert!(gaps.len() >= 2 && gaps.is_sorted_by(|a, b| a < b), "{trials:?}");
+}
+
 #[test]
 fn a_restart_does_not_end_a_probation() {
     let mut router = router(10);
--- a/components/routing/tests/routing/policies.rs
+++ b/components/routing/tests/routing/policies.rs
@@ -39,12 +39,12 @@
 #[test]
 fn stays_near_an_oracle_where_others_queue() {
     let policies = [Policy::Router, Policy::Random, Policy::LeastLoaded, Policy::Oracle];
-    for load in [0.5, 0.8, 0.95] {
+    for (load, limit) in [(0.5, 1.1), (0.8, 1.5), (0.95, 1.3)] {
         let [router, random, least, oracle] = compare(policies, load, &[]);
 
         assert!(router.excess(0.99) < random.excess(0.99) / 2.0);
         assert!(router.excess(0.99) < least.excess(0.99) / 2.0);
-        assert!(router.quantile(0.99) < oracle.quantile(0.99) * 1.5);
+        assert!(router.quantile(0.99) < oracle.quantile(0.99) * limit);
         assert!(router.quantile(0.5) < oracle.quantile(0.5) * 1.2);
     }
 }
@@ -56,6 +56,7 @@
 
     let [router, random, least] = compare(policies, 0.7, &[faulty]);
 
+    assert!(router.failed <= 40, "{}", router.failed);
     assert!(router.failed < random.failed / 5);
     assert!(router.failed < least.failed / 20);
 }
@@ -78,6 +79,7 @@
     let [router, random, least] = compare(policies, 0.7, &[Behaviour::Slow(6.0)]);
 
     assert!(router.started[0] < least.started[0]);
+    assert!(router.quantile(0.99) < 4.0);
     assert!(router.excess(0.99) < least.excess(0.99) / 2.0);
     assert!(router.excess(0.99) < random.excess(0.99) / 2.0);
 }
