Show load and passed-over candidates instead of gauges that nothing feeds

No event or effect carries the size of the ledger or the number of ejected endpoints, so these two gauges were always 0. Candidates that decisions passed over are counted by reason, ejection among them. The path error lists the paths of the API.

--- a/components/front/src/pages.rs
+++ b/components/front/src/pages.rs
@@ -12,7 +12,8 @@
 }
 
 /// Whether the node can serve requests.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Readiness {
     /// Whether it should get requests.
     pub ready: bool,
--- a/components/front/src/routes.rs
+++ b/components/front/src/routes.rs
@@ -5,6 +5,10 @@
 
 use crate::error::RequestError;
 
+/// What a caller who asks for an unknown path is told.
+const PATHS: &str = "its paths begin with /v1/services, /v1/requests, /v1/jobs, \
+                     /v1/status or /v1/explain";
+
 /// What a method and path ask for.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Route {
@@ -58,7 +62,7 @@
         ("GET", ["metrics"]) => Ok(Route::Metrics),
         _ => Err(RequestError::unknown(
             "path",
-            format!("{method} {path:?} is not part of the API; see the reference of /v1."),
+            format!("{method} {path:?} is not part of the API; {PATHS}."),
         )),
     }
 }
--- a/components/metrics/src/labels.rs
+++ b/components/metrics/src/labels.rs
@@ -31,6 +31,14 @@
     pub(crate) r#type: String,
 }
 
+/// Labels of candidates that were passed over.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+pub(crate) struct Excluded {
+    /// Why the candidate was passed over.
+    pub(crate) reason: String,
+}
+
 impl Kind {
     /// Names a kind of a service.
     pub(crate) fn new(service: &str, kind: &str) -> Kind {
--- a/components/metrics/src/lib.rs
+++ b/components/metrics/src/lib.rs
@@ -2,36 +2,22 @@
 
 mod labels;
 mod names;
+mod series;
 mod timers;
 
 use ident::Timestamp;
 use node::{CallerReply, CallerRequest, CallerToken, Decision, Effect, Event, Step};
-use prometheus_client::{
-    encoding::text::encode,
-    metrics::{
-        counter::Counter,
-        family::Family,
-        gauge::Gauge,
-        histogram::{Histogram, exponential_buckets},
-    },
-    registry::Registry,
-};
+use prometheus_client::{encoding::text::encode, registry::Registry};
 use verdict::{Outcome, Reason};
-use wire::JobStatus;
+use wire::{Datagram, JobStatus};
 
 use crate::{
-    labels::{Kind, Message, Request},
+    labels::{Excluded, Kind, Message, Request},
     names::{call_name, datagram_name, reply_name},
+    series::Series,
     timers::Timers,
 };
 
-/// Upper bound of the fastest bucket, in seconds.
-const FASTEST_BUCKET_S: f64 = 0.0005;
-/// Ratio between the bounds of two buckets.
-const BUCKET_FACTOR: f64 = 2.0;
-/// Number of buckets; the last ends at about 16 s.
-const BUCKETS: u16 = 16;
-
 /// Service and kind of requests that name none that is known.
 const UNKNOWN: &str = "unknown";
 /// Service of jobs.
@@ -41,20 +27,7 @@
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
-    requests: Family<Request, Counter>,
-    response_time: Family<Kind, Histogram, fn() -> Histogram>,
-    queue_wait: Histogram,
-    messages: Family<Message, Counter>,
-    retries: Counter,
-    hedges: Counter,
-    callers_gone: Counter,
-    lost_calls: Counter,
-    dropped_lines: Counter,
-    ejected: Gauge,
-    version: Gauge,
-    ledger: Gauge,
-    connections: Gauge,
-    malformed: Gauge,
+    series: Series,
     timers: Timers,
 }
 
@@ -70,28 +43,10 @@
 impl Metrics {
     /// Registers every metric.
     pub fn new() -> Metrics {
-        let mut metrics = Metrics {
-            registry: Registry::with_prefix("primrosemux"),
-            requests: Family::default(),
-            response_time: Family::new_with_constructor(time_histogram),
-            queue_wait: time_histogram(),
-            messages: Family::default(),
-            retries: Counter::default(),
-            hedges: Counter::default(),
-            callers_gone: Counter::default(),
-            lost_calls: Counter::default(),
-            dropped_lines: Counter::default(),
-            ejected: Gauge::default(),
-            version: Gauge::default(),
-            ledger: Gauge::default(),
-            connections: Gauge::default(),
-            malformed: Gauge::default(),
-            timers: Timers::default(),
-        };
-        metrics.register_requests();
-        metrics.register_messages();
-        metrics.register_gauges();
-        metrics
+        let mut registry = Registry::with_prefix("primrosemux");
+        let series = Series::default();
+        series.register(&mut registry);
+        Metrics { registry, series, timers: Timers::default() }
     }
 
     /// Counts an event on its way to the core.
@@ -100,13 +55,13 @@
             Event::Caller { token, request } => self.start(now, *token, request),
             Event::CallerGone { token } => {
                 self.timers.end_request(*token);
-                self.callers_gone.inc();
+                self.series.callers_gone.inc();
             }
             Event::PeerReplied { reply: Err(_), .. } => {
-                self.lost_calls.inc();
+                self.series.lost_calls.inc();
             }
             Event::State { state, .. } => {
-                self.version.set(i64::try_from(state.version()).unwrap_or(i64::MAX));
+                self.series.version.set(i64::try_from(state.version()).unwrap_or(i64::MAX));
             }
             Event::Call { .. }
             | Event::PeerReplied { reply: Ok(_), .. }
@@ -125,7 +80,7 @@
             Effect::Respond { token, reply } => self.respond(now, *token, reply),
             Effect::Reply { reply, .. } => self.count_message(reply_name(reply)),
             Effect::CallPeer { call, .. } => self.count_message(call_name(call)),
-            Effect::Send { datagram, .. } => self.count_message(datagram_name(datagram)),
+            Effect::Send { datagram, .. } => self.send(datagram),
             Effect::Execute { .. } => self.count_message("endpoint_run"),
             Effect::StartTask { .. } => self.count_message("endpoint_start_task"),
             Effect::RenewTask { .. } => self.count_message("endpoint_renew_task"),
@@ -139,23 +94,13 @@
 
     /// Counts a log line that was dropped because lines were written too slowly.
     pub fn on_dropped_line(&self) {
-        self.dropped_lines.inc();
-    }
-
-    /// Sets the number of ids in the ledger.
-    pub fn set_ledger(&self, ids: usize) {
-        self.ledger.set(ids as i64);
-    }
-
-    /// Sets the number of endpoints that are ejected.
-    pub fn set_ejected(&self, endpoints: usize) {
-        self.ejected.set(endpoints as i64);
+        self.series.dropped_lines.inc();
     }
 
     /// Sets the figures that do not pass by the core.
     pub fn set(&self, gauges: Gauges) {
-        self.connections.set(gauges.connections as i64);
-        self.malformed.set(i64::try_from(gauges.malformed).unwrap_or(i64::MAX));
+        self.series.connections.set(gauges.connections as i64);
+        self.series.malformed.set(i64::try_from(gauges.malformed).unwrap_or(i64::MAX));
     }
 
     /// All metrics in the text format of Prometheus.
@@ -198,23 +143,35 @@
             verdict: outcome.verdict().to_string(),
             reason: reason.map(|reason| reason.to_string()).unwrap_or_default(),
         };
-        self.requests.get_or_create(&labels).inc();
+        self.series.requests.get_or_create(&labels).inc();
         let took = now.since(timer.started).as_secs_f64();
-        self.response_time.get_or_create(&kind).observe(took);
+        self.series.response_time.get_or_create(&kind).observe(took);
+    }
+
+    fn send(&self, datagram: &Datagram) {
+        self.count_message(datagram_name(datagram));
+        if let Datagram::Heartbeat(report) = datagram {
+            self.series.slots.set(report.load.slots.into());
+            self.series.busy.set(report.load.busy.into());
+            self.series.queued.set(report.load.queued.into());
+        }
     }
 
     fn decide(&mut self, now: Timestamp, decision: &Decision) {
+        for reason in decision.candidates.iter().filter_map(|it| it.excluded.as_ref()) {
+            self.series.excluded.get_or_create(&Excluded { reason: reason.clone() }).inc();
+        }
         match decision.step {
             Step::Retry => {
-                self.retries.inc();
+                self.series.retries.inc();
             }
             Step::Hedge => {
-                self.hedges.inc();
+                self.series.hedges.inc();
             }
             Step::Queue => self.timers.start_wait(decision.id, now),
             Step::Start => {
                 if let Some(started) = self.timers.end_wait(decision.id) {
-                    self.queue_wait.observe(now.since(started).as_secs_f64());
+                    self.series.queue_wait.observe(now.since(started).as_secs_f64());
                 }
             }
             Step::Refuse | Step::Cancel | Step::HandOn => {
@@ -225,61 +182,7 @@
     }
 
     fn count_message(&self, message: &'static str) {
-        self.messages.get_or_create(&Message { r#type: message.to_owned() }).inc();
-    }
-
-    fn register_requests(&mut self) {
-        let registry = &mut self.registry;
-        registry.register("requests", "Requests answered", self.requests.clone());
-        registry.register(
-            "response_time_seconds",
-            "Time from a caller's request to its answer",
-            self.response_time.clone(),
-        );
-        registry.register(
-            "queue_wait_seconds",
-            "Time that requests waited for a slot",
-            self.queue_wait.clone(),
-        );
-        registry.register(
-            "callers_gone",
-            "Callers that closed their connection before the answer",
-            self.callers_gone.clone(),
-        );
-    }
-
-    fn register_messages(&mut self) {
-        let registry = &mut self.registry;
-        registry.register("messages_sent", "Messages sent, by type", self.messages.clone());
-        registry.register("retries", "Second attempts made", self.retries.clone());
-        registry.register("hedges", "Copies sent to a second agent", self.hedges.clone());
-        registry.register("lost_calls", "Calls to peers without a reply", self.lost_calls.clone());
-        registry.register(
-            "dropped_lines",
-            "Decisions that were not logged because lines were written too slowly",
-            self.dropped_lines.clone(),
-        );
-    }
-
-    fn register_gauges(&mut self) {
-        let registry = &mut self.registry;
-        registry.register("ejected_endpoints", "Endpoints that are ejected", self.ejected.clone());
-        registry.register(
-            "version",
-            "Version of the configuration in force, 0 for none",
-            self.version.clone(),
-        );
-        registry.register("ledger_ids", "Ids in the ledger", self.ledger.clone());
-        registry.register(
-            "open_connections",
-            "Connections to and from peers",
-            self.connections.clone(),
-        );
-        registry.register(
-            "malformed_datagrams",
-            "Datagrams that could not be decoded",
-            self.malformed.clone(),
-        );
+        self.series.messages.get_or_create(&Message { r#type: message.to_owned() }).inc();
     }
 }
 
@@ -306,7 +209,3 @@
         Outcome::Refused(refusal) => Some(refusal.reason),
     }
 }
-
-fn time_histogram() -> Histogram {
-    Histogram::new(exponential_buckets(FASTEST_BUCKET_S, BUCKET_FACTOR, BUCKETS))
-}
--- a/components/metrics/tests/counts.rs
+++ b/components/metrics/tests/counts.rs
@@ -2,16 +2,16 @@
 
 use std::{sync::Arc, time::Duration};
 
-use ident::{RequestId, Timestamp};
+use ident::{Group, Incarnation, RequestId, Timestamp};
 use insta::assert_snapshot;
 use metrics::{Gauges, Metrics};
 use node::{
-    CallerReply, CallerRequest, CallerToken, Decision, Effect, Event, LinkError, PeerToken,
-    Request, Step,
+    CallerReply, CallerRequest, CallerToken, Candidate, Decision, Effect, Event, LinkError,
+    PeerToken, Request, Step,
 };
 use register::State;
 use verdict::{Answer, Outcome, Proof, Reason, Refusal};
-use wire::{Call, Fetch};
+use wire::{AgentReport, Call, Datagram, Fetch, Load};
 
 const START: Timestamp = Timestamp::from_millis(1_000_000);
 
@@ -41,12 +41,22 @@
     let lost = Event::PeerReplied { token: PeerToken(0), reply: Err(LinkError::Lost) };
     metrics.on_event(START, &lost);
     metrics.on_effect(START, &Effect::Decide(decision(Step::Retry)));
-    metrics.on_effect(START, &Effect::Decide(decision(Step::Hedge)));
+    let excluded = Some("is ejected".to_owned());
+    let candidates = vec![Candidate { node, wait_ms: 1.0, excluded }];
+    let hedge = Decision { candidates, ..decision(Step::Hedge) };
+    metrics.on_effect(START, &Effect::Decide(hedge));
     metrics.on_dropped_line();
 
     assert_snapshot!(lines(
         &metrics,
-        &["messages_sent_total", "retries_total", "hedges_total", "lost_calls", "dropped_lines"],
+        &[
+            "messages_sent_total",
+            "retries_total",
+            "hedges_total",
+            "lost_calls",
+            "dropped_lines",
+            "excluded_candidates"
+        ],
     ));
 }
 
@@ -67,10 +77,11 @@
     let state = Arc::new(State::default());
     metrics.on_event(START, &Event::State { state, read_at: START });
     metrics.set(Gauges { connections: 7, malformed: 2 });
-    metrics.set_ledger(40);
-    metrics.set_ejected(1);
+    let heartbeat = Datagram::Heartbeat(report());
+    let node = "127.0.0.1:7400".parse().unwrap();
+    metrics.on_effect(START, &Effect::Send { node, datagram: heartbeat });
 
-    let names = ["version", "open_connections", "malformed", "ledger_ids", "ejected_endpoints"];
+    let names = ["version", "open_connections", "malformed", "slots", "busy_slots", "queued"];
     assert_snapshot!(lines(&metrics, &names));
 }
 
@@ -100,6 +111,20 @@
     Outcome::Refused(Refusal::not_run(Proof::id_never_used(), reason, "No."))
 }
 
+fn report() -> AgentReport {
+    AgentReport {
+        node: "127.0.0.1:7401".parse().unwrap(),
+        incarnation: Incarnation(START),
+        sequence: 1,
+        name: "yard-1".to_owned(),
+        group: Group::Workers,
+        availability_zone: "lift-bay".to_owned(),
+        leaving: false,
+        load: Load { busy: 5, slots: 8, queued: 3, work: Duration::ZERO },
+        next_offset: 1,
+    }
+}
+
 fn decision(step: Step) -> Decision {
     Decision {
         id: RequestId::new(START, [0; 10]),
