Check the deadline right before a request leaves for the endpoint

A process can be paused between the core's decision and the write. A request whose timeout, or a task whose lease or budget, has passed by then is not sent. Peers' connections are bounded.

--- a/components/link/src/server.rs
+++ b/components/link/src/server.rs
@@ -14,7 +14,7 @@
 use node::ReplyTo;
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::mpsc,
+    sync::{OwnedSemaphorePermit, Semaphore, mpsc},
     task::AbortHandle,
     time::{sleep, timeout},
 };
@@ -31,6 +31,9 @@
 /// Silence after which a peer's connection is closed; the peer pings more often.
 const SILENCE_LIMIT: Duration = Duration::from_secs(3);
 
+/// Connections of peers that are open or being opened at a time.
+const MAX_CONNECTIONS: usize = 16_384;
+
 /// Time to wait after the listener has failed, for example for lack of files.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -71,9 +74,13 @@
     /// Accepts connections and passes their calls on until it is dropped.
     pub async fn serve(&self, listener: TcpListener, incoming: mpsc::Sender<Incoming>) {
         let _close = CloseAll(self);
+        let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
         loop {
             match listener.accept().await {
-                Ok((stream, _)) => self.start(stream, incoming.clone()),
+                Ok((stream, address)) => match Arc::clone(&permits).try_acquire_owned() {
+                    Ok(permit) => self.start(stream, incoming.clone(), permit),
+                    Err(_) => log::warn!("{address} was turned away: too many peers are connected"),
+                },
                 Err(err) => {
                     log::warn!("a connection of a peer could not be accepted: {err}");
                     sleep(ACCEPT_PAUSE).await;
@@ -110,11 +117,16 @@
         self.lock().len()
     }
 
-    fn start(&self, stream: TcpStream, incoming: mpsc::Sender<Incoming>) {
+    fn start(
+        &self,
+        stream: TcpStream,
+        incoming: mpsc::Sender<Incoming>,
+        permit: OwnedSemaphorePermit,
+    ) {
         let number = self.next_connection.fetch_add(1, Ordering::Relaxed);
         let server = self.clone();
         tokio::spawn(async move {
-            if let Err(err) = server.greet(number, stream, incoming).await {
+            if let Err(err) = server.greet(number, stream, incoming, permit).await {
                 log::debug!("a connection of a peer failed: {err}");
             }
         });
@@ -126,6 +138,7 @@
         number: u64,
         stream: TcpStream,
         incoming: mpsc::Sender<Incoming>,
+        permit: OwnedSemaphorePermit,
     ) -> io::Result<()> {
         let (mut reader, mut writer, outbox) = split(stream)?;
         let hello = Frame::Hello { node: self.node, incarnation: self.incarnation };
@@ -143,6 +156,7 @@
                 result = writer.run() => log_end(peer, result),
             }
             server.lock().remove(&number);
+            drop(permit);
         });
         connections.insert(number, Accepted { outbox, task: task.abort_handle() });
         Ok(())
--- a/daemon/src/endpoint.rs
+++ b/daemon/src/endpoint.rs
@@ -2,11 +2,12 @@
 
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
-use endpoint::{Executor, StartError, Worker};
+use endpoint::{Executed, Executor, StartError, Worker};
 use ident::{Group, RequestId};
 use node::{Event, ExecToken, LinkError, TaskToken};
 use register::State;
 use tokio::time::Instant;
+use verdict::Answer;
 use wire::{Run, StartTask};
 
 use crate::{inbox::Inbox, shared::Shared, tasks::Tasks};
@@ -76,46 +77,56 @@
         }
     }
 
-    /// Runs a request on the executor.
+    /// Runs a request on the executor, unless `timeout` passes before it can be sent.
     pub(crate) fn execute(&self, token: ExecToken, run: Run, timeout: Duration) {
         let Client::Executor(executor) = &self.client else {
-            let result = Err(LinkError::NotSent);
-            self.inbox.send(Event::Executed { token, result, took: Duration::ZERO });
+            self.inbox.send(not_executed(token));
             return;
         };
         let executor = executor.clone();
         let inbox = self.inbox.clone();
         let shared = Arc::clone(&self.shared);
+        let deadline = Instant::now() + timeout;
         shared.start_run();
         self.tasks.spawn(async move {
-            let executed = executor.run(&run, timeout).await;
+            // The process may have been paused since the core decided.
+            let left = deadline.saturating_duration_since(Instant::now());
+            let event = match left.is_zero() {
+                true => not_executed(token),
+                false => {
+                    let Executed { result, took } = executor.run(&run, left).await;
+                    Event::Executed { token, result, took }
+                }
+            };
             shared.end_run();
-            let (result, took) = (executed.result, executed.took);
-            inbox.send(Event::Executed { token, result, took });
+            inbox.send(event);
         });
     }
 
-    /// Starts a task on the worker.
+    /// Starts a task on the worker, unless its lease or budget ends before it can be sent.
     pub(crate) fn start_task(&mut self, token: TaskToken, task: StartTask) {
         let Client::Worker(worker) = &self.client else {
-            let result = Err(LinkError::NotSent);
-            self.inbox.send(Event::TaskEnded { token, result, took: Duration::ZERO });
+            self.inbox.send(not_started(token));
             return;
         };
         self.running.insert(token, TaskName { job: task.job, index: task.index });
         let worker = worker.clone();
         let inbox = self.inbox.clone();
         let shared = Arc::clone(&self.shared);
+        let began = Instant::now();
         shared.start_run();
         self.tasks.spawn(async move {
-            let began = Instant::now();
-            let result = worker.start(&task).await;
+            // The process may have been paused since the core decided.
+            let late = began.elapsed() >= task.lease.min(task.budget);
+            let event = match late {
+                true => not_started(token),
+                false => {
+                    let result = start(&worker, &task).await;
+                    Event::TaskEnded { token, result, took: began.elapsed() }
+                }
+            };
             shared.end_run();
-            if let Err(StartError::Refused(reason)) = &result {
-                log::info!("the worker refused task {} of {}: {reason}", task.index, task.job);
-            }
-            let (result, took) = (result.map_err(LinkError::from), began.elapsed());
-            inbox.send(Event::TaskEnded { token, result, took });
+            inbox.send(event);
         });
     }
 
@@ -156,6 +167,24 @@
     }
 }
 
+async fn start(worker: &Worker, task: &StartTask) -> Result<Answer, LinkError> {
+    let result = worker.start(task).await;
+    if let Err(StartError::Refused(reason)) = &result {
+        log::info!("the worker refused task {} of {}: {reason}", task.index, task.job);
+    }
+    result.map_err(LinkError::from)
+}
+
+/// A request of which no byte was sent.
+fn not_executed(token: ExecToken) -> Event {
+    Event::Executed { token, result: Err(LinkError::NotSent), took: Duration::ZERO }
+}
+
+/// A task of which no byte was sent.
+fn not_started(token: TaskToken) -> Event {
+    Event::TaskEnded { token, result: Err(LinkError::NotSent), took: Duration::ZERO }
+}
+
 impl Client {
     fn new(group: &Group, address: SocketAddr, connections: usize) -> Client {
         match group {
