--- a/load/src/cluster.rs
+++ b/load/src/cluster.rs
@@ -1,6 +1,7 @@
 //! A whole system in one process.
 
 use std::{
+    collections::BTreeMap,
     net::{IpAddr, Ipv4Addr},
     time::Duration,
 };
@@ -41,6 +42,24 @@
 /// Memory of a gigabyte in megabytes.
 const GB_IN_MB: u32 = 1024;
 
+/// Types of messages that carry requests, jobs and their answers.
+const MESSAGE_TYPES: [&str; 14] = [
+    "run",
+    "execute",
+    "cancel",
+    "ask",
+    "await",
+    "submit",
+    "ask_job",
+    "start_task",
+    "renew_tasks",
+    "stop_tasks",
+    "run_reply",
+    "status_reply",
+    "job_reply",
+    "task_reply",
+];
+
 const LOOPBACK: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
 
 /// What to start.
@@ -131,10 +150,14 @@
         Inventory::parse(&self.text).wrap_err("checking the inventory")
     }
 
-    /// Messages between nodes so far, on behalf of requests and jobs.
-    pub fn messages(&self) -> u64 {
+    /// Messages between nodes so far, on behalf of requests and jobs, by type.
+    pub fn messages(&self) -> BTreeMap<&'static str, u64> {
         let agents = self.hosts.iter().filter_map(|host| host.agent.as_ref());
-        self.entries.iter().chain(agents).map(|node| count_messages(&node.metrics())).sum()
+        let mut counts = BTreeMap::new();
+        for node in self.entries.iter().chain(agents) {
+            count_messages(&node.metrics(), &mut counts);
+        }
+        counts
     }
 
     /// Host of the endpoint with the given name.
@@ -340,25 +363,14 @@
     None
 }
 
-/// Adds up the messages that carry requests, jobs and their answers.
-fn count_messages(metrics: &str) -> u64 {
-    const TYPES: [&str; 14] = [
-        "run",
-        "execute",
-        "cancel",
-        "ask",
-        "await",
-        "submit",
-        "ask_job",
-        "start_task",
-        "renew_tasks",
-        "stop_tasks",
-        "run_reply",
-        "status_reply",
-        "job_reply",
-        "task_reply",
-    ];
+/// Adds the messages that carry requests, jobs and their answers.
+fn count_messages(metrics: &str, counts: &mut BTreeMap<&'static str, u64>) {
     let lines = metrics.lines().filter(|line| line.starts_with("primrosemux_messages"));
-    let counted = lines.filter(|line| TYPES.iter().any(|it| line.contains(&format!("=\"{it}\""))));
-    counted.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok()).sum()
+    for line in lines {
+        let found = MESSAGE_TYPES.iter().find(|it| line.contains(&format!("=\"{it}\"")));
+        let count = line.rsplit(' ').next().and_then(|text| text.parse::<u64>().ok());
+        if let (Some(name), Some(count)) = (found, count) {
+            *counts.entry(*name).or_default() += count;
+        }
+    }
 }
--- a/load/src/cmd/compare.rs
+++ b/load/src/cmd/compare.rs
@@ -64,5 +64,12 @@
         .classes
         .iter()
         .map(|(name, class)| format!("{name} {}/{}", class.missed, class.feasible));
-    println!("{:<15}   missed by class: {}", "", classes.collect::<Vec<String>>().join(", "));
+    let messages = tally.messages.iter().filter(|(_, count)| **count > 0);
+    let messages = messages.map(|(name, count)| format!("{name} {count}"));
+    println!(
+        "{:<15}   missed by class: {}; messages: {}",
+        "",
+        classes.collect::<Vec<String>>().join(", "),
+        messages.collect::<Vec<String>>().join(", ")
+    );
 }
--- a/load/src/measure.rs
+++ b/load/src/measure.rs
@@ -52,7 +52,10 @@
     system.disturb(scenario, length).await?;
     senders.await?;
     let mut tally = collector.await?;
-    tally.messages = system.messages() - messages;
+    for (name, count) in system.messages() {
+        let before = messages.get(name).copied().unwrap_or(0);
+        tally.messages.insert(name, count - before);
+    }
     tally.double_starts = system.double_starts();
     tally.cpu = cpu_time()?.saturating_sub(cpu);
     Ok(tally)
--- a/load/src/system.rs
+++ b/load/src/system.rs
@@ -1,6 +1,7 @@
 //! The systems that are compared.
 
 use std::{
+    collections::BTreeMap,
     fs,
     sync::atomic::{AtomicUsize, Ordering},
     time::Duration,
@@ -98,11 +99,11 @@
         }
     }
 
-    /// Messages between nodes so far, on behalf of requests.
-    pub fn messages(&self) -> u64 {
+    /// Messages between nodes so far, on behalf of requests, by type.
+    pub fn messages(&self) -> BTreeMap<&'static str, u64> {
         match self {
             System::Cluster(cluster) => cluster.messages(),
-            System::Baseline(baseline) => baseline.messages(),
+            System::Baseline(baseline) => BTreeMap::from([("http", baseline.messages())]),
         }
     }
 
--- a/load/src/tally.rs
+++ b/load/src/tally.rs
@@ -36,8 +36,8 @@
     pub not_run: u64,
     /// Requests without an answer that may have run.
     pub may_have_run: u64,
-    /// Messages between nodes on behalf of requests.
-    pub messages: u64,
+    /// Messages between nodes on behalf of requests, by type.
+    pub messages: BTreeMap<&'static str, u64>,
     /// Starts beyond the first of non-idempotent requests.
     pub double_starts: u64,
     /// Processor time of the whole process.
@@ -63,7 +63,7 @@
             done: 0,
             not_run: 0,
             may_have_run: 0,
-            messages: 0,
+            messages: BTreeMap::new(),
             double_starts: 0,
             cpu: Duration::ZERO,
         }
@@ -75,7 +75,8 @@
         if ending.done {
             self.done += 1;
             let ratio = ending.response_time.as_secs_f64() / arrival.run_time.as_secs_f64();
-            self.ratios.saturating_record((ratio * RATIO_UNIT) as u64);
+            let recorded = self.ratios.record((ratio * RATIO_UNIT) as u64);
+            recorded.expect("the histogram grows as needed");
         } else {
             match ending.verdict {
                 Some(Verdict::NotRun) => self.not_run += 1,
@@ -97,7 +98,7 @@
     /// Messages beyond two for each answered request, in percent of those two.
     pub fn wasted_percent(&self) -> f64 {
         let needed = 2.0 * self.done as f64;
-        (self.messages as f64 - needed).max(0.0) * 100.0 / needed.max(1.0)
+        (self.messages.values().sum::<u64>() as f64 - needed).max(0.0) * 100.0 / needed.max(1.0)
     }
 
     /// Missed deadlines in a thousand feasible requests of every class.
