Ask an entry while the log lacks what it has forgotten

Change: after each page that leaves the search open it asks the next seed, and one line tells that the search has begun.

--- a/daemon/src/replica.rs
+++ b/daemon/src/replica.rs
@@ -73,7 +73,7 @@
             let from = self.follower.next_read();
             tokio::select! {
                 page = journal.read(from, LONG_POLL) => match page {
-                    Ok(page) => self.take(&page),
+                    Ok(page) => self.on_page(&page).await,
                     Err(err) => self.on_outage(&err).await,
                 },
                 Some(refresh) = self.refreshes.recv() => self.refresh(refresh).await,
@@ -102,6 +102,14 @@
         interval.mul_f64(0.5 + rand::random::<f64>())
     }
 
+    /// Applies a page, and asks an entry for what the log has forgotten.
+    async fn on_page(&mut self, page: &Page) {
+        self.take(page);
+        if self.follower.is_searching() {
+            self.ask_seed().await;
+        }
+    }
+
     async fn on_outage(&mut self, err: &ReadError) {
         self.note_outage(err);
         self.ask_seed().await;
@@ -196,9 +204,13 @@
             self.outage = false;
             log::info!("the log can be read again");
         }
+        let searched = self.follower.is_searching();
         for Change { offset, applied } in self.follower.take(page, Timestamp::now()) {
             log::info!("record {offset}: {applied:?}");
         }
+        if !searched && self.follower.is_searching() {
+            log::warn!("the log has forgotten records that are needed and holds no snapshot yet");
+        }
         self.publish();
     }
 
