Keep membership traffic within 20 KB/s at 1,200 agents

An entry that does not hear an agent directly waited 120 s at most before it suspected it, and random lists of peers left agents without news of some of them. Only those that hear an agent regularly spread its reports and its silence now; others wait ten times the usual interval. News that takes work away goes first and to six peers, joins go to two.

--- a/components/members/src/agent.rs
+++ b/components/members/src/agent.rs
@@ -1,7 +1,21 @@
 //! What is known of one agent.
 
-use ident::{Group, Timestamp};
-use wire::{AgentReport, Silence};
+use std::time::Duration;
+
+use ident::{Group, NodeId, Timestamp};
+use wire::{AgentReport, Silence, encode};
+
+/// Silence after which an agent is suspected.
+const SUSPECT_AFTER: Duration = Duration::from_millis(3500);
+/// Heartbeats after which an agent is held to have settled on sending them here.
+const SETTLED_HEARTBEATS: u32 = 3;
+/// Time between suspicion and the belief that the agent is gone.
+const GONE_AFTER: Duration = Duration::from_millis(2500);
+/// Usual times between two reports for which silence of an agent that is not heard
+/// directly means nothing.
+const PATIENCE: u32 = 10;
+/// Longest additional silence of an agent that is not heard directly.
+const MAX_PATIENCE: Duration = Duration::from_secs(300);
 
 /// An agent as this node sees it.
 #[derive(Debug, Clone, PartialEq)]
@@ -12,10 +26,20 @@
     pub liveness: Liveness,
     /// Time at which the newest report arrived.
     pub heard_at: Timestamp,
-    /// How the newest report arrived.
-    pub source: Source,
     /// Time of the last change of `liveness`.
     pub changed_at: Timestamp,
+    /// Time at which the agent itself was last heard, if ever.
+    direct_at: Option<Timestamp>,
+    /// Heartbeats that came here.
+    heartbeats: u32,
+    /// Mean time between two reports that brought news.
+    interval: Duration,
+    /// Silence after which a suspected agent is believed to be gone.
+    gone_after: Duration,
+    /// Time at which it announced that it is leaving, if it did.
+    left_at: Option<Timestamp>,
+    /// Peer that the agent was last told of.
+    pub(crate) told: Option<NodeId>,
 }
 
 /// Whether an agent is believed to be alive.
@@ -30,8 +54,8 @@
 }
 
 /// How a report arrived.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum Source {
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Source {
     /// From the agent itself.
     Direct,
     /// Passed on by an entry.
@@ -61,8 +85,13 @@
             report: report.clone(),
             liveness: Liveness::Alive,
             heard_at: now,
-            source,
             changed_at: now,
+            direct_at: (source == Source::Direct).then_some(now),
+            heartbeats: u32::from(source == Source::Direct),
+            interval: Duration::ZERO,
+            gone_after: GONE_AFTER,
+            left_at: report.leaving.then_some(now),
+            told: None,
         }
     }
 
@@ -76,6 +105,11 @@
         self.report.group == *group
     }
 
+    /// Whether the agent has announced after `time` that it is leaving.
+    pub(crate) fn has_left_since(&self, time: Timestamp) -> bool {
+        self.left_at.is_some_and(|at| at >= time)
+    }
+
     /// Adopts the report if it is newer than the present one.
     pub(crate) fn update(
         &mut self,
@@ -92,8 +126,14 @@
         let was_silent = self.liveness != Liveness::Alive;
         self.report = report.clone();
         self.report.leaving |= had_left;
+        self.left_at =
+            self.report.leaving.then(|| self.left_at.filter(|_| had_left).unwrap_or(now));
+        self.interval = (self.interval * 3 + now.since(self.heard_at)) / 4;
         self.heard_at = now;
-        self.source = source;
+        if source == Source::Direct {
+            self.direct_at = Some(now);
+            self.heartbeats = self.heartbeats.saturating_add(1);
+        }
         self.set_liveness(Liveness::Alive, now);
         match () {
             () if is_restart => Change::Restarted,
@@ -103,13 +143,66 @@
         }
     }
 
+    /// Whether the agent has been silent for too long; `relay_time` is the
+    /// time for which nothing may come of an agent that is not heard directly.
+    pub(crate) fn is_overdue(&self, relay_time: Duration, now: Timestamp) -> bool {
+        now.since(self.heard_at) > SUSPECT_AFTER + self.patience(relay_time)
+    }
+
+    /// Believes that the agent is dead, as this node has not heard of it.
+    pub(crate) fn suspect(&mut self, relay_time: Duration, now: Timestamp) {
+        self.gone_after = GONE_AFTER + self.patience(relay_time);
+        self.set_liveness(Liveness::Suspected, now);
+    }
+
+    /// Believes that the agent is dead, as one that hears it directly says so.
+    pub(crate) fn suspect_on_note(&mut self, now: Timestamp) {
+        self.gone_after = GONE_AFTER;
+        self.set_liveness(Liveness::Suspected, now);
+    }
+
+    /// Whether a suspected agent should be believed to be gone.
+    pub(crate) fn is_past_hope(&self, now: Timestamp) -> bool {
+        now.since(self.changed_at) > self.gone_after
+    }
+
+    /// Whether the agent sent heartbeats here regularly until the newest report.
+    pub(crate) fn is_direct(&self) -> bool {
+        let is_recent = self.direct_at.is_some_and(|at| self.heard_at.since(at) <= SUSPECT_AFTER);
+        is_recent && self.heartbeats >= SETTLED_HEARTBEATS
+    }
+
+    /// Silence that is usual for lack of direct heartbeats.
+    fn patience(&self, relay_time: Duration) -> Duration {
+        match self.is_direct() {
+            true => Duration::ZERO,
+            false => relay_time.max(self.interval * PATIENCE).min(MAX_PATIENCE),
+        }
+    }
+
     /// Whether nothing newer is known than what the note says.
     pub(crate) fn agrees(&self, silence: &Silence) -> bool {
         let known = (self.report.incarnation, self.report.sequence);
         known <= (silence.incarnation, silence.sequence)
     }
 
-    pub(crate) fn silence(&self) -> Silence {
+    /// Bytes that the news on the agent takes in a datagram.
+    pub(crate) fn news_bytes(&self) -> usize {
+        match self.liveness {
+            Liveness::Alive => encode(&self.report).len(),
+            Liveness::Suspected | Liveness::Gone => encode(&self.silence()).len(),
+        }
+    }
+
+    /// Adds the news on the agent to a datagram.
+    pub(crate) fn tell(&self, agents: &mut Vec<AgentReport>, silent: &mut Vec<Silence>) {
+        match self.liveness {
+            Liveness::Alive => agents.push(self.report.clone()),
+            Liveness::Suspected | Liveness::Gone => silent.push(self.silence()),
+        }
+    }
+
+    fn silence(&self) -> Silence {
         Silence {
             node: self.report.node,
             incarnation: self.report.incarnation,
--- a/components/members/src/entry.rs
+++ b/components/members/src/entry.rs
@@ -25,12 +25,14 @@
     pub(crate) listed_at: Timestamp,
     /// Messages sent to it since it was last heard from.
     pub(crate) unanswered: u32,
+    /// Rank for this node, the same whenever it is computed (rendezvous hashing).
+    pub(crate) rank: u64,
     /// Whether the settings name it, so that it is never forgotten.
     pub(crate) seed: bool,
 }
 
 impl Peer {
-    pub(crate) fn new(node: NodeId, now: Timestamp) -> Peer {
+    pub(crate) fn new(node: NodeId, of: NodeId, now: Timestamp) -> Peer {
         Peer {
             node,
             incarnation: Incarnation::default(),
@@ -39,6 +41,7 @@
             heard_at: None,
             listed_at: now,
             unanswered: 0,
+            rank: xxh3_64(format!("{of} {node}").as_bytes()),
             seed: false,
         }
     }
@@ -63,9 +66,4 @@
     pub(crate) fn known_at(&self) -> Timestamp {
         self.heard_at.unwrap_or_default().max(self.listed_at)
     }
-
-    /// Rank of the entry for `node`, the same in every process (rendezvous hashing).
-    pub(crate) fn rank(&self, node: NodeId) -> u64 {
-        xxh3_64(format!("{node} {}", self.node).as_bytes())
-    }
 }
--- a/components/members/src/gossip.rs
+++ b/components/members/src/gossip.rs
@@ -1,17 +1,15 @@
 //! Datagrams that entries send.
 
-use ident::{Incarnation, NodeId, Timestamp};
+use ident::{Incarnation, NodeId};
 use rand::{Rng, seq::IteratorRandom};
-use wire::{AgentReport, Datagram, encode};
+use wire::{AgentReport, Datagram, Silence};
 
-use crate::{GOSSIP_PEERS, Liveness, Members};
+use crate::{GOSSIP_PEERS, Members};
 
 /// Largest encoded gossip.
-const GOSSIP_BYTES: usize = 900;
+const GOSSIP_BYTES: usize = 700;
 /// Entries listed in one datagram.
-const LISTED_ENTRIES: usize = 2;
-/// Peers listed in one answer to a heartbeat.
-const LISTED_PEERS: usize = 3;
+pub(crate) const LISTED_ENTRIES: usize = 2;
 
 impl Members {
     /// Gossip of one round, to a few random entries.
@@ -29,29 +27,6 @@
         sent
     }
 
-    /// Answer to an agent's heartbeat.
-    pub fn ack(
-        &self,
-        to: &AgentReport,
-        next_offset: u64,
-        read_at: Timestamp,
-        rng: &mut impl Rng,
-    ) -> Datagram {
-        let near = self.entries.values().filter(|it| it.zone == to.availability_zone);
-        let near = near.filter(|it| it.heard_at.is_some()).map(|it| it.node);
-        let own = (self.zone == to.availability_zone).then_some(self.node);
-        let of_group = self.agents.values().filter(|it| it.serves(&to.group));
-        let peers = of_group.filter(|it| it.is_available() && it.report.node != to.node);
-        Datagram::HeartbeatAck {
-            from: self.node,
-            next_offset,
-            read_at,
-            entries: self.listed(rng),
-            near: near.chain(own).sample(rng, LISTED_ENTRIES),
-            peers: peers.map(|it| it.report.clone()).sample(rng, LISTED_PEERS),
-        }
-    }
-
     fn gossip_to(
         &mut self,
         peer: NodeId,
@@ -69,22 +44,16 @@
                 told += 1;
                 continue;
             };
-            let bytes = match member.liveness {
-                Liveness::Alive => encode(&member.report).len(),
-                Liveness::Suspected | Liveness::Gone => encode(&member.silence()).len(),
-            };
+            let bytes = member.news_bytes();
             if bytes > left {
                 break;
             }
             left -= bytes;
             told += 1;
-            match member.liveness {
-                Liveness::Alive => agents.push(member.report.clone()),
-                Liveness::Suspected | Liveness::Gone => silent.push(member.silence()),
-            }
+            member.tell(&mut agents, &mut silent);
         }
         self.rumours.on_sent(told);
-        self.fill(&mut agents, left);
+        self.fill(&mut agents, &mut silent, left);
         Datagram::Gossip {
             from: self.node,
             incarnation,
@@ -96,24 +65,26 @@
         }
     }
 
-    /// Adds plain reports in turn until `left` bytes are used up.
-    fn fill(&mut self, agents: &mut Vec<AgentReport>, mut left: usize) {
+    /// Adds news on agents that send their heartbeats here, in turn, until `left`
+    /// bytes are used up.
+    fn fill(&mut self, agents: &mut Vec<AgentReport>, silent: &mut Vec<Silence>, mut left: usize) {
         for _ in 0..self.agents.len() {
             let next = self.cursor.and_then(|node| self.after(node)).or_else(|| self.first());
             let Some(node) = next else {
                 return;
             };
             let member = &self.agents[&node];
-            let bytes = encode(&member.report).len();
-            if bytes > left {
-                return;
-            }
-            self.cursor = Some(node);
-            let is_listed = agents.iter().any(|it| it.node == node);
-            if member.liveness == Liveness::Alive && !is_listed {
+            let is_listed =
+                agents.iter().any(|it| it.node == node) || silent.iter().any(|it| it.node == node);
+            if member.is_direct() && !is_listed {
+                let bytes = member.news_bytes();
+                if bytes > left {
+                    return;
+                }
                 left -= bytes;
-                agents.push(member.report.clone());
+                member.tell(agents, silent);
             }
+            self.cursor = Some(node);
         }
     }
 
@@ -127,7 +98,7 @@
     }
 
     /// A few entries that were heard from.
-    fn listed(&self, rng: &mut impl Rng) -> Vec<NodeId> {
+    pub(crate) fn listed(&self, rng: &mut impl Rng) -> Vec<NodeId> {
         let heard = self.entries.values().filter(|it| it.heard_at.is_some());
         heard.map(|it| it.node).sample(rng, LISTED_ENTRIES)
     }
--- a/components/members/src/lib.rs
+++ b/components/members/src/lib.rs
@@ -6,6 +6,7 @@
 //! bytes of one datagram allow, plain reports. The newest report of an agent
 //! is the one of the latest incarnation with the greatest sequence number.
 
+mod ack;
 mod agent;
 mod entry;
 mod gossip;
@@ -13,7 +14,7 @@
 mod rumour;
 
 pub use crate::{
-    agent::{Change, Liveness, Member, Source},
+    agent::{Change, Liveness, Member},
     entry::Peer,
     members::{Event, Members},
 };
--- a/components/members/src/members.rs
+++ b/components/members/src/members.rs
@@ -8,14 +8,15 @@
 use ident::{Group, Incarnation, NodeId, Timestamp};
 use wire::{AgentReport, Silence};
 
-use crate::{Change, HEARTBEAT_ENTRIES, Liveness, Member, Peer, agent::Source, rumour::Rumours};
+use crate::{
+    Change, HEARTBEAT_ENTRIES, Liveness, Member, Peer,
+    ack::Allowance,
+    agent::Source,
+    rumour::{Rumours, URGENT_SENDS, USUAL_SENDS},
+};
 
-/// Silence after which an agent that sends its heartbeats here is suspected.
-const SUSPECT_AFTER: Duration = Duration::from_millis(3500);
-/// Time between suspicion and the belief that the agent is gone.
-const GONE_AFTER: Duration = Duration::from_millis(2500);
-/// Additional silence per known agent for reports that are passed on.
-const RELAY_TIME_PER_AGENT: Duration = Duration::from_millis(100);
+/// Time between two reports about an agent that are passed on, per known agent.
+const RELAY_TIME_PER_AGENT: Duration = Duration::from_millis(200);
 /// Time for which agents that are gone are remembered.
 const TOMBSTONE_TIME: Duration = Duration::from_secs(600);
 /// Silence after which an entry is forgotten.
@@ -34,6 +35,9 @@
     pub(crate) entries: HashMap<NodeId, Peer>,
     pub(crate) rumours: Rumours,
     pub(crate) cursor: Option<NodeId>,
+    pub(crate) allowance: Allowance,
+    /// Latest time that was passed in.
+    pub(crate) now: Timestamp,
     turn: usize,
 }
 
@@ -58,6 +62,8 @@
             entries: HashMap::new(),
             rumours: Rumours::default(),
             cursor: None,
+            allowance: Allowance::default(),
+            now: Timestamp::ZERO,
             turn: 0,
         };
         members.on_entries(seeds, Timestamp::ZERO);
@@ -81,14 +87,14 @@
     pub fn on_silence(&mut self, silence: &Silence, now: Timestamp) -> Option<Event> {
         let member = self.agents.get_mut(&silence.node)?;
         if !member.agrees(silence) {
-            self.rumours.raise(silence.node);
+            self.rumours.raise(silence.node, URGENT_SENDS);
             return None;
         }
         if member.liveness != Liveness::Alive {
             return None;
         }
-        member.set_liveness(Liveness::Suspected, now);
-        self.rumours.raise(silence.node);
+        member.suspect_on_note(now);
+        self.rumours.raise(silence.node, URGENT_SENDS);
         Some(Event::Suspected(silence.node))
     }
 
@@ -136,23 +142,19 @@
 
     /// Draws conclusions from silence.
     pub fn tick(&mut self, now: Timestamp) -> Vec<Event> {
+        self.now = self.now.max(now);
         let mut events = Vec::new();
         let relay_time = RELAY_TIME_PER_AGENT * self.agents.len() as u32;
         for (node, member) in &mut self.agents {
-            let silent = now.since(member.heard_at);
-            let limit = match member.source {
-                Source::Direct => SUSPECT_AFTER,
-                Source::Relayed => SUSPECT_AFTER + relay_time,
-            };
             match member.liveness {
-                Liveness::Alive if silent > limit => {
-                    member.set_liveness(Liveness::Suspected, now);
-                    if member.source == Source::Direct {
-                        self.rumours.raise(*node);
+                Liveness::Alive if member.is_overdue(relay_time, now) => {
+                    member.suspect(relay_time, now);
+                    if member.is_direct() {
+                        self.rumours.raise(*node, URGENT_SENDS);
                     }
                     events.push(Event::Suspected(*node));
                 }
-                Liveness::Suspected if now.since(member.changed_at) > GONE_AFTER => {
+                Liveness::Suspected if member.is_past_hope(now) => {
                     member.set_liveness(Liveness::Gone, now);
                     events.push(Event::Gone(*node));
                 }
@@ -209,7 +211,7 @@
         if eligible.is_empty() {
             eligible = self.entries.values().collect();
         }
-        eligible.sort_by_key(|it| it.rank(self.node));
+        eligible.sort_by_key(|it| it.rank);
         let nearest = eligible.iter().position(|it| it.zone == self.zone).unwrap_or(0);
         if nearest < eligible.len() {
             eligible[..=nearest].rotate_right(1);
@@ -229,6 +231,7 @@
     }
 
     fn update(&mut self, report: &AgentReport, source: Source, now: Timestamp) -> Change {
+        self.now = self.now.max(now);
         if report.node == self.node {
             return Change::Stale;
         }
@@ -240,9 +243,9 @@
             }
         };
         match change {
-            Change::Joined | Change::Restarted | Change::Leaving | Change::Recovered => {
-                self.rumours.raise(report.node);
-            }
+            Change::Leaving | Change::Recovered => self.rumours.raise(report.node, URGENT_SENDS),
+            Change::Joined if report.leaving => self.rumours.raise(report.node, URGENT_SENDS),
+            Change::Joined | Change::Restarted => self.rumours.raise(report.node, USUAL_SENDS),
             Change::Updated | Change::Stale => {}
         }
         change
@@ -252,7 +255,8 @@
         if node == self.node {
             return None;
         }
-        Some(self.entries.entry(node).or_insert_with(|| Peer::new(node, now)))
+        let of = self.node;
+        Some(self.entries.entry(node).or_insert_with(|| Peer::new(node, of, now)))
     }
 
     fn forget_entries(&mut self, now: Timestamp, events: &mut Vec<Event>) {
--- a/components/members/src/rumour.rs
+++ b/components/members/src/rumour.rs
@@ -1,16 +1,18 @@
 //! News that every entry should hear soon.
 
-use std::collections::VecDeque;
+use std::cmp::Reverse;
 
 use ident::NodeId;
 
-/// Peers that each piece of news is sent to.
-const SENDS: u32 = 6;
+/// Peers that news is sent to which takes work away from an agent or gives it back.
+pub(crate) const URGENT_SENDS: u32 = 6;
+/// Peers that other news is sent to; plain reports reach the rest.
+pub(crate) const USUAL_SENDS: u32 = 2;
 
-/// Agents whose state changed, with the sends that are left; newest first.
+/// Agents whose state changed, those with the most sends left first.
 #[derive(Debug, Default)]
 pub(crate) struct Rumours {
-    queue: VecDeque<Rumour>,
+    queue: Vec<Rumour>,
 }
 
 #[derive(Debug)]
@@ -21,9 +23,10 @@
 
 impl Rumours {
     /// Tells of a change, in place of earlier news on the same agent.
-    pub(crate) fn raise(&mut self, node: NodeId) {
+    pub(crate) fn raise(&mut self, node: NodeId, sends: u32) {
         self.queue.retain(|it| it.node != node);
-        self.queue.push_front(Rumour { node, left: SENDS });
+        let index = self.queue.partition_point(|it| it.left > sends);
+        self.queue.insert(index, Rumour { node, left: sends });
     }
 
     /// Agents to tell of, the most urgent first.
@@ -37,5 +40,6 @@
             rumour.left -= 1;
         }
         self.queue.retain(|it| it.left > 0);
+        self.queue.sort_by_key(|it| Reverse(it.left));
     }
 }
--- /dev/null
+++ b/components/members/tests/members/spread.rs
@@ -0,0 +1,81 @@
+//! Spread of news and its cost.
+
+use members::{Liveness, Members};
+
+use crate::{
+    cluster::{Cluster, alive},
+    fixture::agent,
+};
+
+/// Bytes that a node may send and receive in a second.
+const MAX_BYTES_PER_S: f64 = 20_000.0;
+
+/// Whether the view gives the agent no new work.
+fn has_left(members: &Members, index: usize) -> bool {
+    members.get(agent(index)).is_none_or(|it| it.report.leaving)
+}
+
+fn is(members: &Members, index: usize, liveness: Liveness) -> bool {
+    members.get(agent(index)).is_some_and(|it| it.liveness == liveness)
+}
+
+#[test]
+fn a_small_cluster_knows_itself_within_seconds() {
+    let mut cluster = Cluster::new(10, 3, 3);
+
+    let joined = cluster.rounds_until(|it| alive(it) == 10);
+    cluster.run(10);
+
+    assert!(joined <= 4, "{joined}");
+    assert!((0..10).all(|index| alive(cluster.agent(index)) == 4));
+}
+
+#[test]
+fn nothing_is_suspected_while_all_is_well() {
+    let mut cluster = Cluster::new(10, 3, 3);
+    cluster.run(10);
+
+    for _ in 0..200 {
+        cluster.run(1);
+
+        assert!(cluster.entries.values().all(|it| alive(it) == 10));
+        assert!((0..10).all(|index| alive(cluster.agent(index)) == 4));
+    }
+    assert!(cluster.peak_bytes_per_s(210) < MAX_BYTES_PER_S);
+}
+
+#[test]
+fn leaving_and_death_spread_within_seconds() {
+    let mut cluster = Cluster::new(10, 3, 3);
+    cluster.run(10);
+
+    cluster.leaving.insert(agent(4));
+    let left = cluster.rounds_until(|it| has_left(it, 4));
+    cluster.dead.insert(agent(6));
+    let suspected = cluster.rounds_until(|it| is(it, 6, Liveness::Suspected));
+    let gone = cluster.rounds_until(|it| is(it, 6, Liveness::Gone));
+
+    assert!(left <= 4, "{left}");
+    assert!(suspected <= 10, "{suspected}");
+    assert!(gone <= 8, "{gone}");
+}
+
+#[test]
+fn a_large_cluster_keeps_to_the_bound_on_traffic() {
+    let mut cluster = Cluster::new(1200, 33, 11);
+    cluster.run(8);
+    let starting = cluster.peak_bytes_per_s(8);
+
+    cluster.leaving.insert(agent(4));
+    let left = cluster.rounds_until(|it| has_left(it, 4));
+    cluster.run(32 - left);
+    let steady = cluster.peak_bytes_per_s(32);
+    let stays_away = cluster.entries.values().all(|it| has_left(it, 4));
+
+    println!(
+        "1200 agents, 33 entries: {starting:.0} and {steady:.0} B/s, left after {left} rounds"
+    );
+    assert!(starting < MAX_BYTES_PER_S, "{starting}");
+    assert!(steady < MAX_BYTES_PER_S, "{steady}");
+    assert!(left <= 8 && stays_away, "{left}");
+}
--- /dev/null
+++ b/components/members/tests/members/view.rs
@@ -0,0 +1,180 @@
+//! What one node concludes from reports and silence.
+
+use ident::{Group, Incarnation, NodeId};
+use members::{Change, Event, Liveness, Members};
+use wire::{AgentReport, Silence};
+
+use crate::fixture::{agent, at, entry, group, report};
+
+const ZONE: &str = "pier-yard";
+
+fn members() -> Members {
+    Members::new(entry(0), ZONE, &[entry(1), entry(2)])
+}
+
+fn of_incarnation(incarnation: u64, sequence: u64) -> AgentReport {
+    AgentReport { incarnation: Incarnation(at(incarnation)), ..report(0, ZONE, sequence) }
+}
+
+fn leaving(report: AgentReport) -> AgentReport {
+    AgentReport { leaving: true, ..report }
+}
+
+fn silence_of(report: &AgentReport) -> Silence {
+    let AgentReport { node, incarnation, sequence, .. } = *report;
+    Silence { node, incarnation, sequence }
+}
+
+/// A view that hears agent 0 directly until 10 s.
+fn settled() -> Members {
+    let mut members = members();
+    for sequence in 1..=20 {
+        members.on_heartbeat(&of_incarnation(0, sequence), at(500 * sequence));
+    }
+    members
+}
+
+/// Ticks every 100 ms and collects the events.
+fn pass(members: &mut Members, from: u64, to: u64) -> Vec<Event> {
+    (from..to).step_by(100).flat_map(|millis| members.tick(at(millis))).collect()
+}
+
+#[test]
+fn the_newest_report_counts() {
+    let mut members = members();
+
+    let changes = [
+        members.on_report(&of_incarnation(5, 1), at(0)),
+        members.on_report(&of_incarnation(5, 3), at(0)),
+        members.on_report(&of_incarnation(5, 2), at(0)),
+        members.on_report(&of_incarnation(4, 99), at(0)),
+        members.on_report(&of_incarnation(6, 0), at(0)),
+    ];
+
+    use Change::{Joined, Restarted, Stale, Updated};
+    assert_eq!(changes, [Joined, Updated, Stale, Stale, Restarted]);
+}
+
+#[test]
+fn leaving_is_final_for_the_incarnation() {
+    let mut members = members();
+    members.on_report(&of_incarnation(5, 1), at(0));
+
+    let left = members.on_report(&leaving(of_incarnation(5, 2)), at(1));
+    members.on_report(&of_incarnation(5, 3), at(2));
+    let while_leaving = members.alive(&group(0));
+    let restarted = members.on_report(&of_incarnation(6, 1), at(3));
+
+    assert_eq!((left, restarted), (Change::Leaving, Change::Restarted));
+    assert_eq!(while_leaving, []);
+    assert_eq!(members.alive(&group(0)), [agent(0)]);
+}
+
+#[test]
+fn a_silent_agent_is_suspected_then_gone_and_comes_back_only_with_news() {
+    let mut members = settled();
+
+    let events = pass(&mut members, 10_000, 20_000);
+    let stale = members.on_report(&of_incarnation(0, 20), at(20_000));
+    let old = members.on_report(&of_incarnation(0, 19), at(20_000));
+    let while_gone = members.alive(&group(0));
+    let news = members.on_report(&of_incarnation(0, 21), at(20_000));
+
+    assert_eq!(events, [Event::Suspected(agent(0)), Event::Gone(agent(0))]);
+    assert_eq!((stale, old, news), (Change::Stale, Change::Stale, Change::Recovered));
+    assert_eq!(while_gone, []);
+    assert_eq!(members.alive(&group(0)), [agent(0)]);
+}
+
+#[test]
+fn an_agent_known_by_relay_only_is_given_more_time() {
+    let mut members = members();
+    for sequence in 1..=10 {
+        members.on_report(&of_incarnation(0, sequence), at(2000 * sequence));
+    }
+
+    let early = pass(&mut members, 20_000, 35_000);
+    let late = pass(&mut members, 35_000, 60_000);
+
+    assert_eq!(early, []);
+    assert_eq!(late.first(), Some(&Event::Suspected(agent(0))));
+}
+
+#[test]
+fn a_note_of_silence_counts_unless_newer_news_is_known() {
+    let mut members = members();
+    members.on_report(&of_incarnation(0, 7), at(0));
+
+    let outdated = members.on_silence(&silence_of(&of_incarnation(0, 6)), at(1));
+    let current = members.on_silence(&silence_of(&of_incarnation(0, 7)), at(2));
+
+    assert_eq!(outdated, None);
+    assert_eq!(current, Some(Event::Suspected(agent(0))));
+    assert_eq!(members.get(agent(0)).map(|it| it.liveness), Some(Liveness::Suspected));
+    assert_eq!(pass(&mut members, 2, 5000), [Event::Gone(agent(0))]);
+}
+
+#[test]
+fn heartbeats_go_to_few_entries_with_one_of_the_own_zone() {
+    let entries: Vec<NodeId> = (1..10).map(entry).collect();
+    let near = entry(7);
+    let mut all = Vec::new();
+
+    for index in 0..20 {
+        let mut members = Members::new(agent(index), ZONE, &entries);
+        members.on_near(&[near], at(0));
+        let chosen = members.heartbeat_entries();
+
+        assert_eq!(chosen.len(), 3);
+        assert_eq!(chosen[0], near);
+        all.extend(chosen);
+    }
+    all.sort_unstable();
+    all.dedup();
+    assert_eq!(all.len(), entries.len());
+}
+
+#[test]
+fn heartbeats_turn_away_from_entries_that_do_not_answer() {
+    let entries: Vec<NodeId> = (1..6).map(entry).collect();
+    let mut members = Members::new(agent(0), ZONE, &entries);
+    let first = members.heartbeat_entries();
+
+    for _ in 0..12 {
+        let target = members.next_heartbeat().expect("there are entries");
+        if target != first[0] {
+            members.on_ack(target, 0, at(0));
+        }
+    }
+    let second = members.heartbeat_entries();
+    members.on_ack(first[0], 0, at(0));
+
+    assert!(!second.contains(&first[0]));
+    assert_eq!(second.len(), 3);
+    assert_eq!(members.heartbeat_entries(), first);
+}
+
+#[test]
+fn forgets_entries_that_are_silent_but_not_the_seeds() {
+    let mut members = members();
+    members.on_entry(entry(1), Incarnation(at(0)), ZONE, 10, at(0));
+    members.on_entry(entry(3), Incarnation(at(0)), ZONE, 12, at(0));
+    let ahead = members.ahead(10);
+
+    let events = pass(&mut members, 0, 60_000);
+
+    assert_eq!(ahead, Some(entry(3)));
+    assert_eq!(members.entries(), []);
+    assert!(events.contains(&Event::EntryGone(entry(1))));
+    let known: Vec<NodeId> = members.peers().map(|it| it.node).collect();
+    assert!(known.contains(&entry(1)) && !known.contains(&entry(3)));
+}
+
+#[test]
+fn counts_only_the_agents_of_the_group() {
+    let mut members = members();
+    members.on_report(&report(0, ZONE, 1), at(0));
+    members.on_report(&report(1, ZONE, 1), at(0));
+
+    assert_eq!(members.alive(&Group::Workers), [agent(1)]);
+}
