Check verdicts against the executors' counts under faults

Agents are replaced one after the other, one ends at once, and connections to an executor go silent, each under eight callers of non-idempotent requests.

--- a/daemon/tests/common/mod.rs
+++ b/daemon/tests/common/mod.rs
@@ -32,7 +32,7 @@
         service: "yardbook",
         kind: "wrap-ticket",
         team: "yard",
-        deadline: Some(Duration::from_secs(20)),
+        deadline: Some(Duration::from_secs(5)),
         declared: Some(run_time),
         run_time,
     }
--- /dev/null
+++ b/daemon/tests/faults.rs
@@ -0,0 +1,148 @@
+//! Faults under load: what callers are told agrees with what ran.
+
+mod common;
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use common::{caller, new_id, start, wrap_ticket};
+use ident::RequestId;
+use load::{Caller, Cluster, Endpoint};
+use tokio::{task::JoinHandle, time::sleep};
+use verdict::Verdict;
+
+const RUN_TIME: Duration = Duration::from_millis(30);
+const CALLERS: u8 = 8;
+
+/// What a caller was told about an id.
+struct Told {
+    id: RequestId,
+    verdict: Option<Verdict>,
+    body: String,
+}
+
+/// Callers that submit one request after the other.
+struct Load {
+    stop: Arc<AtomicBool>,
+    callers: Vec<JoinHandle<Vec<Told>>>,
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn replacing_every_agent_refuses_and_doubles_nothing() {
+    let mut cluster = start(41).await;
+    let load = Load::start(&cluster);
+
+    for name in ["yard-1", "yard-2"] {
+        sleep(Duration::from_secs(2)).await;
+        let host = cluster.host(name).unwrap();
+        assert!(host.stop().await);
+        host.restart().await.unwrap();
+    }
+    sleep(Duration::from_secs(2)).await;
+    let told = load.finish().await;
+
+    assert_told_what_ran(&cluster, &told);
+    for Told { verdict, body, .. } in &told {
+        assert_eq!(*verdict, Some(Verdict::Done), "{body}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn an_agent_that_ends_at_once_doubles_nothing_and_its_shards_move() {
+    let mut cluster = start(42).await;
+    let load = Load::start(&cluster);
+
+    sleep(Duration::from_secs(1)).await;
+    cluster.host("yard-1").unwrap().kill();
+    sleep(Duration::from_secs(1)).await;
+    let mut told = load.finish().await;
+    let mut recovered = false;
+    while !recovered {
+        let load = Load::start(&cluster);
+        sleep(Duration::from_secs(1)).await;
+        let later = load.finish().await;
+        recovered = later.iter().all(|it| it.verdict == Some(Verdict::Done));
+        told.extend(later);
+    }
+
+    assert_told_what_ran(&cluster, &told);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn silent_connections_to_an_executor_double_nothing() {
+    let mut cluster = start(43).await;
+    let load = Load::start(&cluster);
+
+    for _ in 0..3 {
+        sleep(Duration::from_secs(1)).await;
+        match &cluster.host("yard-2").unwrap().endpoint {
+            Endpoint::Executor(executor) => executor.silence_connections(),
+            Endpoint::Worker(_) => panic!("yard-2 is an executor"),
+        }
+    }
+    sleep(Duration::from_secs(1)).await;
+    let told = load.finish().await;
+
+    assert_told_what_ran(&cluster, &told);
+    assert!(told.iter().any(|it| it.verdict == Some(Verdict::Done)));
+}
+
+impl Load {
+    /// Starts the callers, half of them at each entry.
+    fn start(cluster: &Cluster) -> Load {
+        let stop = Arc::new(AtomicBool::new(false));
+        let callers = (0..CALLERS).map(|number| {
+            let caller = caller(cluster, usize::from(number % 2));
+            tokio::spawn(submit_until(caller, number, Arc::clone(&stop)))
+        });
+        Load { callers: callers.collect(), stop }
+    }
+
+    /// Stops the callers and collects what they were told.
+    async fn finish(self) -> Vec<Told> {
+        self.stop.store(true, Ordering::Relaxed);
+        let mut told = Vec::new();
+        for caller in self.callers {
+            told.extend(caller.await.unwrap());
+        }
+        told
+    }
+}
+
+async fn submit_until(caller: Caller, number: u8, stop: Arc<AtomicBool>) -> Vec<Told> {
+    let mut told = Vec::new();
+    while !stop.load(Ordering::Relaxed) {
+        let id = new_id(number);
+        let answer = caller.submit(&wrap_ticket(id, RUN_TIME)).await.unwrap();
+        let body = String::from_utf8_lossy(&answer.body).into_owned();
+        told.push(Told { id, verdict: answer.verdict, body });
+    }
+    told
+}
+
+/// Checks every verdict against the executors' own counts.
+fn assert_told_what_ran(cluster: &Cluster, told: &[Told]) {
+    assert_eq!(cluster.double_starts(), 0);
+    assert!(!told.is_empty());
+    for Told { id, verdict, body } in told {
+        let runs: u32 = cluster.hosts.iter().map(|host| runs(&host.endpoint, *id)).sum();
+        match verdict {
+            Some(Verdict::Done) => assert_eq!(runs, 1, "{id} is done: {body}"),
+            Some(Verdict::NotRun) => assert_eq!(runs, 0, "{id} has not run: {body}"),
+            Some(Verdict::MayHaveRun) => assert!(runs <= 1, "{id} may have run: {body}"),
+            None => panic!("{id} has no verdict: {body}"),
+        }
+    }
+}
+
+fn runs(endpoint: &Endpoint, id: RequestId) -> u32 {
+    match endpoint {
+        Endpoint::Executor(executor) => executor.runs(id),
+        Endpoint::Worker(_) => 0,
+    }
+}
