--- a/components/link/src/udp.rs
+++ b/components/link/src/udp.rs
@@ -7,7 +7,7 @@
 };
 
 use ident::NodeId;
-use tokio::net::UdpSocket;
+use tokio::{net::UdpSocket, sync::Mutex};
 use wire::{Datagram, decode, encode};
 
 /// Largest encoded datagram that is sent or received.
@@ -16,6 +16,7 @@
 /// A socket for datagrams.
 pub struct Socket {
     socket: UdpSocket,
+    buffer: Mutex<Box<[u8]>>,
     malformed: AtomicU64,
 }
 
@@ -27,7 +28,8 @@
 
     /// Uses a socket that is open already.
     pub fn new(socket: UdpSocket) -> Socket {
-        Socket { socket, malformed: AtomicU64::new(0) }
+        let buffer = vec![0; MAX_DATAGRAM_BYTES].into_boxed_slice();
+        Socket { socket, buffer: Mutex::new(buffer), malformed: AtomicU64::new(0) }
     }
 
     /// Address that the socket is bound to.
@@ -49,7 +51,7 @@
 
     /// Waits for the next valid datagram; others are counted and dropped.
     pub async fn receive(&self) -> io::Result<Datagram> {
-        let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+        let mut buffer = self.buffer.lock().await;
         loop {
             let (len, _) = self.socket.recv_from(&mut buffer).await?;
             match decode("datagram", &buffer[..len]) {
