Keep coordinators from rushing to the same workers

Margins of 12 to 50 % of each worker did not help; reports that fade to the average did.

Now a job takes a quarter of a worker's room at a time, reports fade within 200 ms to the average of all workers, two workers are compared instead of 16, and a refusal teaches that the worker has less room than the task needs.

A task that was refused four times waits between trials; its job fails after 32. Results place waiting tasks only on the worker that freed room, and ticks try four waiting jobs each 5 ms, where each result tried eight on all workers.

--- a/components/jobs/src/job.rs
+++ b/components/jobs/src/job.rs
@@ -4,7 +4,7 @@
 
 use ident::{NodeId, Timestamp};
 use verdict::Answer;
-use wire::{JobSpec, JobStatus, StartTask};
+use wire::{JobSpec, JobStatus, StartTask, TaskSpec};
 
 use crate::waiting::Entry;
 
@@ -13,6 +13,13 @@
 /// Time between renewals; most tasks end before the first.
 const RENEW_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Starts of a task that may be tried without a pause between.
+const FAST_TRIALS: u32 = 4;
+/// Pause before the next trial; it doubles with each one.
+const FIRST_BACKOFF: Duration = Duration::from_millis(10);
+/// Longest pause between two trials.
+const LONGEST_BACKOFF: Duration = Duration::from_millis(320);
+
 /// One job and the states of its tasks.
 #[derive(Debug)]
 pub(crate) struct Job {
@@ -41,8 +48,8 @@
 
 #[derive(Debug)]
 enum TaskState {
-    /// Not started, or certainly refused.
-    Waiting,
+    /// Not started, or certainly refused; not tried before the given time.
+    Waiting(Timestamp),
     /// A start was sent; it may run.
     Started(Started),
     /// It ran and succeeded.
@@ -59,7 +66,7 @@
 impl Job {
     /// Creates a job with all tasks waiting.
     pub(crate) fn new(spec: JobSpec, rank: u8, now: Timestamp) -> Job {
-        let tasks = spec.tasks.iter().map(|_| Task { state: TaskState::Waiting, refusals: 0 });
+        let tasks = spec.tasks.iter().map(|_| Task { state: TaskState::Waiting(now), refusals: 0 });
         Job {
             submitted: now,
             deadline: now + spec.budget,
@@ -112,15 +119,24 @@
         now.since(self.submitted) >= self.spec.budget / 2
     }
 
-    /// Positions of the tasks that wait for a worker.
-    pub(crate) fn waiting(&self) -> impl Iterator<Item = u32> {
-        let states = self.tasks.iter().enumerate();
-        states.filter(|(_, task)| matches!(task.state, TaskState::Waiting)).map(|(i, _)| i as u32)
+    /// Positions of the tasks that wait for a worker and may be tried now.
+    pub(crate) fn waiting(&self, now: Timestamp) -> impl Iterator<Item = u32> {
+        let states = self.tasks.iter().zip(0..);
+        let due = states.filter(move |(task, _)| match task.state {
+            TaskState::Waiting(until) => until <= now,
+            TaskState::Started(_) | TaskState::Done(_) => false,
+        });
+        due.map(|(_, index)| index)
+    }
+
+    /// Declarations of the given tasks.
+    pub(crate) fn specs(&self, tasks: &[u32]) -> Vec<&TaskSpec> {
+        tasks.iter().map(|index| &self.spec.tasks[*index as usize]).collect()
     }
 
     /// Whether no task may have run.
     pub(crate) fn never_started(&self) -> bool {
-        self.tasks.iter().all(|task| matches!(task.state, TaskState::Waiting))
+        self.tasks.iter().all(|task| matches!(task.state, TaskState::Waiting(_)))
     }
 
     /// Marks a waiting task as started and tells what to send.
@@ -143,7 +159,7 @@
     pub(crate) fn started(&self, index: u32) -> Option<Started> {
         match self.tasks.get(index as usize)?.state {
             TaskState::Started(started) => Some(started),
-            TaskState::Waiting | TaskState::Done(_) => None,
+            TaskState::Waiting(_) | TaskState::Done(_) => None,
         }
     }
 
@@ -155,12 +171,12 @@
     }
 
     /// Records that a started task was refused; returns how often it was so far.
-    pub(crate) fn refuse(&mut self, index: u32) -> u32 {
+    pub(crate) fn refuse(&mut self, index: u32, now: Timestamp) -> u32 {
         self.end_lease(index);
         let task = &mut self.tasks[index as usize];
-        task.state = TaskState::Waiting;
-        self.waiting += 1;
         task.refusals += 1;
+        task.state = TaskState::Waiting(now + backoff(task.refusals));
+        self.waiting += 1;
         task.refusals
     }
 
@@ -171,7 +187,7 @@
         }
         let answers = self.tasks.iter().map(|task| match &task.state {
             TaskState::Done(answer) => Some(answer),
-            TaskState::Waiting | TaskState::Started(_) => None,
+            TaskState::Waiting(_) | TaskState::Started(_) => None,
         });
         answers.collect()
     }
@@ -213,3 +229,11 @@
         }
     }
 }
+
+/// Time that a task waits after so many refusals.
+fn backoff(refusals: u32) -> Duration {
+    match refusals.checked_sub(FAST_TRIALS) {
+        None => Duration::ZERO,
+        Some(slow) => (FIRST_BACKOFF * (1 << slow.min(16))).min(LONGEST_BACKOFF),
+    }
+}
--- a/components/jobs/src/jobs.rs
+++ b/components/jobs/src/jobs.rs
@@ -3,10 +3,10 @@
 use std::{collections::HashMap, time::Duration};
 
 use config::Inventory;
-use ident::{RequestId, Timestamp};
-use placement::Placer;
+use ident::{NodeId, RequestId, Timestamp};
+use placement::{Placement, Placer};
 use verdict::{Answer, Outcome};
-use wire::{JobSpec, JobStatus, TaskSpec};
+use wire::{JobSpec, JobStatus};
 
 use crate::{
     Action, TaskResult,
@@ -18,10 +18,14 @@
     wakes::Wakes,
 };
 
-/// Workers that may refuse a task before its job fails.
-const MAX_REFUSALS: u32 = 8;
-/// Waiting jobs that are tried whenever room may have been freed.
-const PLACED_JOBS: usize = 8;
+/// Refusals of a task after which its job fails.
+const MAX_REFUSALS: u32 = 32;
+/// Waiting jobs that are tried on all workers at a time.
+const PLACED_JOBS: usize = 4;
+/// Time between two such trials.
+const PLACE_INTERVAL: Duration = Duration::from_millis(5);
+/// Waiting jobs that are tried on a worker that has freed room.
+const FREED_JOBS: usize = 2;
 /// Jobs that may wait for workers.
 const MAX_WAITING_JOBS: usize = 1_000;
 /// Rank of an urgency that the inventory does not declare.
@@ -35,6 +39,7 @@
     jobs: HashMap<RequestId, Job>,
     waiting: Waiting,
     wakes: Wakes,
+    next_trial: Timestamp,
 }
 
 impl Jobs {
@@ -46,6 +51,7 @@
             jobs: HashMap::new(),
             waiting: Waiting::default(),
             wakes: Wakes::default(),
+            next_trial: Timestamp::ZERO,
         }
     }
 
@@ -74,7 +80,7 @@
             return self.fail(id, &cause);
         }
         self.update(id);
-        let mut actions = self.place_waiting(now);
+        let mut actions = self.place(id, now);
         if let Some(wait) = self.hopeless_wait(id, now) {
             actions.extend(self.fail(id, &Cause::Overloaded { wait }));
         }
@@ -120,7 +126,10 @@
         while let Some(id) = self.wakes.next_due(now) {
             actions.extend(self.wake(id, now));
         }
-        actions.extend(self.place_waiting(now));
+        if now >= self.next_trial {
+            self.next_trial = now + PLACE_INTERVAL;
+            actions.extend(self.place_waiting(now));
+        }
         actions
     }
 
@@ -194,7 +203,9 @@
             None => Vec::new(),
         };
         self.update(id);
-        actions.extend(self.place_waiting(now));
+        for waiting in self.waiting.first(FREED_JOBS) {
+            actions.extend(self.place_at(started.node, waiting, now));
+        }
         actions
     }
 
@@ -206,12 +217,12 @@
         now: Timestamp,
     ) -> Vec<Action> {
         let Some(job) = self.jobs.get_mut(&id) else { return Vec::new() };
-        self.placer.on_refused(started.node, now);
-        if job.refuse(index) >= MAX_REFUSALS {
+        self.placer.on_refused(started.node, &job.spec.tasks[index as usize], now);
+        if job.refuse(index, now) >= MAX_REFUSALS {
             return self.fail(id, &Cause::NoRoom { index });
         }
         self.update(id);
-        self.place_waiting(now)
+        self.place(id, now)
     }
 
     /// Ends the job if its deadline has passed, else renews its leases.
@@ -227,27 +238,49 @@
 
     /// Starts tasks of the first waiting jobs.
     fn place_waiting(&mut self, now: Timestamp) -> Vec<Action> {
-        let mut actions = Vec::new();
-        for id in self.waiting.first(PLACED_JOBS) {
-            actions.extend(self.place(id, now));
-            let Some(job) = self.jobs.get(&id) else { continue };
-            if job.is_waiting() && job.used_half(now) {
-                // Smaller jobs must not keep this one from its room any longer.
-                break;
-            }
-        }
-        actions
+        let first = self.waiting.first(PLACED_JOBS);
+        first.into_iter().flat_map(|id| self.place(id, now)).collect()
     }
 
     /// Starts the waiting tasks of a job for which there is room.
     fn place(&mut self, id: RequestId, now: Timestamp) -> Vec<Action> {
+        if !self.may_overtake(id, now) {
+            return Vec::new();
+        }
+        let Some(job) = self.jobs.get(&id) else { return Vec::new() };
+        let waiting: Vec<u32> = job.waiting(now).collect();
+        let placement = self.placer.place(&job.specs(&waiting), now);
+        self.start(id, waiting, placement, now)
+    }
+
+    /// Starts waiting tasks of a job on a node that has freed room.
+    fn place_at(&mut self, node: NodeId, id: RequestId, now: Timestamp) -> Vec<Action> {
+        if !self.may_overtake(id, now) {
+            return Vec::new();
+        }
+        let Some(job) = self.jobs.get(&id) else { return Vec::new() };
+        let waiting: Vec<u32> = job.waiting(now).collect();
+        let placement = self.placer.place_at(node, &job.specs(&waiting), now);
+        self.start(id, waiting, placement, now)
+    }
+
+    /// Whether no job before this one needs all the room that is freed.
+    fn may_overtake(&self, id: RequestId, now: Timestamp) -> bool {
+        let first = self.waiting.first(1).into_iter().next();
+        let first = first.filter(|first| *first != id).and_then(|first| self.jobs.get(&first));
+        !first.is_some_and(|job| job.used_half(now))
+    }
+
+    fn start(
+        &mut self,
+        id: RequestId,
+        tasks: Vec<u32>,
+        placement: Placement,
+        now: Timestamp,
+    ) -> Vec<Action> {
         let Some(job) = self.jobs.get_mut(&id) else { return Vec::new() };
-        let waiting: Vec<u32> = job.waiting().collect();
-        let tasks: Vec<&TaskSpec> =
-            waiting.iter().map(|index| &job.spec.tasks[*index as usize]).collect();
-        let placement = self.placer.place(&tasks, now);
         let mut actions = Vec::new();
-        for (index, choice) in waiting.into_iter().zip(placement.choices) {
+        for (index, choice) in tasks.into_iter().zip(placement.choices) {
             let Some(choice) = choice else { continue };
             actions.push(Action::Decide(placed(job, index, choice)));
             let start = job.start(index, choice.node, now);
--- a/components/placement/src/lib.rs
+++ b/components/placement/src/lib.rs
@@ -6,16 +6,21 @@
 //! a worker that is full refuses the start, and the task goes elsewhere.
 //!
 //! A job is whole or failed, so one lost worker loses it, and one slow worker
-//! delays it. Both chances grow with the number of workers that a job uses.
-//! The tasks of a job are therefore packed on as few workers as possible: on
-//! the one that they fit most tightly, which keeps large holes for large jobs,
-//! or else on the one with the most room. Load is spread between jobs instead:
-//! each placement compares a few workers from a random position on.
+//! delays it. Both chances grow with the number of workers that a job uses, so
+//! its tasks are packed on few. But coordinators that all fill the workers that
+//! look empty are refused, and each refusal costs a message and a round trip.
+//! Three rules keep refusals rare: a job takes a quarter of a worker's room at a
+//! time; reports fade quickly to the average of all workers; and a placement
+//! compares no more than two workers, from a random position on. The tighter of
+//! the two is taken, which keeps large holes for large tasks.
 
 mod fit;
 mod health;
+mod pack;
+mod pass;
 mod pending;
 mod placer;
+mod reports;
 mod resources;
 mod score;
 mod worker;
--- /dev/null
+++ b/components/placement/src/pack.rs
@@ -0,0 +1,114 @@
+//! Packs the tasks of one job on few workers.
+
+use ident::Timestamp;
+use rand::RngExt;
+
+use crate::{
+    Choice, Placement, Placer, Resources,
+    pass::Pass,
+    pending::{Pending, PendingTask},
+    placer::WorkerKey,
+    score::Score,
+};
+
+/// Workers with room that are compared in each availability zone.
+const CANDIDATES: usize = 2;
+
+impl Placer {
+    /// Places what fits in one pass.
+    pub(crate) fn place_on(
+        &mut self,
+        pass: Pass,
+        pending: &mut Pending,
+        placement: &mut Placement,
+        racks: &mut Vec<String>,
+        now: Timestamp,
+    ) {
+        let mut unplaced = Vec::new();
+        while let Some(largest) = pending.largest() {
+            match self.best(pass, largest, pending.total(), racks, now) {
+                Some(key) => {
+                    self.fill(key, pass, pending, placement, now);
+                    racks.push(self.workers[key].rack.clone());
+                }
+                None => {
+                    let ceiling = self.ceiling(pass, largest, now);
+                    unplaced.extend(pending.take(|size| {
+                        size == largest || (size.is_like(largest) && !size.fits(ceiling))
+                    }));
+                }
+            }
+        }
+        pending.put_back(unplaced);
+    }
+
+    /// Worker of the pass that suits best and has room for the largest task.
+    fn best(
+        &mut self,
+        pass: Pass,
+        largest: Resources,
+        total: Resources,
+        racks: &[String],
+        now: Timestamp,
+    ) -> Option<WorkerKey> {
+        let average = self.reports.average(self.nodes.len(), now);
+        let mut best: Option<(Score, WorkerKey)> = None;
+        for keys in &self.order {
+            let start = self.rng.random_range(0..keys.len().max(1));
+            let (before, after) = keys.split_at(start.min(keys.len()));
+            let scores = after.iter().chain(before).filter_map(|key| {
+                let worker = &self.workers[*key];
+                let room = pass.room(worker, average, now);
+                let fits = largest.fits(room) && worker.tier(largest, now) == pass.tier;
+                let part = worker.share(room, largest, now);
+                let same_rack = racks.contains(&worker.rack);
+                fits.then(|| (Score::new(room, part, total, same_rack), *key))
+            });
+            for (score, key) in scores.take(CANDIDATES) {
+                if best.is_none_or(|(best, _)| score > best) {
+                    best = Some((score, key));
+                }
+            }
+            if best.is_some() {
+                break;
+            }
+        }
+        best.map(|(_, key)| key)
+    }
+
+    /// Most room of each kind that workers of the pass have for such tasks.
+    fn ceiling(&self, pass: Pass, size: Resources, now: Timestamp) -> Resources {
+        let average = self.reports.average(self.nodes.len(), now);
+        let workers = self.workers.values().filter(|worker| worker.tier(size, now) == pass.tier);
+        workers.fold(Resources::default(), |most, worker| most.max(pass.room(worker, average, now)))
+    }
+
+    /// Reserves a share of the worker's room, at least for the largest task that fits.
+    pub(crate) fn fill(
+        &mut self,
+        key: WorkerKey,
+        pass: Pass,
+        pending: &mut Pending,
+        placement: &mut Placement,
+        now: Timestamp,
+    ) {
+        let average = self.reports.average(self.nodes.len(), now);
+        let worker = &mut self.workers[key];
+        let Some(node) = worker.node else { return };
+        let room = pass.room(worker, average, now);
+        let mut share: Option<Resources> = None;
+        let taken = pending.take(|size| {
+            let left = share.unwrap_or(room);
+            let fits = size.fits(left) && worker.tier(size, now) == pass.tier;
+            if fits {
+                worker.reserved = worker.reserved.plus(size);
+                share = Some(share.unwrap_or_else(|| worker.share(room, size, now)).minus(size));
+            }
+            fits
+        });
+        let left = pass.room(worker, average, now);
+        for PendingTask { index, .. } in taken {
+            placement.choices[index] = Some(Choice { node, left });
+        }
+    }
+}
--- a/components/placement/src/placer.rs
+++ b/components/placement/src/placer.rs
@@ -4,27 +4,24 @@
 
 use config::{Inventory, State};
 use ident::{NodeId, RequestId, Timestamp};
-use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use rand::{SeedableRng, rngs::SmallRng};
 use slotmap::{SlotMap, new_key_type};
 use wire::{AgentReport, TaskSpec};
 
 use crate::{
     CannotFit, Resources,
     fit::Shapes,
-    pending::{Pending, PendingTask},
-    score::Score,
+    pass::PASSES,
+    pending::Pending,
+    reports::Reports,
     worker::{Tier, Worker},
 };
 
-/// Workers with room that are compared in each availability zone.
-const CANDIDATES: usize = 16;
 /// Time for which a worker that refused a start is passed over; it doubles with
 /// each refusal in a row.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(50);
 /// Doublings of the pause.
 const MAX_PAUSE_DOUBLINGS: u32 = 6;
-/// Time for which a report of busy cores counts.
-const REPORT_TERM: Duration = Duration::from_secs(1);
 /// Multiple of the usual run time from which a task was slow.
 const SLOW_RATIO: f64 = 4.0;
 /// Weight of a new run time in the average.
@@ -35,20 +32,22 @@
 const MB_PER_GB: u32 = 1024;
 
 new_key_type! {
-    struct WorkerKey;
+    /// Names a worker.
+    pub(crate) struct WorkerKey;
 }
 
 /// Workers, what is known of their load, and reservations on them.
 #[derive(Debug)]
 pub struct Placer {
     zone: String,
-    rng: SmallRng,
-    workers: SlotMap<WorkerKey, Worker>,
+    pub(crate) rng: SmallRng,
+    pub(crate) workers: SlotMap<WorkerKey, Worker>,
     names: HashMap<String, WorkerKey>,
-    nodes: HashMap<NodeId, WorkerKey>,
+    pub(crate) nodes: HashMap<NodeId, WorkerKey>,
     /// Workers of the own availability zone, then the others.
-    order: [Vec<WorkerKey>; 2],
+    pub(crate) order: [Vec<WorkerKey>; 2],
     shapes: Shapes,
+    pub(crate) reports: Reports,
     eject_percent: u32,
     /// Usual ratio of real to declared run time.
     pace: f64,
@@ -81,6 +80,7 @@
             nodes: HashMap::new(),
             order: [Vec::new(), Vec::new()],
             shapes: Shapes::default(),
+            reports: Reports::default(),
             eject_percent: 0,
             pace: 1.0,
         }
@@ -108,7 +108,8 @@
             self.names.insert(declared.name.clone(), key);
         }
         for key in old.into_values() {
-            self.workers.remove(key);
+            let removed = self.workers.remove(key);
+            self.reports.remove(removed.map_or(0, |worker| worker.others));
         }
         self.nodes.retain(|_, key| self.workers.contains_key(*key));
     }
@@ -119,8 +120,10 @@
         let worker = &mut self.workers[*key];
         let moved_from = worker.node.replace(report.node).filter(|node| *node != report.node);
         worker.leaving = report.leaving;
-        worker.others = report.load.busy.saturating_sub(worker.reserved.cores);
-        worker.others_until = now + REPORT_TERM;
+        let others = report.load.busy.saturating_sub(worker.reserved.cores);
+        self.reports.replace(worker.others, others, now);
+        worker.others = others;
+        worker.reported_at = now;
         if let Some(node) = moved_from {
             self.nodes.remove(&node);
         }
@@ -133,6 +136,7 @@
         let worker = &mut self.workers[key];
         worker.node = None;
         worker.reserved = Resources::default();
+        self.reports.remove(worker.others);
         worker.others = 0;
     }
 
@@ -146,11 +150,24 @@
         let mut pending = Pending::new(tasks);
         let mut placement = Placement { choices: vec![None; tasks.len()] };
         let mut racks = Vec::new();
-        for tier in [Tier::Preferred, Tier::LastResort, Tier::Ejected] {
-            if pending.is_empty() || (tier == Tier::Ejected && !self.too_many_ejected(now)) {
+        for pass in PASSES {
+            if pending.is_empty() || (pass.tier == Tier::Ejected && !self.too_many_ejected(now)) {
                 break;
             }
-            self.place_on(tier, &mut pending, &mut placement, &mut racks, now);
+            self.place_on(pass, &mut pending, &mut placement, &mut racks, now);
+        }
+        placement
+    }
+
+    /// Places tasks of one job on the given node only, after room was freed there.
+    pub fn place_at(&mut self, node: NodeId, tasks: &[&TaskSpec], now: Timestamp) -> Placement {
+        let mut pending = Pending::new(tasks);
+        let mut placement = Placement { choices: vec![None; tasks.len()] };
+        let Some(key) = self.nodes.get(&node).copied() else { return placement };
+        for pass in PASSES {
+            if pass.tier != Tier::Ejected {
+                self.fill(key, pass, &mut pending, &mut placement, now);
+            }
         }
         placement
     }
@@ -162,11 +179,18 @@
         }
     }
 
-    /// Records that the worker refused a start, so that others are tried first.
-    pub fn on_refused(&mut self, node: NodeId, now: Timestamp) {
-        if let Some(worker) = self.at(node) {
-            worker.paused_until = now + REFUSAL_PAUSE * (1 << worker.refusals);
-            worker.refusals = MAX_PAUSE_DOUBLINGS.min(worker.refusals + 1);
+    /// Records that the worker refused the task: it has less room than the task needs.
+    pub fn on_refused(&mut self, node: NodeId, task: &TaskSpec, now: Timestamp) {
+        let Some(key) = self.nodes.get(&node) else { return };
+        let Some(worker) = self.workers.get_mut(*key) else { return };
+        worker.paused_until = now + REFUSAL_PAUSE * (1 << worker.refusals);
+        worker.refusals = MAX_PAUSE_DOUBLINGS.min(worker.refusals + 1);
+        let known = worker.reserved.cores + task.cores;
+        let least = (worker.capacity.cores + 1).saturating_sub(known);
+        if worker.others < least {
+            self.reports.replace(worker.others, least, now);
+            worker.others = least;
+            worker.reported_at = now;
         }
     }
 
@@ -212,94 +236,6 @@
         let ejected = open.clone().filter(|worker| worker.health.is_ejected(now)).count();
         ejected * 100 > open.count() * self.eject_percent as usize
     }
-
-    /// Places what fits on the workers of one tier.
-    fn place_on(
-        &mut self,
-        tier: Tier,
-        pending: &mut Pending,
-        placement: &mut Placement,
-        racks: &mut Vec<String>,
-        now: Timestamp,
-    ) {
-        let mut unplaced = Vec::new();
-        while let Some(largest) = pending.largest() {
-            match self.best(tier, largest, pending.total(), racks, now) {
-                Some(key) => {
-                    self.fill(key, tier, pending, placement, now);
-                    racks.push(self.workers[key].rack.clone());
-                }
-                None => {
-                    let ceiling = self.ceiling(tier, largest, now);
-                    unplaced.extend(pending.take(|size| {
-                        size == largest || (size.is_like(largest) && !size.fits(ceiling))
-                    }));
-                }
-            }
-        }
-        pending.put_back(unplaced);
-    }
-
-    /// Worker of the tier that suits best and has room for the largest task.
-    fn best(
-        &mut self,
-        tier: Tier,
-        largest: Resources,
-        total: Resources,
-        racks: &[String],
-        now: Timestamp,
-    ) -> Option<WorkerKey> {
-        let mut best: Option<(Score, WorkerKey)> = None;
-        for keys in &self.order {
-            let start = self.rng.random_range(0..keys.len().max(1));
-            let (before, after) = keys.split_at(start.min(keys.len()));
-            let scores = after.iter().chain(before).filter_map(|key| {
-                let worker = &self.workers[*key];
-                let room = worker.room(now);
-                let fits = largest.fits(room) && worker.tier(largest, now) == tier;
-                fits.then(|| (Score::new(room, total, racks.contains(&worker.rack)), *key))
-            });
-            for (score, key) in scores.take(CANDIDATES) {
-                if best.is_none_or(|(best, _)| score > best) {
-                    best = Some((score, key));
-                }
-            }
-            if let Some((Score::All { .. }, _)) = best {
-                break;
-            }
-        }
-        best.map(|(_, key)| key)
-    }
-
-    /// Most room of each kind that workers of the tier have for such tasks.
-    fn ceiling(&self, tier: Tier, size: Resources, now: Timestamp) -> Resources {
-        let workers = self.workers.values().filter(|worker| worker.tier(size, now) == tier);
-        workers.fold(Resources::default(), |most, worker| most.max(worker.room(now)))
-    }
-
-    /// Reserves room on the worker for as many tasks as fit.
-    fn fill(
-        &mut self,
-        key: WorkerKey,
-        tier: Tier,
-        pending: &mut Pending,
-        placement: &mut Placement,
-        now: Timestamp,
-    ) {
-        let worker = &mut self.workers[key];
-        let Some(node) = worker.node else { return };
-        let taken = pending.take(|size| {
-            let fits = size.fits(worker.room(now)) && worker.tier(size, now) == tier;
-            if fits {
-                worker.reserved = worker.reserved.plus(size);
-            }
-            fits
-        });
-        let left = worker.room(now);
-        for PendingTask { index, .. } in taken {
-            placement.choices[index] = Some(Choice { node, left });
-        }
-    }
 }
 
 fn capacity(worker: &config::Worker) -> Resources {
--- a/components/placement/src/resources.rs
+++ b/components/placement/src/resources.rs
@@ -28,6 +28,11 @@
             && self.accelerators <= room.accelerators
     }
 
+    /// A quarter of the cores and memory, and all accelerators.
+    pub fn quarter(self) -> Resources {
+        Resources { cores: self.cores / 4, memory_mb: self.memory_mb / 4, ..self }
+    }
+
     /// Whether both or neither need accelerators.
     pub fn is_like(self, other: Resources) -> bool {
         (self.accelerators > 0) == (other.accelerators > 0)
--- a/components/placement/src/score.rs
+++ b/components/placement/src/score.rs
@@ -4,7 +4,7 @@
 
 use crate::Resources;
 
-/// Unit of the share of tasks that a worker holds.
+/// Unit of shares.
 const WHOLE: u64 = 1 << 16;
 
 /// How well a worker suits the tasks that are left; the greatest is chosen.
@@ -17,12 +17,16 @@
 }
 
 impl Score {
-    /// Compares the room of a worker with the size of all tasks that are left.
-    pub(crate) fn new(room: Resources, total: Resources, same_rack: bool) -> Score {
-        let share = share(room.cores, total.cores)
-            .min(share(room.memory_mb, total.memory_mb))
-            .min(share(room.accelerators, total.accelerators));
-        match share >= WHOLE {
+    /// Compares the room of a worker, of which the job may take `part`, with the
+    /// size of all tasks that are left.
+    pub(crate) fn new(
+        room: Resources,
+        part: Resources,
+        total: Resources,
+        same_rack: bool,
+    ) -> Score {
+        let share = share(room, total);
+        match total.fits(part) {
             true => Score::All { share: Reverse(share), same_rack },
             false => Score::Some { share, same_rack },
         }
@@ -30,7 +34,13 @@
 }
 
 /// How often `total` goes into `room`, in units of `WHOLE`.
-fn share(room: u32, total: u32) -> u64 {
+fn share(room: Resources, total: Resources) -> u64 {
+    ratio(room.cores, total.cores)
+        .min(ratio(room.memory_mb, total.memory_mb))
+        .min(ratio(room.accelerators, total.accelerators))
+}
+
+fn ratio(room: u32, total: u32) -> u64 {
     match total {
         0 => u64::MAX,
         _ => u64::from(room) * WHOLE / u64::from(total),
--- a/components/placement/src/worker.rs
+++ b/components/placement/src/worker.rs
@@ -1,10 +1,17 @@
 //! What is known of one worker.
 
+use std::time::Duration;
+
 use config::State;
 use ident::{NodeId, Timestamp};
 
 use crate::{Health, Resources};
 
+/// Time for which a report of busy cores counts.
+pub(crate) const REPORT_TERM: Duration = Duration::from_secs(1);
+/// Time in which most of the tasks in a report have ended and others begun.
+const REPORT_FADE: Duration = Duration::from_millis(200);
+
 /// What is known of one worker.
 #[derive(Debug)]
 pub(crate) struct Worker {
@@ -19,8 +26,8 @@
     pub(crate) reserved: Resources,
     /// Cores that others seem to use.
     pub(crate) others: u32,
-    /// Time from which that is too old to count.
-    pub(crate) others_until: Timestamp,
+    /// When that was reported.
+    pub(crate) reported_at: Timestamp,
     /// Starts that it refused in a row.
     pub(crate) refusals: u32,
     /// It refused a start and is not asked again before this time.
@@ -54,7 +61,7 @@
             leaving: false,
             reserved: Resources::default(),
             others: 0,
-            others_until: Timestamp::ZERO,
+            reported_at: Timestamp::ZERO,
             refusals: 0,
             paused_until: Timestamp::ZERO,
             health: Health::default(),
@@ -81,16 +88,43 @@
         self.node.is_some() && !self.leaving && self.state == State::Active
     }
 
-    /// What is left for a further task.
-    pub(crate) fn room(&self, now: Timestamp) -> Resources {
-        let proving = self.health.is_ejected(now) || self.health.on_probation(now);
-        if proving && self.reserved != Resources::default() {
+    /// What the latest report says is left; old reports count for nothing.
+    pub(crate) fn reported_room(&self, now: Timestamp) -> Resources {
+        let others = match now.since(self.reported_at) < REPORT_TERM {
+            true => self.others,
+            false => 0,
+        };
+        self.room(others, now)
+    }
+
+    /// What is probably left: as a report ages, the load of this worker is
+    /// expected to return to `average`, the cores that others use on a worker.
+    pub(crate) fn expected_room(&self, average: u32, now: Timestamp) -> Resources {
+        let age = now.since(self.reported_at).min(REPORT_FADE).as_micros() as u64;
+        let fade = REPORT_FADE.as_micros() as u64;
+        let others = u64::from(self.others) * (fade - age) + u64::from(average) * age;
+        self.room((others / fade) as u32, now)
+    }
+
+    /// Share of the room that one job takes at a time, as others place here too;
+    /// it is enough for a first task of the given size.
+    pub(crate) fn share(&self, room: Resources, first: Resources, now: Timestamp) -> Resources {
+        match self.is_proving(now) {
+            true => first,
+            false => room.quarter().max(first),
+        }
+    }
+
+    fn is_proving(&self, now: Timestamp) -> bool {
+        self.health.is_ejected(now) || self.health.on_probation(now)
+    }
+
+    fn room(&self, others: u32, now: Timestamp) -> Resources {
+        if self.is_proving(now) && self.reserved != Resources::default() {
             return Resources::default();
         }
         let mut room = self.capacity.minus(self.reserved);
-        if now < self.others_until {
-            room.cores = room.cores.saturating_sub(self.others);
-        }
+        room.cores = room.cores.saturating_sub(others);
         room
     }
 }
