Share the reports in answers to heartbeats fairly among agents

Answers drew on one allowance: with 60 agents whose heartbeats come in the same order each time, the first five knew all 29 peers and the others none. Every agent has a credit of its own now, from what the entry's heartbeats leave of its traffic, and is told of the 32 peers that follow it. Sets of agents beyond that size could not be kept fresh anyway.

--- a/components/members/src/ack.rs
+++ b/components/members/src/ack.rs
@@ -1,6 +1,6 @@
 //! Answers to heartbeats.
 
-use std::{ops::Bound, time::Duration};
+use std::ops::Bound;
 
 use ident::{NodeId, Timestamp};
 use rand::{Rng, seq::IteratorRandom};
@@ -8,22 +8,26 @@
 
 use crate::{Members, gossip::LISTED_ENTRIES};
 
-/// Bytes a second that all answers together may spend on reports of peers.
-const PEER_BYTES_PER_S: f64 = 1500.0;
+/// Bytes a second that heartbeats, their answers and reports in the answers may
+/// come to.
+const BYTES_PER_S: f64 = 11_000.0;
+/// Bytes a second that the heartbeats of one agent and the plain answers come to.
+const HEARTBEAT_BYTES_PER_S: f64 = 100.0;
+/// Bytes a second that are spent on reports in any case.
+const MIN_PEER_BYTES_PER_S: f64 = 1000.0;
 /// Largest part of one answer that is spent on reports of peers.
-const MAX_PEER_BYTES: usize = 900;
+const MAX_PEER_BYTES: f64 = 900.0;
+/// Peers that an agent is told of, those that follow it in the order of addresses.
+const MAX_PEERS: usize = 32;
 /// Of this many heartbeats, one is answered with the names of entries.
 const LISTED_EVERY: u64 = 4;
-/// Most reports of peers in one answer.
-const MAX_PEERS: usize = 16;
-/// Time for which an agent that is leaving is listed before others.
-const LEAVING_TIME: Duration = Duration::from_secs(10);
 
-/// Bytes that may be spent on reports of peers.
-#[derive(Debug, Default)]
-pub(crate) struct Allowance {
-    bytes: f64,
-    filled_at: Timestamp,
+/// What an agent was told of its peers.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct Told {
+    last: Option<NodeId>,
+    credit_bytes: f64,
+    credited_at: Timestamp,
 }
 
 impl Members {
@@ -52,58 +56,65 @@
     }
 
     /// Reports of the agent's group: first those that are leaving, then others
-    /// in turn, as far as the allowance goes.
+    /// in turn, as far as the agent's credit goes.
     fn peers_for(&mut self, to: &AgentReport, now: Timestamp) -> Vec<AgentReport> {
-        let limit = self.allowance.take_up_to(MAX_PEER_BYTES, now);
-        let mut left = limit;
-        let mut peers: Vec<AgentReport> = Vec::new();
-        let mut told = self.agents.get(&to.node).and_then(|it| it.told);
-        for node in self.in_turn(told, to, now) {
+        let rate = self.peer_bytes_per_s();
+        let Some(member) = self.agents.get_mut(&to.node) else {
+            return Vec::new();
+        };
+        member.told.fill(rate, now);
+        let mut told = member.told.clone();
+        let mut peers = Vec::new();
+        for node in self.in_turn(told.last, to) {
             let report = &self.agents[&node].report;
-            let bytes = encode(report).len();
-            if bytes > left {
+            let bytes = encode(report).len() as f64;
+            if bytes > told.credit_bytes {
                 break;
             }
-            left -= bytes;
+            told.credit_bytes -= bytes;
             if !report.leaving {
-                told = Some(node);
+                told.last = Some(node);
             }
             peers.push(report.clone());
         }
-        self.allowance.put_back(left);
         if let Some(member) = self.agents.get_mut(&to.node) {
             member.told = told;
         }
         peers
     }
 
-    fn in_turn(&self, told: Option<NodeId>, to: &AgentReport, now: Timestamp) -> Vec<NodeId> {
-        let start = told.map_or(Bound::Unbounded, Bound::Excluded);
-        let after = self.agents.range((start, Bound::Unbounded));
-        let before = told.map(|node| self.agents.range(..=node)).into_iter().flatten();
-        let of_group = after
-            .chain(before)
-            .map(|(_, member)| member)
-            .filter(|it| it.serves(&to.group) && it.report.node != to.node);
-        let leaving = of_group.clone().filter(|it| it.has_left_since(now - LEAVING_TIME));
-        let others = of_group.filter(|it| it.is_available());
-        leaving.chain(others).take(MAX_PEERS).map(|it| it.report.node).collect()
+    /// Bytes a second that each agent's reports of peers may come to.
+    fn peer_bytes_per_s(&self) -> f64 {
+        let agents = self.direct_agents.max(1) as f64;
+        let left = BYTES_PER_S - agents * HEARTBEAT_BYTES_PER_S;
+        left.max(MIN_PEER_BYTES_PER_S) / agents
+    }
+
+    fn in_turn(&self, last: Option<NodeId>, to: &AgentReport) -> Vec<NodeId> {
+        let after = self.agents.range((Bound::Excluded(to.node), Bound::Unbounded));
+        let before = self.agents.range(..to.node);
+        let of_group =
+            after.chain(before).map(|(_, member)| member).filter(|it| it.serves(&to.group));
+        let others = of_group.filter(|it| it.is_available()).take(MAX_PEERS);
+        let mut others: Vec<NodeId> = others.map(|it| it.report.node).collect();
+        let told = others.iter().position(|node| Some(*node) == last);
+        others.rotate_left(told.map_or(0, |index| index + 1));
+        let leaving = self.left.iter().copied().filter(|node| {
+            let member = self.agents.get(node).filter(|_| *node != to.node);
+            member.is_some_and(|it| it.serves(&to.group) && it.report.leaving)
+        });
+        leaving.chain(others).collect()
     }
 }
 
-impl Allowance {
-    /// Takes what there is, `limit` at most.
-    fn take_up_to(&mut self, limit: usize, now: Timestamp) -> usize {
-        let gained = now.since(self.filled_at).as_secs_f64() * PEER_BYTES_PER_S;
-        self.bytes = (self.bytes + gained).min(PEER_BYTES_PER_S);
-        self.filled_at = self.filled_at.max(now);
-        let taken = (self.bytes as usize).min(limit);
-        self.bytes -= taken as f64;
-        taken
+impl Told {
+    pub(crate) fn new(now: Timestamp) -> Told {
+        Told { last: None, credit_bytes: 0.0, credited_at: now }
     }
 
-    /// Puts back what was not used.
-    fn put_back(&mut self, bytes: usize) {
-        self.bytes += bytes as f64;
+    fn fill(&mut self, bytes_per_s: f64, now: Timestamp) {
+        let gained = now.since(self.credited_at).as_secs_f64() * bytes_per_s;
+        self.credit_bytes = (self.credit_bytes + gained).min(MAX_PEER_BYTES);
+        self.credited_at = self.credited_at.max(now);
     }
 }
--- a/components/members/src/agent.rs
+++ b/components/members/src/agent.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
-use ident::{Group, NodeId, Timestamp};
+use ident::{Group, Timestamp};
 use wire::{AgentReport, Silence, encode};
 
+use crate::ack::Told;
+
 /// Silence after which an agent is suspected.
 const SUSPECT_AFTER: Duration = Duration::from_millis(3500);
 /// Heartbeats after which an agent is held to have settled on sending them here.
@@ -36,10 +38,8 @@
     interval: Duration,
     /// Silence after which a suspected agent is believed to be gone.
     gone_after: Duration,
-    /// Time at which it announced that it is leaving, if it did.
-    left_at: Option<Timestamp>,
-    /// Peer that the agent was last told of.
-    pub(crate) told: Option<NodeId>,
+    /// What the agent was told of its peers.
+    pub(crate) told: Told,
 }
 
 /// Whether an agent is believed to be alive.
@@ -90,8 +90,7 @@
             heartbeats: u32::from(source == Source::Direct),
             interval: Duration::ZERO,
             gone_after: GONE_AFTER,
-            left_at: report.leaving.then_some(now),
-            told: None,
+            told: Told::new(now),
         }
     }
 
@@ -105,11 +104,6 @@
         self.report.group == *group
     }
 
-    /// Whether the agent has announced after `time` that it is leaving.
-    pub(crate) fn has_left_since(&self, time: Timestamp) -> bool {
-        self.left_at.is_some_and(|at| at >= time)
-    }
-
     /// Adopts the report if it is newer than the present one.
     pub(crate) fn update(
         &mut self,
@@ -126,8 +120,6 @@
         let was_silent = self.liveness != Liveness::Alive;
         self.report = report.clone();
         self.report.leaving |= had_left;
-        self.left_at =
-            self.report.leaving.then(|| self.left_at.filter(|_| had_left).unwrap_or(now));
         self.interval = (self.interval * 3 + now.since(self.heard_at)) / 4;
         self.heard_at = now;
         if source == Source::Direct {
@@ -166,6 +158,11 @@
         now.since(self.changed_at) > self.gone_after
     }
 
+    /// Whether the agent has sent a heartbeat here lately.
+    pub(crate) fn is_heard(&self, now: Timestamp) -> bool {
+        self.direct_at.is_some_and(|at| now.since(at) <= SUSPECT_AFTER)
+    }
+
     /// Whether the agent sent heartbeats here regularly until the newest report.
     pub(crate) fn is_direct(&self) -> bool {
         let is_recent = self.direct_at.is_some_and(|at| self.heard_at.since(at) <= SUSPECT_AFTER);
--- a/components/members/src/members.rs
+++ b/components/members/src/members.rs
@@ -10,7 +10,6 @@
 
 use crate::{
     Change, HEARTBEAT_ENTRIES, Liveness, Member, Peer,
-    ack::Allowance,
     agent::Source,
     rumour::{Rumours, URGENT_SENDS, USUAL_SENDS},
 };
@@ -19,6 +18,8 @@
 const RELAY_TIME_PER_AGENT: Duration = Duration::from_millis(200);
 /// Time for which agents that are gone are remembered.
 const TOMBSTONE_TIME: Duration = Duration::from_secs(600);
+/// Silence after which an agent that is leaving is no longer told of first.
+const LEAVING_TIME: Duration = Duration::from_secs(10);
 /// Silence after which an entry is forgotten.
 const ENTRY_TIMEOUT: Duration = Duration::from_secs(5);
 /// Additional silence per known entry.
@@ -35,7 +36,10 @@
     pub(crate) entries: HashMap<NodeId, Peer>,
     pub(crate) rumours: Rumours,
     pub(crate) cursor: Option<NodeId>,
-    pub(crate) allowance: Allowance,
+    /// Agents that send their heartbeats here, at the last tick.
+    pub(crate) direct_agents: usize,
+    /// Agents that have announced that they are leaving.
+    pub(crate) left: Vec<NodeId>,
     /// Latest time that was passed in.
     pub(crate) now: Timestamp,
     turn: usize,
@@ -62,7 +66,8 @@
             entries: HashMap::new(),
             rumours: Rumours::default(),
             cursor: None,
-            allowance: Allowance::default(),
+            direct_agents: 0,
+            left: Vec::new(),
             now: Timestamp::ZERO,
             turn: 0,
         };
@@ -164,6 +169,11 @@
         self.agents.retain(|_, member| {
             member.liveness != Liveness::Gone || now.since(member.changed_at) < TOMBSTONE_TIME
         });
+        self.direct_agents = self.agents.values().filter(|it| it.is_heard(now)).count();
+        self.left.retain(|node| {
+            let member = self.agents.get(node);
+            member.is_some_and(|it| now.since(it.heard_at) <= LEAVING_TIME)
+        });
         self.forget_entries(now, &mut events);
         events
     }
@@ -242,6 +252,9 @@
                 Change::Joined
             }
         };
+        if change == Change::Leaving {
+            self.left.push(report.node);
+        }
         match change {
             Change::Leaving | Change::Recovered => self.rumours.raise(report.node, URGENT_SENDS),
             Change::Joined if report.leaving => self.rumours.raise(report.node, URGENT_SENDS),
--- a/components/members/tests/members/spread.rs
+++ b/components/members/tests/members/spread.rs
@@ -30,6 +30,17 @@
     assert!((0..10).all(|index| alive(cluster.agent(index)) == 4));
 }
 
+#[test]
+fn agents_learn_of_all_peers_in_turn() {
+    let mut cluster = Cluster::new(60, 3, 3);
+
+    cluster.run(120);
+
+    let known: Vec<usize> = (0..60).map(|index| alive(cluster.agent(index))).collect();
+    assert!(known.iter().all(|count| *count == 29), "{known:?}");
+    assert!(cluster.peak_bytes_per_s(120) < MAX_BYTES_PER_S);
+}
+
 #[test]
 fn nothing_is_suspected_while_all_is_well() {
     let mut cluster = Cluster::new(10, 3, 3);
@@ -70,12 +81,15 @@
     let left = cluster.rounds_until(|it| has_left(it, 4));
     cluster.run(32 - left);
     let steady = cluster.peak_bytes_per_s(32);
+    cluster.dead.insert(agent(6));
+    let died = cluster.rounds_until(|it| !is(it, 6, Liveness::Alive));
     let stays_away = cluster.entries.values().all(|it| has_left(it, 4));
 
     println!(
-        "1200 agents, 33 entries: {starting:.0} and {steady:.0} B/s, left after {left} rounds"
+        "1200 agents, 33 entries: {starting:.0} and {steady:.0} B/s, left after {left} rounds, died after {died}"
     );
     assert!(starting < MAX_BYTES_PER_S, "{starting}");
     assert!(steady < MAX_BYTES_PER_S, "{steady}");
     assert!(left <= 8 && stays_away, "{left}");
+    assert!(died <= 20, "{died}");
 }
