--- a/components/tenure/src/assign.rs
+++ b/components/tenure/src/assign.rs
@@ -97,11 +97,16 @@
 
     /// Makes shards vacant whose owner is gone and that no deputy can take over.
     fn plan_abandoned(&self, now: Timestamp) -> Vec<Plan> {
-        if !self.presence.misses(ABANDON_AFTER, now) {
+        let missing = self.presence.missing(ABANDON_AFTER, now);
+        if missing.is_empty() {
             return Vec::new();
         }
-        let free = self.view.iter().filter(|(shard, _)| self.proposals.of(*shard).is_empty());
-        let abandoned = free.filter(|(shard, present)| self.is_abandoned(*shard, present, now));
+        let abandoned = self.view.iter().filter(|(shard, present)| {
+            missing.contains(&present.owner)
+                && !is_vacant(present)
+                && !self.has_successor(*shard, present, &missing)
+                && self.proposals.of(*shard).is_empty()
+        });
         abandoned.map(|(shard, present)| self.vacate(shard, present)).collect()
     }
 
@@ -124,14 +129,14 @@
         Plan { shard, assignment, replaces: None }
     }
 
-    fn is_abandoned(&self, shard: Shard, present: &Assignment, now: Timestamp) -> bool {
-        let is_missing = |node| self.presence.missing_for(node, now) >= ABANDON_AFTER;
-        let is_unarmed = || self.deputed.get(&shard).is_some_and(|it| !it.armed);
-        let has_successor = match present.deputy {
-            Some(deputy) if deputy == self.node => !is_unarmed(),
-            Some(deputy) => !is_missing(deputy),
+    /// Whether the deputy is there and able to take over.
+    fn has_successor(&self, shard: Shard, present: &Assignment, missing: &[NodeId]) -> bool {
+        match present.deputy {
+            Some(deputy) if deputy == self.node => {
+                self.deputed.get(&shard).is_some_and(|it| it.armed)
+            }
+            Some(deputy) => !missing.contains(&deputy),
             None => false,
-        };
-        !is_vacant(present) && is_missing(present.owner) && !has_successor
+        }
     }
 }
--- a/components/tenure/src/owner.rs
+++ b/components/tenure/src/owner.rs
@@ -21,15 +21,23 @@
         }
         let mut deputies: BTreeSet<NodeId> = self.wards.keys().copied().flatten().collect();
         deputies.extend(self.proposals.deputies(self.node));
-        let needing = self.needing_deputy(now).into_iter();
-        deputies.extend(needing.filter_map(|shard| self.candidate(shard, now)));
+        let needing = self.needing_deputy(now);
+        if !needing.is_empty() {
+            let candidates = self.candidates(now);
+            deputies.extend(needing.into_iter().filter_map(|shard| choose(shard, &candidates)));
+        }
         deputies
     }
 
     /// New deputies for shards whose deputy is silent or gone.
     pub(crate) fn plan_deputies(&self, now: Timestamp) -> Vec<Plan> {
-        let needing = self.needing_deputy(now).into_iter();
-        needing.filter_map(|shard| self.plan_deputy(shard, now)).collect()
+        let needing = self.needing_deputy(now);
+        if needing.is_empty() {
+            return Vec::new();
+        }
+        let candidates = self.candidates(now);
+        let needing = needing.into_iter();
+        needing.filter_map(|shard| self.plan_deputy(shard, &candidates, now)).collect()
     }
 
     fn needing_deputy(&self, now: Timestamp) -> Vec<Shard> {
@@ -51,9 +59,9 @@
         }
     }
 
-    fn plan_deputy(&self, shard: Shard, now: Timestamp) -> Option<Plan> {
+    fn plan_deputy(&self, shard: Shard, candidates: &[NodeId], now: Timestamp) -> Option<Plan> {
         let present = self.view.get(shard)?;
-        let deputy = self.candidate(shard, now);
+        let deputy = choose(shard, candidates);
         let is_possible = match deputy {
             Some(candidate) => self.promises.received(candidate) > now + CANDIDATE_TERM,
             None => present.deputy.is_some() && self.is_alone(now),
@@ -68,9 +76,9 @@
         is_possible.then_some(Plan { shard, assignment, replaces: None })
     }
 
-    fn candidate(&self, shard: Shard, now: Timestamp) -> Option<NodeId> {
+    fn candidates(&self, now: Timestamp) -> Vec<NodeId> {
         let others = self.presence.alive().filter(|node| *node != self.node);
-        rendezvous::choose(shard, others.filter(|node| !self.is_unavailable(*node, now)))
+        others.filter(|node| !self.is_unavailable(*node, now)).collect()
     }
 
     fn is_alone(&self, now: Timestamp) -> bool {
@@ -81,3 +89,7 @@
         self.promises.is_silent(node, now) || self.presence.is_gone(node)
     }
 }
+
+fn choose(shard: Shard, candidates: &[NodeId]) -> Option<NodeId> {
+    rendezvous::choose(shard, candidates.iter().copied())
+}
--- a/components/tenure/src/presence.rs
+++ b/components/tenure/src/presence.rs
@@ -83,14 +83,10 @@
         now.since(self.resumed_at) >= SETTLE_TIME
     }
 
-    /// Time for which `node` has been missing.
-    pub(crate) fn missing_for(&self, node: NodeId, now: Timestamp) -> Duration {
-        self.missing.get(&node).map_or(Duration::ZERO, |since| now.since(*since))
-    }
-
-    /// Whether some node has been missing for at least `time`.
-    pub(crate) fn misses(&self, time: Duration, now: Timestamp) -> bool {
-        self.missing.values().any(|since| now.since(*since) >= time)
+    /// Nodes of the table that have been missing for at least `time`.
+    pub(crate) fn missing(&self, time: Duration, now: Timestamp) -> Vec<NodeId> {
+        let missing = self.missing.iter().filter(|(_, since)| now.since(**since) >= time);
+        missing.map(|(node, _)| *node).collect()
     }
 
     /// Time that has passed since the group settled; `None` while it changes.
