Blame workers for errors of theirs only

A task that answers 4xx has a bad input, and retries of its job under new ids would have ejected one worker after the other. Only statuses from 500 on and lost results count against a worker.

--- a/components/jobs/src/jobs.rs
+++ b/components/jobs/src/jobs.rs
@@ -28,6 +28,8 @@
 const FREED_JOBS: usize = 2;
 /// Jobs that may wait for workers.
 const MAX_WAITING_JOBS: usize = 1_000;
+/// Lowest status that is the worker's fault and not the task's.
+const SERVER_ERROR: u16 = 500;
 /// Rank of an urgency that the inventory does not declare.
 const UNKNOWN_RANK: u8 = u8::MAX;
 
@@ -103,8 +105,10 @@
                 self.on_done(job, index, started, answer, now)
             }
             TaskResult::Done(answer) => {
-                self.placer.on_failed(started.node, job, now);
                 let status = answer.status;
+                if status >= SERVER_ERROR {
+                    self.placer.on_failed(started.node, job, now);
+                }
                 self.fail(job, &Cause::Failed { index, node: started.node, status })
             }
             TaskResult::Refused => self.on_refused(job, index, started, now),
--- a/components/jobs/tests/jobs.rs
+++ b/components/jobs/tests/jobs.rs
@@ -114,6 +114,23 @@
     assert_ne!(node(&first), node(&second));
 }
 
+#[test]
+fn blames_a_worker_for_its_errors_but_not_for_bad_tasks() {
+    let mut jobs = jobs(4);
+    jobs.submit(spec(0, 3, CORES), NOW);
+    let mut fail = |number: u16, status: u16| {
+        let started = jobs.submit(spec(number, 1, 1), NOW);
+        let failed = Answer { status, body: Vec::new() };
+        jobs.on_task(id(number), 0, TaskResult::Done(failed), NOW);
+        starts(&started).len()
+    };
+
+    let bad_tasks = [fail(1, 422), fail(2, 422), fail(3, 422)];
+    let errors = [fail(4, 500), fail(5, 500), fail(6, 500)];
+
+    assert_eq!((bad_tasks, errors), ([1, 1, 1], [1, 1, 0]));
+}
+
 #[test]
 fn gives_up_not_run_when_every_worker_refuses() {
     let mut jobs = jobs(2);
--- a/components/placement/src/health.rs
+++ b/components/placement/src/health.rs
@@ -4,8 +4,6 @@
 
 use ident::{RequestId, Timestamp};
 
-/// Jobs in a row, without a good one between, that condemn a worker.
-const BAD_JOBS: u32 = 2;
 /// Time of the first ejection; each one in a row doubles it.
 const FIRST_EJECTION: Duration = Duration::from_secs(1);
 /// Doublings of the ejection time.
@@ -18,8 +16,10 @@
 /// A job counts once, so that one job with a bad input condemns nobody. The
 /// worker's own agent sees all that it starts and can refuse starts soonest; a
 /// coordinator sees only its own jobs.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Health {
+    /// Bad jobs in a row, without a good one between, that condemn the worker.
+    limit: u32,
     failed: Streak,
     slow: Streak,
     ejections: u32,
@@ -35,6 +35,18 @@
 }
 
 impl Health {
+    /// Starts in good health; `limit` bad jobs in a row end it.
+    pub fn new(limit: u32) -> Health {
+        Health {
+            limit,
+            failed: Streak::default(),
+            slow: Streak::default(),
+            ejections: 0,
+            ejected_until: Timestamp::ZERO,
+            slow_until: Timestamp::ZERO,
+        }
+    }
+
     /// Records that a task succeeded, which ends an ejection or probation.
     pub fn on_done(&mut self) {
         self.failed = Streak::default();
@@ -45,7 +57,7 @@
     /// Records that a task of `job` failed.
     pub fn on_failed(&mut self, job: RequestId, now: Timestamp) {
         let counted = self.failed.add(job);
-        if counted && self.failed.jobs >= BAD_JOBS {
+        if counted && self.failed.jobs >= self.limit {
             self.ejected_until = now + FIRST_EJECTION * (1 << self.ejections.min(MAX_DOUBLINGS));
             self.ejections += 1;
         }
@@ -60,7 +72,7 @@
     /// Records that a task of `job` took many times as long as others do.
     pub fn on_slow(&mut self, job: RequestId, now: Timestamp) {
         let counted = self.slow.add(job);
-        if counted && self.slow.jobs >= BAD_JOBS {
+        if counted && self.slow.jobs >= self.limit {
             self.slow_until = now + SLOW_TERM;
         }
     }
--- a/components/placement/src/worker.rs
+++ b/components/placement/src/worker.rs
@@ -7,6 +7,8 @@
 
 use crate::{Health, Resources};
 
+/// Bad jobs in a row after which this process avoids a worker.
+const BAD_JOBS: u32 = 2;
 /// Time for which a report of busy cores counts.
 pub(crate) const REPORT_TERM: Duration = Duration::from_secs(1);
 /// Time in which most of the tasks in a report have ended and others begun.
@@ -64,7 +66,7 @@
             reported_at: Timestamp::ZERO,
             refusals: 0,
             paused_until: Timestamp::ZERO,
-            health: Health::default(),
+            health: Health::new(BAD_JOBS),
         }
     }
 
