Let the number of connections to an endpoint change

A new inventory can change it. Replacing the client left the connections of the old one open beside those of the new, above what the endpoint accepts. The number can now be changed in place; requests in progress go on, and surplus connections close with their requests.

--- a/components/endpoint/src/executor.rs
+++ b/components/endpoint/src/executor.rs
@@ -33,6 +33,11 @@
         Executor { pool: Arc::new(Pool::new(address, connections)) }
     }
 
+    /// Changes the number of connections; requests in progress go on.
+    pub fn set_connections(&self, connections: usize) {
+        self.pool.resize(connections);
+    }
+
     /// Runs a request once and waits for its answer until `timeout`.
     pub async fn run(&self, run: &Run, timeout: Duration) -> Executed {
         let began = Instant::now();
--- a/components/endpoint/src/pool.rs
+++ b/components/endpoint/src/pool.rs
@@ -10,7 +10,7 @@
 use hyper::Request;
 use node::LinkError;
 use tokio::{
-    sync::Semaphore,
+    sync::{Semaphore, SemaphorePermit},
     time::{Instant, timeout_at},
 };
 use verdict::Answer;
@@ -25,13 +25,42 @@
 pub(crate) struct Pool {
     address: SocketAddr,
     permits: Semaphore,
+    size: Mutex<Size>,
     idle: Mutex<Vec<Connection>>,
 }
 
+/// How many connections may be open.
+#[derive(Debug)]
+struct Size {
+    connections: usize,
+    /// Permits in use that must not come back.
+    surplus: usize,
+}
+
 impl Pool {
     /// Opens at most `connections` connections to `address`.
     pub(crate) fn new(address: SocketAddr, connections: usize) -> Pool {
-        Pool { address, permits: Semaphore::new(connections), idle: Mutex::default() }
+        Pool {
+            address,
+            permits: Semaphore::new(connections),
+            size: Mutex::new(Size { connections, surplus: 0 }),
+            idle: Mutex::default(),
+        }
+    }
+
+    /// Changes the number of connections; requests in progress go on.
+    pub(crate) fn resize(&self, connections: usize) {
+        let mut size = self.size();
+        let more = connections.saturating_sub(size.connections);
+        let fewer = size.connections.saturating_sub(connections);
+        let kept = more.min(size.surplus);
+        size.surplus -= kept;
+        self.permits.add_permits(more - kept);
+        size.surplus += fewer - self.permits.forget_permits(fewer);
+        size.connections = connections;
+        if fewer > 0 {
+            self.idle().clear();
+        }
     }
 
     /// Sends a request once and waits for its answer until `deadline`.
@@ -41,7 +70,8 @@
         deadline: Instant,
     ) -> Result<Answer, LinkError> {
         let permit = timeout_at(deadline, self.permits.acquire()).await;
-        let Ok(Ok(_permit)) = permit else { return Err(LinkError::NotSent) };
+        let Ok(Ok(permit)) = permit else { return Err(LinkError::NotSent) };
+        let _slot = Slot { pool: self, permit: Some(permit) };
         loop {
             let Ok(connection) = timeout_at(deadline, self.connection()).await else {
                 return Err(LinkError::NotSent);
@@ -52,7 +82,7 @@
             }
             match timeout_at(deadline, connection.send(request.clone())).await {
                 Ok(Ok(answer)) => {
-                    self.idle().push(connection);
+                    self.put_back(connection);
                     return Ok(answer);
                 }
                 // The endpoint closed the idle connection just before.
@@ -79,6 +109,17 @@
         Ok(Taken { connection, fresh: true })
     }
 
+    /// Keeps the connection for the next request, unless there are too many.
+    fn put_back(&self, connection: Connection) {
+        if self.size().surplus == 0 {
+            self.idle().push(connection);
+        }
+    }
+
+    fn size(&self) -> MutexGuard<'_, Size> {
+        self.size.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn take_idle(&self) -> Option<Connection> {
         self.idle().pop()
     }
@@ -88,6 +129,24 @@
     }
 }
 
+/// The right to one connection, given back on drop.
+struct Slot<'a> {
+    pool: &'a Pool,
+    permit: Option<SemaphorePermit<'a>>,
+}
+
+impl Drop for Slot<'_> {
+    fn drop(&mut self) {
+        let mut size = self.pool.size();
+        if size.surplus > 0 {
+            size.surplus -= 1;
+            if let Some(permit) = self.permit.take() {
+                permit.forget();
+            }
+        }
+    }
+}
+
 /// A connection for one request.
 struct Taken {
     connection: Connection,
--- a/components/endpoint/src/worker.rs
+++ b/components/endpoint/src/worker.rs
@@ -105,6 +105,11 @@
         }
     }
 
+    /// Changes the number of connections for tasks; tasks in progress go on.
+    pub fn set_connections(&self, connections: usize) {
+        self.tasks.resize(connections);
+    }
+
     /// Starts a task and waits for its answer until its budget has passed.
     pub async fn start(&self, start: &StartTask) -> Result<Answer, StartError> {
         let body = StartBody {
--- a/components/endpoint/tests/executor.rs
+++ b/components/endpoint/tests/executor.rs
@@ -34,6 +34,7 @@
         team: "foreman".to_owned(),
         budget: TIMEOUT,
         declared: None,
+        hints: Vec::new(),
         body: format!(r#"{{"run_ms":{run_ms}}}"#).into_bytes(),
     }
 }
@@ -67,6 +68,33 @@
     assert_eq!(server.double_runs(), []);
 }
 
+#[tokio::test]
+async fn stays_within_a_number_of_connections_that_is_lowered_under_load() {
+    let server = server().await;
+    let client = client(server.address());
+    let runs: Vec<Run> = (0..CONNECTIONS as u8).map(|number| run(number, 100)).collect();
+    let before = tokio::spawn({
+        let client = client.clone();
+        async move { run_all(&client, &runs).await }
+    });
+    while server.total_runs() < CONNECTIONS as u32 {
+        tokio::task::yield_now().await;
+    }
+
+    client.set_connections(1);
+    let runs: Vec<Run> = (10..30).map(|number| run(number, 0)).collect();
+    let during = run_all(&client, &runs).await;
+    let before = before.await.unwrap();
+    let closed = tokio::time::timeout(TIMEOUT, async {
+        while server.open_connections() > 1 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    });
+
+    assert_eq!((before.len(), during.len()), (CONNECTIONS, 20));
+    assert!(closed.await.is_ok(), "{} connections stay open", server.open_connections());
+}
+
 #[tokio::test]
 async fn passes_on_an_answer_with_a_failing_status() {
     let server = server().await;
--- a/components/standin/src/executor.rs
+++ b/components/standin/src/executor.rs
@@ -125,6 +125,11 @@
         runs.iter().filter(|(_, count)| **count > 1).map(|(id, _)| *id).collect()
     }
 
+    /// Connections that are open at present.
+    pub fn open_connections(&self) -> usize {
+        self.shared.faults.open()
+    }
+
     /// Puts a fault in force.
     pub fn set_fault(&self, fault: Fault) {
         self.shared.faults.set(fault);
--- a/components/standin/src/fault.rs
+++ b/components/standin/src/fault.rs
@@ -1,7 +1,7 @@
 //! Faults of an endpoint that a test can switch on.
 
 use std::{
-    sync::atomic::{AtomicU64, Ordering},
+    sync::atomic::{AtomicU64, AtomicUsize, Ordering},
     time::Duration,
 };
 
@@ -31,6 +31,13 @@
     fault: watch::Sender<Fault>,
     next_connection: AtomicU64,
     first_working: AtomicU64,
+    open: AtomicUsize,
+}
+
+/// Counts a connection as open until dropped.
+#[derive(Debug)]
+pub(crate) struct Open<'a> {
+    faults: &'a Faults,
 }
 
 impl Faults {
@@ -40,6 +47,7 @@
             fault: watch::Sender::new(Fault::None),
             next_connection: AtomicU64::new(0),
             first_working: AtomicU64::new(0),
+            open: AtomicUsize::new(0),
         }
     }
 
@@ -69,6 +77,17 @@
         self.wait_for(|fault| *fault != Fault::Down).await;
     }
 
+    /// Counts a connection as open until the result is dropped.
+    pub(crate) fn count_open(&self) -> Open<'_> {
+        self.open.fetch_add(1, Ordering::SeqCst);
+        Open { faults: self }
+    }
+
+    /// Number of connections that are open.
+    pub(crate) fn open(&self) -> usize {
+        self.open.load(Ordering::SeqCst)
+    }
+
     /// Number for a new connection.
     pub(crate) fn next_connection(&self) -> u64 {
         self.next_connection.fetch_add(1, Ordering::SeqCst)
@@ -101,3 +120,9 @@
         receiver.wait_for(condition).await.expect("the sender lives as long as this value");
     }
 }
+
+impl Drop for Open<'_> {
+    fn drop(&mut self) {
+        self.faults.open.fetch_sub(1, Ordering::SeqCst);
+    }
+}
--- a/components/standin/src/serve.rs
+++ b/components/standin/src/serve.rs
@@ -89,7 +89,8 @@
         let Ok(permit) = Arc::clone(permits).try_acquire_owned() else { continue };
         let (faults, handler) = (Arc::clone(faults), Arc::clone(handler));
         tasks.spawn(async move {
-            serve_connection(stream, faults, handler).await;
+            let _open = faults.count_open();
+            serve_connection(stream, Arc::clone(&faults), handler).await;
             drop(permit);
         });
     }
