--- a/components/ledger/src/export.rs
+++ b/components/ledger/src/export.rs
@@ -46,7 +46,7 @@
     }
 
     /// Adds the entries of a predecessor; returns the ids that it ran and of which
-    /// the outcome has become known by this.
+    /// the outcome has become known by this, the newest first.
     pub fn import(&mut self, export: Export) -> Vec<RequestId> {
         let mut ended = Vec::new();
         for (id, record) in export.entries {
--- a/components/ledger/src/ledger.rs
+++ b/components/ledger/src/ledger.rs
@@ -12,8 +12,9 @@
     Admit, Attempt, Cancelled, Entry, Record, State, answer_dropped, cancelled, expired, full,
 };
 
-/// Memory that an entry takes besides its answer, in bytes.
-pub const ENTRY_BYTES: usize = 256;
+/// Memory that an entry takes besides its answer, in bytes; each of at most four
+/// remembered refusals takes as much again.
+pub const ENTRY_BYTES: usize = 160;
 
 /// Smallest step of the time inside an id.
 pub(crate) const ID_TICK: Duration = Duration::from_millis(1);
@@ -47,7 +48,7 @@
         Limits {
             window: Duration::from_secs(600),
             max_answer_bytes: 64 * 1024 * 1024,
-            max_entries: 500_000,
+            max_entries: 250_000,
         }
     }
 }
