Answer PastHorizon for shards whose hand-over is under way, ask new deputies early

Cause: between the receipt of a ledger and its assignment in the log the receiver named itself as the owner elsewhere, so that callers were sent back to it; after the assignment it waited for the first promise. Change: such calls can wait for the log; deputies in pending assignments are asked while these are on their way. Large files are split.

--- a/components/ledger/tests/world/mod.rs
+++ b/components/ledger/tests/world/mod.rs
@@ -6,6 +6,7 @@
 #![allow(dead_code, reason = "each test uses its own part of the world")]
 
 mod audit;
+mod handle;
 mod host;
 mod log;
 mod network;
--- a/components/tenure/src/authority.rs
+++ b/components/tenure/src/authority.rs
@@ -10,7 +10,8 @@
     Owner,
     /// It owns the shard, but an earlier owner may have decided for the id.
     BeforeTenure,
-    /// It owns the shard, but can't be sure at present that nobody else does.
+    /// It owns the shard or is about to, but can't be sure at present that nobody
+    /// else does.
     PastHorizon,
     /// It does not own the shard.
     NotOwner {
--- a/components/tenure/src/lib.rs
+++ b/components/tenure/src/lib.rs
@@ -30,6 +30,7 @@
 mod authority;
 mod deputy;
 mod hand_over;
+mod learn;
 mod owner;
 mod presence;
 mod promises;
--- a/components/tenure/src/proposals.rs
+++ b/components/tenure/src/proposals.rs
@@ -78,11 +78,10 @@
         }
     }
 
-    /// Deputies in the proposals under which `owner` keeps its shards.
+    /// Deputies in the proposals that make `owner` the owner.
     pub(crate) fn deputies(&self, owner: NodeId) -> impl Iterator<Item = NodeId> {
-        let pending = self.by_shard.values().flatten();
-        let own = pending.filter(move |it| it.assignment.owner == owner && it.replaces.is_none());
-        own.filter_map(|it| it.assignment.deputy)
+        let pending = self.by_shard.values().flatten().map(|it| &it.assignment);
+        pending.filter(move |it| it.owner == owner).filter_map(|it| it.deputy)
     }
 
     /// Whether a proposal must be appended again now.
--- a/components/tenure/src/tenure.rs
+++ b/components/tenure/src/tenure.rs
@@ -6,7 +6,7 @@
 };
 
 use ident::{Group, Incarnation, NodeId, RequestId, Shard, Timestamp};
-use register::{Assignment, Table};
+use register::Table;
 use wire::{Datagram, Promise};
 
 use crate::{
@@ -124,15 +124,7 @@
             return;
         }
         self.next_offset = next_offset;
-        self.view = View::of(table, &self.group);
-        for (shard, assignment) in table.group(&self.group.clone()) {
-            self.learn(shard, assignment);
-        }
-        self.wards.clear();
-        for shard in self.held.keys() {
-            let deputy = self.view.get(*shard).and_then(|it| it.deputy);
-            self.wards.entry(deputy).or_default().push(*shard);
-        }
+        self.learn_table(table);
         self.promises.count_early(next_offset);
         self.is_behind = self.promises.has_early();
     }
@@ -178,7 +170,10 @@
     pub fn decide(&self, id: RequestId, now: Timestamp) -> Authority {
         let shard = Shard::of(id);
         let Some(holding) = self.holding(shard) else {
-            return Authority::NotOwner { owner: self.owner(shard) };
+            return match self.released.is_none() && self.accepted.contains_key(&shard) {
+                true => Authority::PastHorizon,
+                false => Authority::NotOwner { owner: self.owner(shard) },
+            };
         };
         let made_at = id.made_at();
         if made_at > now + self.skew {
@@ -275,59 +270,6 @@
         now + 2 * self.skew + MICROSECOND
     }
 
-    fn learn(&mut self, shard: Shard, assignment: &Assignment) {
-        self.learn_ownership(shard, assignment);
-        self.learn_deputyship(shard, assignment);
-        if self.accepted.get(&shard).is_some_and(|it| it.epoch < assignment.epoch) {
-            self.accepted.remove(&shard);
-        }
-        self.proposals.settle(shard, assignment.epoch);
-    }
-
-    fn learn_ownership(&mut self, shard: Shard, assignment: &Assignment) {
-        if assignment.owner != self.node || is_vacant(assignment) {
-            self.held.remove(&shard);
-            return;
-        }
-        let lower = match self.held.get(&shard) {
-            Some(known) if known.epoch == assignment.epoch => return,
-            Some(known) if known.epoch + 1 == assignment.epoch && known.from == assignment.from => {
-                known.lower
-            }
-            Some(_) | None if self.proposals.contains(shard, assignment) => assignment.from,
-            Some(_) | None => self.fence(assignment),
-        };
-        let holding = Holding { epoch: assignment.epoch, from: assignment.from, lower };
-        self.held.insert(shard, holding);
-    }
-
-    /// Lower fence under an assignment that this start of the node did not make.
-    fn fence(&self, assignment: &Assignment) -> Timestamp {
-        let restart = self.incarnation.0 + PROMISE_TERM + 2 * self.skew;
-        let fence = assignment.from.max(restart);
-        match assignment.epoch {
-            1 => fence,
-            _ => fence.max(self.promises.latest_given()),
-        }
-    }
-
-    fn learn_deputyship(&mut self, shard: Shard, assignment: &Assignment) {
-        if assignment.deputy != Some(self.node) || assignment.owner == self.node {
-            self.deputed.remove(&shard);
-            return;
-        }
-        let known = self.deputed.get(&shard).is_some_and(|it| it.epoch == assignment.epoch);
-        if !known {
-            let deputed = Deputed {
-                epoch: assignment.epoch,
-                owner: assignment.owner,
-                offset: self.next_offset,
-                armed: false,
-            };
-            self.deputed.insert(shard, deputed);
-        }
-    }
-
     /// Whether the log may come to hold this node as successor of `owner`.
     fn intends_to_replace(&self, owner: NodeId) -> bool {
         self.proposals.replaces(owner) || self.accepted.values().any(|it| it.owner == owner)
