Notice a task's result that was lost on a silent connection

A start whose connection went silent held its job until the deadline. The stand-ins no longer answer on a connection that went silent while the request ran.

--- a/components/endpoint/src/lib.rs
+++ b/components/endpoint/src/lib.rs
@@ -8,6 +8,7 @@
 mod connection;
 mod executor;
 mod pool;
+mod starts;
 mod worker;
 
 pub use crate::{
--- a/components/endpoint/src/worker.rs
+++ b/components/endpoint/src/worker.rs
@@ -12,7 +12,10 @@
 use verdict::Answer;
 use wire::{StartTask, TaskSpec};
 
-use crate::pool::Pool;
+use crate::{
+    pool::Pool,
+    starts::{Starts, TaskName},
+};
 
 /// Connections kept for renewing, stopping and asking.
 const CONTROL_CONNECTIONS: usize = 4;
@@ -26,6 +29,7 @@
 pub struct Worker {
     tasks: Arc<Pool>,
     control: Arc<Pool>,
+    starts: Arc<Starts>,
 }
 
 /// Why a task has no answer.
@@ -102,6 +106,7 @@
         Worker {
             tasks: Arc::new(Pool::new(address, connections)),
             control: Arc::new(Pool::new(address, CONTROL_CONNECTIONS)),
+            starts: Arc::default(),
         }
     }
 
@@ -111,6 +116,9 @@
     }
 
     /// Starts a task and waits for its answer until its budget has passed.
+    ///
+    /// The connection may go silent meanwhile. The start counts as lost soon after
+    /// a renewal was told that the task no longer runs.
     pub async fn start(&self, start: &StartTask) -> Result<Answer, StartError> {
         let body = StartBody {
             job: start.job,
@@ -119,7 +127,11 @@
             lease_ms: millis(start.lease),
         };
         let request = post("/tasks".to_owned(), &body);
-        let answer = self.tasks.send(&request, Instant::now() + start.budget).await?;
+        let waiting = self.starts.add(TaskName { job: start.job, index: start.index });
+        let answer = tokio::select! {
+            answer = self.tasks.send(&request, Instant::now() + start.budget) => answer?,
+            () = waiting.overdue() => return Err(StartError::Lost),
+        };
         match answer.status {
             NOT_STARTED => Err(StartError::Refused(text(&answer))),
             _ => Ok(answer),
@@ -133,7 +145,12 @@
         index: u32,
         lease: Duration,
     ) -> Result<(), WorkerError> {
-        self.command(job, index, "lease", &LeaseBody { lease_ms: millis(lease) }).await
+        let body = LeaseBody { lease_ms: millis(lease) };
+        let renewed = self.command(job, index, "lease", &body).await;
+        if renewed == Err(WorkerError::UnknownTask) {
+            self.starts.end(TaskName { job, index });
+        }
+        renewed
     }
 
     /// Stops a task without a checkpoint.
--- a/components/endpoint/tests/worker.rs
+++ b/components/endpoint/tests/worker.rs
@@ -123,6 +123,24 @@
     task.abort();
 }
 
+#[tokio::test]
+async fn gives_up_a_start_whose_task_has_ended_on_a_silent_connection() {
+    let server = server().await;
+    let client = client(&server);
+    let short = StartTask { budget: Duration::from_secs(3600), ..start(0, 1, 100) };
+    let task = run(&client, &server, short).await;
+    server.silence_connections();
+    while server.running() > 0 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+
+    let renewed = client.renew(job(), 0, TERM).await;
+    let ended = tokio::time::timeout(Duration::from_secs(30), task).await;
+
+    assert_eq!(renewed, Err(WorkerError::UnknownTask));
+    assert_eq!(ended.expect("the start is given up").unwrap(), Err(StartError::Lost));
+}
+
 #[tokio::test]
 async fn stops_a_task_on_request() {
     let server = server().await;
--- a/components/standin/src/serve.rs
+++ b/components/standin/src/serve.rs
@@ -101,16 +101,23 @@
     let service = hyper::service::service_fn(|request| {
         let (faults, handler) = (Arc::clone(&faults), Arc::clone(&handler));
         async move {
-            if faults.is_silenced(connection) {
-                std::future::pending::<()>().await;
-            }
-            Ok::<_, Infallible>(handler.handle(request).await)
+            deliver(&faults, connection).await;
+            let response = handler.handle(request).await;
+            deliver(&faults, connection).await;
+            Ok::<_, Infallible>(response)
         }
     });
     // An error means that the client closed the connection, which is its right.
     let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
 }
 
+/// Never returns if the connection delivers nothing.
+async fn deliver(faults: &Faults, connection: u64) {
+    if faults.is_silenced(connection) {
+        std::future::pending::<()>().await;
+    }
+}
+
 async fn rebind(address: SocketAddr) -> TcpListener {
     loop {
         match TcpListener::bind(address).await {
