--- a/components/tenure/src/presence.rs
+++ b/components/tenure/src/presence.rs
@@ -18,6 +18,7 @@
 pub(crate) struct Presence {
     alive: Vec<NodeId>,
     seen: HashSet<NodeId>,
+    expected: Vec<NodeId>,
     changed_at: Timestamp,
     ticked_at: Timestamp,
     resumed_at: Timestamp,
@@ -29,6 +30,7 @@
         Presence {
             alive: Vec::new(),
             seen: HashSet::new(),
+            expected: Vec::new(),
             changed_at: start,
             ticked_at: start,
             resumed_at: start,
@@ -41,26 +43,33 @@
         let mut alive = alive.to_vec();
         alive.sort_unstable();
         alive.dedup();
-        if alive != self.alive {
-            self.changed_at = now;
-        }
-        if now.since(self.ticked_at) > PAUSE {
-            self.changed_at = now;
+        let has_paused = now.since(self.ticked_at) > PAUSE;
+        self.ticked_at = now;
+        if has_paused {
             self.resumed_at = now;
             self.missing.clear();
         }
-        self.ticked_at = now;
-        self.seen.extend(alive.iter().copied());
-        self.alive = alive;
+        if has_paused || alive != self.alive {
+            self.changed_at = now;
+            self.seen.extend(&alive);
+            self.alive = alive;
+            self.note_missing(now);
+        }
     }
 
-    /// Notes which of the nodes in the table are missing.
-    pub(crate) fn note(&mut self, nodes: impl Iterator<Item = NodeId>, now: Timestamp) {
-        for node in nodes {
-            self.missing.entry(node).or_insert(now);
-        }
+    /// Takes the nodes that have a part in the table.
+    pub(crate) fn expect(&mut self, nodes: impl Iterator<Item = NodeId>, now: Timestamp) {
+        self.expected = nodes.collect();
+        self.note_missing(now);
+    }
+
+    fn note_missing(&mut self, now: Timestamp) {
         let alive = &self.alive;
-        self.missing.retain(|node, _| !alive.contains(node));
+        let is_missing = |node: &NodeId| alive.binary_search(node).is_err();
+        self.missing.retain(|node, _| is_missing(node));
+        for node in self.expected.iter().filter(|node| is_missing(node)) {
+            self.missing.entry(*node).or_insert(now);
+        }
     }
 
     /// Nodes held alive.
--- a/components/tenure/src/tenure.rs
+++ b/components/tenure/src/tenure.rs
@@ -114,7 +114,7 @@
         table: &Table,
         next_offset: u64,
         read_at: Timestamp,
-        _now: Timestamp,
+        now: Timestamp,
     ) {
         if next_offset < self.next_offset {
             return;
@@ -125,6 +125,7 @@
         }
         self.next_offset = next_offset;
         self.learn_table(table);
+        self.presence.expect(self.view.nodes(), now);
         self.promises.count_early(next_offset);
         self.is_behind = self.promises.has_early();
     }
@@ -192,7 +193,6 @@
     /// membership holds alive, this one included.
     pub fn tick(&mut self, now: Timestamp, alive: &[NodeId]) -> Vec<Duty> {
         self.presence.update(alive, now);
-        self.presence.note(self.view.nodes(), now);
 
         let mut duties = Vec::new();
         for deputy in self.deputies(now) {
