Hedge by stretch, report load as it changes, and hint delegates

Change: a hedge is sent after the 99th percentile of response over expected time, only to an agent with a free slot; agents tell their entries of a changed load within 10 to 50 ms; entries name the best other agent in the request, for owners that are busy.

--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -38,6 +38,7 @@
 use crate::{
     awaiting::Awaiting,
     coordinate::JobWaiters,
+    membership::Told,
     parking::Parking,
     stop::Phase,
     tasks::LocalTask,
@@ -63,6 +64,7 @@
     router: Router,
     members: Members,
     sequence: u64,
+    told: Told,
     beat_at: Timestamp,
     expire_at: Timestamp,
     jobs: Jobs,
@@ -99,6 +101,7 @@
             router: Router::new(options.availability_zone.clone()),
             members: Members::new(options.node, options.availability_zone.clone(), &options.seeds),
             sequence: 0,
+            told: Told::default(),
             beat_at: Timestamp::ZERO,
             expire_at: Timestamp::ZERO,
             jobs: Jobs::new(Placer::new(&options.availability_zone, options.seed)),
@@ -125,6 +128,7 @@
             Event::Caller { .. } | Event::CallerGone { .. } | Event::Explain { .. } => {}
         }
         self.start_queued();
+        self.report_load();
         self.finish_stop();
         std::mem::take(&mut self.effects)
     }
--- a/components/agent/src/membership.rs
+++ b/components/agent/src/membership.rs
@@ -1,18 +1,34 @@
 //! Heartbeats, the replicated state, and ownership of shards.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
-use ident::{NodeId, Timestamp};
+use ident::{Group, NodeId, Timestamp};
 use members::HEARTBEAT_INTERVAL;
 use node::{Effect, ReplyTo};
 use rand::RngExt;
 use register::{Record, State};
 use tenure::Duty;
 use uuid::Builder;
-use wire::{AgentReport, Datagram, Fetch, Reply, Snapshot};
+use wire::{AgentReport, Datagram, Fetch, Load, Reply, Snapshot};
 
 use crate::{Agent, stop::Phase, work};
 
+/// Shortest time between two reports of the load while many slots are free.
+const IDLE_LOAD_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Shortest time between two reports of the load while few slots are free.
+const BUSY_LOAD_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Share of the slots, as a divisor, that counts as few.
+const FEW_SLOTS: u32 = 3;
+
+/// Load that entries were told last.
+#[derive(Debug, Default)]
+pub struct Told {
+    load: Load,
+    at: Timestamp,
+}
+
 impl Agent {
     /// Takes a datagram.
     pub(crate) fn on_datagram(&mut self, datagram: Datagram) {
@@ -34,7 +50,7 @@
                 }
             }
             Datagram::Promise(promise) => self.tenure.on_promise(&promise, self.now),
-            Datagram::Heartbeat(_) | Datagram::Gossip { .. } => {}
+            Datagram::Heartbeat(_) | Datagram::Load { .. } | Datagram::Gossip { .. } => {}
         }
     }
 
@@ -144,6 +160,26 @@
         }
     }
 
+    /// Tells the entries of a changed load, some time after the last change.
+    pub(crate) fn report_load(&mut self) {
+        let load = self.load();
+        let is_same = load.busy == self.told.load.busy && load.queued == self.told.load.queued;
+        let interval = match self.queue.free() > load.slots / FEW_SLOTS {
+            true => IDLE_LOAD_INTERVAL,
+            false => BUSY_LOAD_INTERVAL,
+        };
+        if is_same || self.now < self.told.at + interval || *self.group() == Group::Workers {
+            return;
+        }
+        self.told = Told { load, at: self.now };
+        self.sequence += 1;
+        for entry in self.members.heartbeat_entries() {
+            let (node, incarnation) = (self.me.node, self.me.incarnation);
+            let datagram = Datagram::Load { node, incarnation, sequence: self.sequence, load };
+            self.send(entry, datagram);
+        }
+    }
+
     /// Carries out what ownership of shards demands.
     pub(crate) fn tick_tenure(&mut self) {
         if self.phase != Phase::Running || self.state.config.is_none() {
--- a/components/agent/src/place.rs
+++ b/components/agent/src/place.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use config::State as EndpointState;
-use ident::Group;
+use ident::{Group, NodeId};
 use node::{Candidate, Decision, Effect, ExecToken, LinkError, Step};
 use queue::{Item, TeamKey};
-use routing::{Sample, SampleOutcome, Want};
+use routing::{Choice, Sample, SampleOutcome, Want};
 use verdict::{Answer, Outcome, Reason, Refusal};
 use wire::{Call, Load};
 
@@ -107,9 +107,7 @@
         }
         let mut exclude = work.tried.clone();
         exclude.push(self.me.node);
-        let want = Want { kind: &work.run.kind, expected: work.expected, exclude: &exclude };
-        let choice = self.router.choose(&self.me.group, &want, self.now, &mut self.rng);
-        let Some(choice) = choice else { return false };
+        let Some(choice) = self.choose_delegate(key, &exclude) else { return false };
         if local.is_some_and(|wait| choice.wait + HAND_ON_COST >= wait) {
             return false;
         }
@@ -134,6 +132,21 @@
         true
     }
 
+    /// Agent to hand the request on to: the entry's hint, which rests on newer
+    /// reports than this agent has, or else the best that this agent knows.
+    fn choose_delegate(&mut self, key: WorkKey, exclude: &[NodeId]) -> Option<Choice> {
+        let work = &self.works[key];
+        let hint = work.run.hints.iter().copied().find(|node| !exclude.contains(node));
+        let group = &self.me.group;
+        if let Some(node) = hint
+            && !self.router.is_avoided(group, node, self.now)
+        {
+            return Some(Choice { node, wait: Duration::ZERO, candidates: Vec::new() });
+        }
+        let want = Want { kind: &work.run.kind, expected: work.expected, exclude };
+        self.router.choose(group, &want, self.now, &mut self.rng)
+    }
+
     /// Starts queued requests while slots are free.
     pub(crate) fn start_queued(&mut self) {
         while let Some(key) = self.queue.start_next(self.now) {
@@ -213,7 +226,7 @@
         &mut self,
         key: WorkKey,
         step: Step,
-        node: ident::NodeId,
+        node: NodeId,
         wait: Duration,
         detail: &str,
     ) {
--- a/components/entry/src/filter.rs
+++ b/components/entry/src/filter.rs
@@ -93,6 +93,7 @@
             team: request.team,
             budget: deadline,
             declared,
+            hints: Vec::new(),
             body: request.body,
         };
         Ok(Classified {
--- a/components/entry/src/membership.rs
+++ b/components/entry/src/membership.rs
@@ -15,6 +15,9 @@
     pub(crate) fn on_datagram(&mut self, datagram: Datagram) {
         match datagram {
             Datagram::Heartbeat(report) => self.on_heartbeat(&report),
+            Datagram::Load { node, incarnation, sequence, load } => {
+                self.router.on_load(node, (incarnation, sequence), load, self.now);
+            }
             Datagram::Gossip {
                 from,
                 incarnation,
--- a/components/entry/src/request.rs
+++ b/components/entry/src/request.rs
@@ -151,9 +151,9 @@
     }
 
     /// Message that asks an agent to run the request within `budget`.
-    pub fn call(&self, budget: Duration) -> Call {
+    pub fn call(&self, budget: Duration, hints: Vec<NodeId>) -> Call {
         match &self.payload {
-            Payload::Run(run) => Call::Run(Run { budget, ..run.clone() }),
+            Payload::Run(run) => Call::Run(Run { budget, hints, ..run.clone() }),
             Payload::Job(spec) => Call::Submit(JobSpec { budget, ..spec.clone() }),
         }
     }
--- a/components/entry/src/route.rs
+++ b/components/entry/src/route.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ident::{NodeId, RequestId, SHARD_COUNT, Shard};
+use ident::{Group, NodeId, RequestId, SHARD_COUNT, Shard};
 use node::{Candidate, Decision, Step};
 use rand::RngExt;
 use routing::Want;
@@ -98,9 +98,10 @@
     /// Sends the request to a node.
     pub(crate) fn send(&mut self, key: RequestKey, node: NodeId, candidates: Vec<Candidate>) {
         let now = self.now;
+        let hints = self.hints(key, node);
         let request = &mut self.requests[key];
         let budget = time_left(request.deadline, now);
-        let call = request.call(budget);
+        let call = request.call(budget, hints);
         let step = match (request.attempts, request.open.is_empty()) {
             (0, _) => Step::Route,
             (_, true) => Step::Retry,
@@ -127,19 +128,31 @@
         self.call(pending, node, call, budget + CALL_GRACE);
     }
 
+    /// Agents that the owner may hand the request on to if it is busy itself.
+    fn hints(&mut self, key: RequestKey, owner: NodeId) -> Vec<NodeId> {
+        let request = &self.requests[key];
+        if request.route == Route::Any || request.group == Group::Workers {
+            return Vec::new();
+        }
+        let want = Want { exclude: &[owner], ..want(request) };
+        let choice = self.router.choose(&request.group, &want, self.now, &mut self.rng);
+        choice.map(|choice| choice.node).into_iter().collect()
+    }
+
     fn arm_hedge(&mut self, key: RequestKey) {
         let Some(config) = &self.state.config else { return };
         let request = &self.requests[key];
         if !config.inventory.rules.hedge || request.attempts > 1 {
             return;
         }
-        let delay = self.router.hedge_delay(request.service(), request.kind());
+        let delay = self.router.hedge_delay(request.service(), request.kind(), request.expected);
         if let Some(delay) = delay {
             self.timers.insert(Timer { at: self.now + delay, request: key, due: Due::Hedge });
         }
     }
 
-    /// Sends a copy of an idempotent request to a second agent.
+    /// Sends a copy of an idempotent request to a second agent that has a free
+    /// slot; a copy that queued would only add to the load.
     pub(crate) fn hedge(&mut self, key: RequestKey) {
         let Some(request) = self.requests.get(key) else { return };
         if request.open.len() != 1 || request.attempts >= MAX_ATTEMPTS {
@@ -149,7 +162,8 @@
         let choice = self.router.choose(&request.group, &want, self.now, &mut self.rng);
         let Some(choice) = choice else { return };
         let room = time_left(request.deadline, self.now);
-        if choice.wait + request.expected < room && self.budget.try_spend(self.now) {
+        let is_free = choice.wait.is_zero();
+        if is_free && request.expected < room && self.budget.try_spend(self.now) {
             self.send(key, choice.node, choice.candidates);
         }
     }
--- a/components/metrics/src/names.rs
+++ b/components/metrics/src/names.rs
@@ -36,6 +36,7 @@
 pub(crate) fn datagram_name(datagram: &Datagram) -> &'static str {
     match datagram {
         Datagram::Heartbeat(_) => "heartbeat",
+        Datagram::Load { .. } => "load",
         Datagram::HeartbeatAck { .. } => "heartbeat_ack",
         Datagram::Gossip { .. } => "gossip",
         Datagram::PromiseRequest { .. } => "promise_request",
--- a/components/routing/src/agent.rs
+++ b/components/routing/src/agent.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ident::Timestamp;
+use ident::{Incarnation, Timestamp};
 use wire::{AgentReport, Load};
 
 use crate::health::{Health, Phase};
@@ -78,6 +78,14 @@
         known < (report.incarnation, report.sequence)
     }
 
+    /// Adopts a load that is newer than the present report.
+    pub(crate) fn on_load(&mut self, numbered: (Incarnation, u64), load: Load, now: Timestamp) {
+        if (self.report.incarnation, self.report.sequence) < numbered {
+            (self.report.incarnation, self.report.sequence) = numbered;
+            self.set_load(load, now);
+        }
+    }
+
     pub(crate) fn set_load(&mut self, load: Load, now: Timestamp) {
         self.load = load;
         self.load_at = now;
--- a/components/routing/src/router.rs
+++ b/components/routing/src/router.rs
@@ -3,8 +3,8 @@
 use std::{collections::HashMap, time::Duration};
 
 use config::Inventory;
-use ident::{Group, NodeId, Timestamp};
-use wire::AgentReport;
+use ident::{Group, Incarnation, NodeId, Timestamp};
+use wire::{AgentReport, Load};
 
 use crate::{
     Sample, SampleOutcome, agent::Agent, inventory::Declared, pool::Pool, run_time::RunTimes,
@@ -61,6 +61,19 @@
         }
     }
 
+    /// Takes in an agent's load, unless it is older than what is known.
+    pub fn on_load(
+        &mut self,
+        node: NodeId,
+        numbered: (Incarnation, u64),
+        load: Load,
+        now: Timestamp,
+    ) {
+        if let Some(agent) = self.agents.get_mut(&node) {
+            agent.on_load(numbered, load, now);
+        }
+    }
+
     /// Notes whether the agent has been silent for a while.
     pub fn set_suspected(&mut self, node: NodeId, suspected: bool) {
         if let Some(agent) = self.agents.get_mut(&node) {
@@ -107,7 +120,7 @@
         {
             let times = &mut self.run_times;
             times.learn(service, sample.kind, sample.declared, sample.run_time, now);
-            times.learn_response(service, sample.kind, now.since(sample.sent_at));
+            times.learn_response(service, sample.kind, sample.expected, now.since(sample.sent_at));
         }
     }
 
@@ -123,8 +136,8 @@
     }
 
     /// Time after which a response is late enough for a hedge, once known.
-    pub fn hedge_delay(&self, service: &str, kind: &str) -> Option<Duration> {
-        self.run_times.hedge_delay(service, kind)
+    pub fn hedge_delay(&self, service: &str, kind: &str, expected: Duration) -> Option<Duration> {
+        self.run_times.hedge_delay(service, kind, expected)
     }
 
     /// Time that a request sent to the agent now would wait for a slot there.
--- a/components/routing/src/run_time.rs
+++ b/components/routing/src/run_time.rs
@@ -19,8 +19,10 @@
 const HALF_LIFE: Duration = Duration::from_secs(10);
 /// Smallest part that is left of an estimate.
 const MIN_PART: f64 = 1.0 / 16.0;
-/// Fraction of responses that are faster than the hedge delay.
-const HEDGE_QUANTILE: f64 = 0.95;
+/// Fraction of responses that come before the hedge delay.
+const HEDGE_QUANTILE: f64 = 0.99;
+/// Shortest hedge delay.
+const MIN_HEDGE_DELAY: Duration = Duration::from_millis(20);
 
 /// Run times of every kind of every service.
 #[derive(Debug, Default)]
@@ -36,7 +38,8 @@
     ratio: Estimate,
     learnt_at: Timestamp,
     unconfirmed: Cell<u32>,
-    responses: Latency,
+    /// Response times over expected run times, a second for each time.
+    stretches: Latency,
 }
 
 /// Exponentially weighted mean of logarithms, with its mean error.
@@ -77,9 +80,16 @@
         kind.unconfirmed.set(0);
     }
 
-    /// Learns from a response.
-    pub(crate) fn learn_response(&mut self, service: &str, kind: &str, response: Duration) {
-        self.kind_mut(service, kind).responses.record(response);
+    /// Learns from a response to a request that was expected to run so long.
+    pub(crate) fn learn_response(
+        &mut self,
+        service: &str,
+        kind: &str,
+        expected: Duration,
+        response: Duration,
+    ) {
+        let stretch = response.as_secs_f64() / expected.as_secs_f64().max(1e-6);
+        self.kind_mut(service, kind).stretches.record(Duration::from_secs_f64(stretch));
     }
 
     /// Run time to expect.
@@ -102,9 +112,16 @@
         learnt.mul_f64(kind.part_left(learnt, now))
     }
 
-    /// Time after which a response is late enough for a hedge.
-    pub(crate) fn hedge_delay(&self, service: &str, kind: &str) -> Option<Duration> {
-        self.services.get(service)?.get(kind)?.responses.quantile(HEDGE_QUANTILE)
+    /// Time after which a response is late enough for a hedge, given the run
+    /// time that was expected.
+    pub(crate) fn hedge_delay(
+        &self,
+        service: &str,
+        kind: &str,
+        expected: Duration,
+    ) -> Option<Duration> {
+        let stretch = self.services.get(service)?.get(kind)?.stretches.quantile(HEDGE_QUANTILE)?;
+        Some(expected.mul_f64(stretch.as_secs_f64()).max(MIN_HEDGE_DELAY))
     }
 
     fn kind_mut(&mut self, service: &str, kind: &str) -> &mut Kind {
--- a/components/routing/tests/routing/run_time.rs
+++ b/components/routing/tests/routing/run_time.rs
@@ -148,14 +148,25 @@
 }
 
 #[test]
-fn hedges_after_most_responses() {
+fn hedges_after_most_responses_to_requests_of_that_length() {
     let mut router = router();
     for index in 0..1000 {
-        run(&mut router, None, ms(index % 100 + 1), at(index));
+        let sample = Sample {
+            kind: KIND,
+            declared: None,
+            expected: ms(100),
+            sent_at: at(index),
+            run_time: ms(index % 100 + 1),
+            outcome: SampleOutcome::Healthy,
+            load: None,
+        };
+        router.on_reply(node(), &sample, at(index) + ms(2 * (index % 100 + 1)));
     }
 
-    let delay = router.hedge_delay(SERVICE, KIND).expect("there are samples");
+    let short = router.hedge_delay(SERVICE, KIND, ms(100)).expect("there are samples");
+    let long = router.hedge_delay(SERVICE, KIND, ms(2000)).expect("there are samples");
 
-    assert_near(delay, ms(95));
-    assert_eq!(router.hedge_delay(SERVICE, "other"), None);
+    assert_near(short, ms(198));
+    assert_near(long, ms(3960));
+    assert_eq!(router.hedge_delay(SERVICE, "other", ms(100)), None);
 }
--- a/components/wire/src/datagram.rs
+++ b/components/wire/src/datagram.rs
@@ -10,6 +10,17 @@
 pub enum Datagram {
     /// From an agent to its entries: it is alive.
     Heartbeat(AgentReport),
+    /// From an agent to its entries between heartbeats: its load has changed.
+    Load {
+        /// Agent that sends.
+        node: NodeId,
+        /// Its current start.
+        incarnation: Incarnation,
+        /// Number among its reports.
+        sequence: u64,
+        /// Its load.
+        load: Load,
+    },
     /// From an entry to an agent, in answer.
     HeartbeatAck {
         /// Entry that answers.
--- a/components/wire/src/message.rs
+++ b/components/wire/src/message.rs
@@ -64,6 +64,8 @@
     pub budget: Duration,
     /// Run time that the caller declared.
     pub declared: Option<Duration>,
+    /// Agents that the entry holds to be free soonest, if the owner is not.
+    pub hints: Vec<NodeId>,
     /// Body for the executor.
     pub body: Vec<u8>,
 }
--- /dev/null
+++ b/load/src/central.rs
@@ -0,0 +1,63 @@
+//! An all-knowing dispatcher, for comparison.
+//!
+//! It sees every slot and every true run time at no cost, and starts the request
+//! with the shortest run time first. What it misses nobody can be blamed for.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeSet, BinaryHeap},
+    time::Duration,
+};
+
+use verdict::Verdict;
+
+use crate::{
+    tally::{Ending, Tally},
+    workload::Arrival,
+};
+
+/// Serves the arrivals with one queue for all slots.
+pub fn serve(arrivals: &[Arrival], slots: u32) -> Tally {
+    let mut tally = Tally::new();
+    let mut waiting: BTreeSet<(Duration, usize)> = BTreeSet::new();
+    let mut busy: BinaryHeap<Reverse<Duration>> = BinaryHeap::new();
+    let mut next = 0;
+    while next < arrivals.len() || !waiting.is_empty() {
+        let arrival = arrivals.get(next).map(|arrival| arrival.at);
+        let is_full = busy.len() >= slots as usize;
+        let free_at = busy.peek().map(|Reverse(at)| *at).filter(|_| is_full);
+        match (arrival, free_at) {
+            (Some(at), Some(free)) if at < free => {
+                waiting.insert((arrivals[next].run_time, next));
+                next += 1;
+            }
+            (Some(_), None) if waiting.is_empty() => {
+                start(&arrivals[next], arrivals[next].at, &mut busy, &mut tally);
+                next += 1;
+            }
+            (_, Some(free)) => {
+                busy.pop();
+                if let Some((_, index)) = waiting.pop_first() {
+                    start(&arrivals[index], free, &mut busy, &mut tally);
+                }
+            }
+            (_, None) => {
+                let Some((_, index)) = waiting.pop_first() else { break };
+                start(&arrivals[index], arrivals[index].at, &mut busy, &mut tally);
+            }
+        }
+    }
+    tally
+}
+
+fn start(
+    arrival: &Arrival,
+    at: Duration,
+    busy: &mut BinaryHeap<Reverse<Duration>>,
+    tally: &mut Tally,
+) {
+    let end = at + arrival.run_time;
+    busy.push(Reverse(end));
+    let response_time = end - arrival.at;
+    tally.add(arrival, Ending { verdict: Some(Verdict::Done), done: true, response_time });
+}
--- a/load/src/cli.rs
+++ b/load/src/cli.rs
@@ -31,6 +31,10 @@
     #[argh(option)]
     pub scenario: Vec<load::scenario::Scenario>,
 
+    /// system; may be repeated; all of them if there is none
+    #[argh(option)]
+    pub system: Vec<load::system::Kind>,
+
     /// seconds during which requests arrive
     #[argh(option, default = "20")]
     pub seconds: u64,
--- a/load/src/cluster.rs
+++ b/load/src/cluster.rs
@@ -60,6 +60,10 @@
     "task_reply",
 ];
 
+/// Types of datagrams.
+const DATAGRAM_TYPES: [&str; 6] =
+    ["heartbeat", "load", "heartbeat_ack", "gossip", "promise_request", "promise"];
+
 const LOOPBACK: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
 
 /// What to start.
@@ -155,11 +159,27 @@
         let agents = self.hosts.iter().filter_map(|host| host.agent.as_ref());
         let mut counts = BTreeMap::new();
         for node in self.entries.iter().chain(agents) {
-            count_messages(&node.metrics(), &mut counts);
+            count(&node.metrics(), &MESSAGE_TYPES, &mut counts);
         }
         counts
     }
 
+    /// Datagrams for membership and load so far.
+    pub fn datagrams(&self) -> u64 {
+        let agents = self.hosts.iter().filter_map(|host| host.agent.as_ref());
+        let nodes = self.entries.iter().chain(agents);
+        let mut counts = BTreeMap::new();
+        for node in nodes {
+            count(&node.metrics(), &DATAGRAM_TYPES, &mut counts);
+        }
+        counts.values().sum()
+    }
+
+    /// Nodes that run.
+    pub fn nodes(&self) -> usize {
+        self.entries.len() + self.hosts.iter().filter(|host| host.agent.is_some()).count()
+    }
+
     /// Host of the endpoint with the given name.
     pub fn host(&mut self, name: &str) -> Result<&mut Host> {
         let host = self.hosts.iter_mut().find(|host| host.name == name);
@@ -363,11 +383,11 @@
     None
 }
 
-/// Adds the messages that carry requests, jobs and their answers.
-fn count_messages(metrics: &str, counts: &mut BTreeMap<&'static str, u64>) {
+/// Adds the messages of some types that a node has sent.
+fn count(metrics: &str, types: &[&'static str], counts: &mut BTreeMap<&'static str, u64>) {
     let lines = metrics.lines().filter(|line| line.starts_with("primrosemux_messages"));
     for line in lines {
-        let found = MESSAGE_TYPES.iter().find(|it| line.contains(&format!("=\"{it}\"")));
+        let found = types.iter().find(|it| line.contains(&format!("=\"{it}\"")));
         let count = line.rsplit(' ').next().and_then(|text| text.parse::<u64>().ok());
         if let (Some(name), Some(count)) = (found, count) {
             *counts.entry(*name).or_default() += count;
--- a/load/src/cmd/compare.rs
+++ b/load/src/cmd/compare.rs
@@ -4,7 +4,7 @@
 
 use config::Inventory;
 use eyre::{Result, WrapErr};
-use load::{measure::measure, scenario::Scenario, system::Kind, tally::Tally};
+use load::{central, measure::measure, scenario::Scenario, system::Kind, tally::Tally};
 
 use crate::cli::Compare;
 
@@ -18,6 +18,10 @@
         true => Scenario::ALL.to_vec(),
         false => args.scenario.clone(),
     };
+    let systems = match args.system.is_empty() {
+        true => Kind::ALL.to_vec(),
+        false => args.system.clone(),
+    };
     println!(
         "{:<15} {:<15} {:>6} {:>6} {:>6} {:>7} {:>8} {:>8} {:>7} {:>7} {:>7} {:>7}",
         "scenario",
@@ -34,21 +38,24 @@
         "cpu µs"
     );
     for scenario in scenarios {
-        for kind in Kind::ALL {
-            let length = Duration::from_secs(args.seconds);
+        let length = Duration::from_secs(args.seconds);
+        let slots = inventory.executors.iter().map(|executor| executor.slots).sum();
+        let arrivals = scenario.shape(length, args.seed).arrivals(&inventory);
+        print_row(scenario, "all-knowing", &central::serve(&arrivals, slots));
+        for kind in systems.iter().copied() {
             let tally = measure(kind, scenario, &inventory, length, args.seed).await?;
-            print_row(scenario, kind, &tally);
+            print_row(scenario, kind.name(), &tally);
         }
     }
     Ok(())
 }
 
-fn print_row(scenario: Scenario, kind: Kind, tally: &Tally) {
+fn print_row(scenario: Scenario, system: &str, tally: &Tally) {
     let cpu = tally.cpu.as_micros() as u64 / tally.sent.max(1);
     println!(
         "{:<15} {:<15} {:>6} {:>6.3} {:>6.3} {:>7.3} {:>8.2} {:>8.2} {:>7} {:>7} {:>7} {:>7}",
         scenario.name(),
-        kind.name(),
+        system,
         tally.sent,
         tally.ratio(0.5),
         tally.ratio(0.99),
@@ -67,9 +74,10 @@
     let messages = tally.messages.iter().filter(|(_, count)| **count > 0);
     let messages = messages.map(|(name, count)| format!("{name} {count}"));
     println!(
-        "{:<15}   missed by class: {}; messages: {}",
+        "{:<15}   missed by class: {}; datagrams a node: {}; messages: {}",
         "",
         classes.collect::<Vec<String>>().join(", "),
+        tally.datagrams,
         messages.collect::<Vec<String>>().join(", ")
     );
 }
--- a/load/src/lib.rs
+++ b/load/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod baseline;
 mod caller;
+pub mod central;
 mod cluster;
 pub mod measure;
 pub mod scenario;
--- a/load/src/measure.rs
+++ b/load/src/measure.rs
@@ -27,7 +27,8 @@
     let arrivals = scenario.shape(length, seed).arrivals(inventory);
     let team = inventory.teams.first().map(|team| team.name.clone()).unwrap_or_default();
     let client = Arc::new(system.client());
-    let (messages, cpu) = (system.messages(), cpu_time()?);
+    let (messages, datagrams) = (system.messages(), system.datagrams_per_node());
+    let cpu = cpu_time()?;
     let (ended, mut endings) = mpsc::unbounded_channel();
     let start = Instant::now();
 
@@ -56,6 +57,7 @@
         let before = messages.get(name).copied().unwrap_or(0);
         tally.messages.insert(name, count - before);
     }
+    tally.datagrams = system.datagrams_per_node().saturating_sub(datagrams);
     tally.double_starts = system.double_starts();
     tally.cpu = cpu_time()?.saturating_sub(cpu);
     Ok(tally)
--- a/load/src/system.rs
+++ b/load/src/system.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::BTreeMap,
     fs,
+    str::FromStr,
     sync::atomic::{AtomicUsize, Ordering},
     time::Duration,
 };
@@ -58,6 +59,17 @@
     }
 }
 
+impl FromStr for Kind {
+    type Err = String;
+
+    fn from_str(s: &str) -> std::result::Result<Kind, String> {
+        Kind::ALL.into_iter().find(|it| it.name() == s).ok_or_else(|| {
+            let names: Vec<&str> = Kind::ALL.into_iter().map(Kind::name).collect();
+            format!("{s:?} is no system; there are {}", names.join(", "))
+        })
+    }
+}
+
 /// A system that runs.
 pub enum System {
     /// This project.
@@ -107,6 +119,14 @@
         }
     }
 
+    /// Datagrams so far, for each node that runs.
+    pub fn datagrams_per_node(&self) -> u64 {
+        match self {
+            System::Cluster(cluster) => cluster.datagrams() / cluster.nodes().max(1) as u64,
+            System::Baseline(_) => 0,
+        }
+    }
+
     /// Starts beyond the first of one id.
     pub fn double_starts(&self) -> u64 {
         match self {
@@ -261,6 +281,7 @@
         team: String::new(),
         budget: arrival.deadline,
         declared: Some(arrival.declared),
+        hints: Vec::new(),
         body: format!("{{\"run_ms\":{}}}", arrival.run_time.as_millis()).into_bytes(),
     }
 }
--- a/load/src/tally.rs
+++ b/load/src/tally.rs
@@ -38,6 +38,8 @@
     pub may_have_run: u64,
     /// Messages between nodes on behalf of requests, by type.
     pub messages: BTreeMap<&'static str, u64>,
+    /// Datagrams for membership and load that a node sent, on average.
+    pub datagrams: u64,
     /// Starts beyond the first of non-idempotent requests.
     pub double_starts: u64,
     /// Processor time of the whole process.
@@ -64,6 +66,7 @@
             not_run: 0,
             may_have_run: 0,
             messages: BTreeMap::new(),
+            datagrams: 0,
             double_starts: 0,
             cpu: Duration::ZERO,
         }
