--- a/components/retry/src/latency.rs
+++ b/components/retry/src/latency.rs
@@ -13,7 +13,7 @@
 /// Samples without which no quantile is given.
 const MIN_SAMPLES: u64 = 20;
 
-/// Quantiles over the latest 500 to 1,000 samples.
+/// Quantiles over the latest few hundred samples.
 #[derive(Debug, Clone)]
 pub struct Latency {
     older: Histogram<u32>,
