Test the daemon and the tool as separate processes

Cause: no test ran the programs as they ship; signals, exit codes and settings were covered only through the library. A node counts as started by its own log line: by its health page alone, a test could meet another test's node on the same port.

--- /dev/null
+++ b/daemon/tests/processes/process.rs
@@ -0,0 +1,111 @@
+//! The programs as processes, which are ended by their handles alone.
+
+use std::{
+    env,
+    path::{Path, PathBuf},
+    process::{Command as Builder, ExitStatus, Stdio},
+    sync::Once,
+};
+
+use tokio::{
+    io::{AsyncBufReadExt, BufReader, Lines},
+    process::{Child, ChildStdout, Command},
+};
+
+const DAEMON: &str = env!("CARGO_BIN_EXE_primrosemuxd");
+const MANIFEST: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../Cargo.toml");
+
+/// A process that runs; it is killed when the handle is dropped.
+pub struct Process {
+    child: Child,
+}
+
+/// What a process that has ended said.
+pub struct Ended {
+    pub code: Option<i32>,
+    pub stdout: String,
+    pub stderr: String,
+}
+
+impl Process {
+    /// Starts the daemon and waits until it listens on its ports, unless it ends.
+    pub async fn daemon(args: &[String]) -> Option<Process> {
+        let mut command = Command::new(DAEMON);
+        command.args(args).env_clear().stdout(Stdio::piped()).kill_on_drop(true);
+        let mut child = command.spawn().unwrap();
+        let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
+        wait_for_ports(&mut lines).await?;
+        // The daemon must not be held up by a full pipe.
+        tokio::spawn(async move { while let Ok(Some(_)) = lines.next_line().await {} });
+        Some(Process { child })
+    }
+
+    /// Sends SIGTERM.
+    pub async fn terminate(&self) {
+        let id = self.child.id().expect("the process runs").to_string();
+        let sent = Command::new("kill").args(["-TERM", &id]).status().await.unwrap();
+        assert!(sent.success());
+    }
+
+    /// Sends SIGKILL and waits for the end.
+    pub async fn kill(&mut self) {
+        self.child.kill().await.unwrap();
+    }
+
+    /// Waits for the end.
+    pub async fn wait(&mut self) -> ExitStatus {
+        self.child.wait().await.unwrap()
+    }
+}
+
+/// Runs the daemon to its end.
+pub async fn run_daemon(args: &[&str]) -> Ended {
+    run(Path::new(DAEMON), args).await
+}
+
+/// Runs the command-line tool to its end.
+pub async fn run_tool(args: &[&str]) -> Ended {
+    run(&tool(), args).await
+}
+
+/// Reads the line that the daemon writes once it listens.
+async fn wait_for_ports(lines: &mut Lines<BufReader<ChildStdout>>) -> Option<()> {
+    while let Some(line) = lines.next_line().await.unwrap() {
+        if line.contains("takes requests on") || line.contains("stands beside") {
+            return Some(());
+        }
+    }
+    None
+}
+
+async fn run(program: &Path, args: &[&str]) -> Ended {
+    let output = Command::new(program).args(args).env_clear().output().await.unwrap();
+    Ended {
+        code: output.status.code(),
+        stdout: String::from_utf8(output.stdout).unwrap(),
+        stderr: String::from_utf8(output.stderr).unwrap(),
+    }
+}
+
+/// The tool beside the daemon, which a test of this package alone has to build.
+fn tool() -> PathBuf {
+    static BUILD: Once = Once::new();
+    let tool = Path::new(DAEMON).with_file_name("primrosemux");
+    BUILD.call_once(|| {
+        if !tool.exists() {
+            build_tool(tool.parent().unwrap());
+        }
+    });
+    tool
+}
+
+fn build_tool(directory: &Path) {
+    let cargo = env::var_os("CARGO").expect("cargo runs the tests");
+    let mut command = Builder::new(cargo);
+    command.args(["build", "--locked", "--package", "primrosemux", "--manifest-path", MANIFEST]);
+    command.arg("--target-dir").arg(directory.parent().unwrap());
+    if directory.ends_with("release") {
+        command.arg("--release");
+    }
+    assert!(command.status().unwrap().success());
+}
--- /dev/null
+++ b/daemon/tests/processes/system.rs
@@ -0,0 +1,252 @@
+//! Fixtures: two entries, and agents beside two executors and two workers.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
+    time::Duration,
+};
+
+use ident::{RequestId, Timestamp};
+use load::{Answer, Caller, Submission};
+use standin::{
+    executor::{ExecutorOptions, ExecutorServer},
+    log::LogServer,
+    worker::{WorkerOptions, WorkerServer},
+};
+use tokio::time::{sleep, timeout};
+
+use crate::process::{Ended, Process, run_tool};
+
+pub const INVENTORY: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../scenarios/yard.toml");
+
+/// Longest wait for something that should happen.
+const LIMIT: Duration = Duration::from_secs(60);
+/// Time between two looks at a condition.
+const PAUSE: Duration = Duration::from_millis(20);
+/// Attempts to start on ports that nobody else has taken meanwhile.
+const START_ATTEMPTS: u32 = 5;
+/// Requests that must all be done before a system counts as settled.
+const SETTLING_REQUESTS: usize = 32;
+
+/// Daemons as processes beside stand-ins.
+pub struct System {
+    pub log: LogServer,
+    pub executors: Vec<ExecutorServer>,
+    pub entries: Vec<Node>,
+    /// Agents beside the executors, in the same order.
+    pub agents: Vec<Node>,
+    _workers: Vec<WorkerServer>,
+    _worker_agents: Vec<Node>,
+}
+
+/// A daemon with an HTTP side.
+pub struct Node {
+    pub process: Process,
+    pub http: SocketAddr,
+    args: Vec<String>,
+}
+
+/// Addresses that were free a moment ago.
+struct Addresses {
+    node: SocketAddr,
+    http: SocketAddr,
+}
+
+impl System {
+    /// Starts everything, publishes the inventory and waits until requests are served.
+    pub async fn start() -> System {
+        for _ in 0..START_ATTEMPTS {
+            if let Some(system) = System::try_start().await {
+                system.publish().await;
+                system.settle().await;
+                return system;
+            }
+        }
+        panic!("no system started in {START_ATTEMPTS} attempts");
+    }
+
+    /// Runs the command-line tool against the log and an entry.
+    pub async fn tool(&self, entry: usize, args: &[&str]) -> Ended {
+        let entry = self.entries[entry].http.to_string();
+        run_tool(&[args, &["--entry", &entry]].concat()).await
+    }
+
+    /// Runs a command of the tool that reads or writes the log.
+    pub async fn publish_tool(&self, args: &[&str]) -> Ended {
+        let log = self.log.address().to_string();
+        self.tool(0, &[args, &["--log", &log]].concat()).await
+    }
+
+    /// Calls an entry.
+    pub fn caller(&self, entry: usize) -> Caller {
+        Caller::new(self.entries[entry].http)
+    }
+
+    /// Waits until an executor has started the request, and tells which.
+    pub async fn wait_for_start(&self, id: RequestId) -> usize {
+        until(async || self.executors.iter().position(|it| it.runs(id) > 0)).await
+    }
+
+    /// Starts of the request on all executors.
+    pub fn runs(&self, id: RequestId) -> u32 {
+        self.executors.iter().map(|it| it.runs(id)).sum()
+    }
+
+    async fn try_start() -> Option<System> {
+        let log = LogServer::start().await.unwrap();
+        let addresses = [Addresses::find(), Addresses::find()];
+        let seeds = addresses.each_ref().map(|it| it.node.to_string()).join(",");
+        let mut entries = Vec::new();
+        for it in &addresses {
+            entries.push(Node::start(entry_args(it, &seeds, &log)).await?);
+        }
+        let (mut executors, mut agents) = (Vec::new(), Vec::new());
+        let (mut workers, mut worker_agents) = (Vec::new(), Vec::new());
+        for number in 1..=2 {
+            let executor = start_executor(number).await;
+            let beside = format!("--name yard-{number} --service yardbook");
+            let beside = format!("{beside} --endpoint {}", executor.address());
+            agents.push(Node::start(agent_args(&beside, &seeds, &log)).await?);
+            executors.push(executor);
+
+            let worker = start_worker(number).await;
+            let beside = format!("--name worker-{number} --workers");
+            let beside = format!("{beside} --endpoint {}", worker.address());
+            worker_agents.push(Node::start(agent_args(&beside, &seeds, &log)).await?);
+            workers.push(worker);
+        }
+        Some(System {
+            log,
+            executors,
+            entries,
+            agents,
+            _workers: workers,
+            _worker_agents: worker_agents,
+        })
+    }
+
+    async fn publish(&self) {
+        let published = self.publish_tool(&["publish", INVENTORY]).await;
+        assert_eq!(published.code, Some(0), "{}{}", published.stdout, published.stderr);
+    }
+
+    /// Waits until owners of all parts of the id space decide.
+    async fn settle(&self) {
+        until(async || {
+            for _ in 0..SETTLING_REQUESTS {
+                let ticket = wrap_ticket(new_id(), Duration::from_millis(1));
+                if !self.caller(0).submit(&ticket).await.unwrap().is_done() {
+                    return None;
+                }
+            }
+            Some(())
+        })
+        .await;
+    }
+}
+
+impl Node {
+    /// Starts a daemon again with the settings that it had.
+    pub async fn restart(&mut self) {
+        *self = Node::start(self.args.clone()).await.expect("the ports are still free");
+    }
+
+    /// Starts a daemon, unless one of its ports was taken meanwhile.
+    async fn start(args: Vec<String>) -> Option<Node> {
+        let process = Process::daemon(&args).await?;
+        let flag = args.iter().position(|it| it == "--listen" || it == "--metrics").unwrap();
+        let http = args[flag + 1].parse().unwrap();
+        Some(Node { process, http, args })
+    }
+}
+
+impl Addresses {
+    fn find() -> Addresses {
+        Addresses { node: free_address(), http: free_address() }
+    }
+}
+
+/// Waits until the condition gives a value.
+pub async fn until<T>(mut condition: impl AsyncFnMut() -> Option<T>) -> T {
+    let found = timeout(LIMIT, async {
+        loop {
+            if let Some(value) = condition().await {
+                return value;
+            }
+            sleep(PAUSE).await;
+        }
+    });
+    found.await.expect("the condition holds within a minute")
+}
+
+/// An id that nobody has used.
+pub fn new_id() -> RequestId {
+    RequestId::new(Timestamp::now(), rand::random())
+}
+
+/// A non-idempotent request of the given run time.
+pub fn wrap_ticket(id: RequestId, run_time: Duration) -> Submission<'static> {
+    Submission {
+        id: Some(id),
+        service: "yardbook",
+        kind: "wrap-ticket",
+        team: "yard",
+        deadline: Some(Duration::from_secs(20)),
+        declared: Some(run_time),
+        run_time,
+    }
+}
+
+/// Submits a request in the background.
+pub fn submit(caller: Caller, ticket: Submission<'static>) -> tokio::task::JoinHandle<Answer> {
+    tokio::spawn(async move { caller.submit(&ticket).await.unwrap() })
+}
+
+fn entry_args(addresses: &Addresses, seeds: &str, log: &LogServer) -> Vec<String> {
+    let Addresses { node, http } = addresses;
+    split(&format!(
+        "entry --listen {http} --node {node} --availability-zone mystic-shed --seeds {seeds} \
+         --log {}",
+        log.address()
+    ))
+}
+
+fn agent_args(beside: &str, seeds: &str, log: &LogServer) -> Vec<String> {
+    let Addresses { node, http } = Addresses::find();
+    split(&format!(
+        "agent {beside} --metrics {http} --node {node} --availability-zone mystic-shed \
+         --seeds {seeds} --log {}",
+        log.address()
+    ))
+}
+
+fn split(line: &str) -> Vec<String> {
+    line.split_whitespace().map(str::to_owned).collect()
+}
+
+async fn start_executor(number: u32) -> ExecutorServer {
+    let name = format!("yard-{number}");
+    ExecutorServer::start(ExecutorOptions { name, slots: 8, connections: 60 }).await.unwrap()
+}
+
+async fn start_worker(number: u32) -> WorkerServer {
+    let options = WorkerOptions {
+        name: format!("worker-{number}"),
+        cores: 64,
+        memory_mb: 256 * 1024,
+        accelerators: 0,
+        connections: 64,
+        usage_lag: Duration::from_millis(100),
+    };
+    WorkerServer::start(options).await.unwrap()
+}
+
+/// An address that is free for both TCP and UDP.
+fn free_address() -> SocketAddr {
+    loop {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+        let address = listener.local_addr().unwrap();
+        if UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
