Give tasks back their worker's health, cores and stopped jobs

Cause: agents reported the request queue's load for workers, which is always zero; a worker that fails everything went on being given tasks by coordinators that do not see each other; a stop that overtook its start left the task running until its lease lapsed; a changed connection limit rebuilt the client and forgot pending starts; agents looked at the ownership of shards on each tick of 10 ms. Change: workers' agents report cores in use, refuse tasks while the worker is ejected, remember stopped jobs for 10 s, and look at ownership every 50 ms. An entry refuses for load only if the predicted wait alone passes the deadline, since run times are often declared ten times too long.

--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -17,7 +17,7 @@
 mod tasks;
 mod work;
 
-use std::{collections::HashMap, sync::Arc};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use config::Inventory;
 use ident::{Group, RequestId, Timestamp};
@@ -41,10 +41,13 @@
     membership::Told,
     parking::Parking,
     stop::Phase,
-    tasks::LocalTask,
+    tasks::LocalTasks,
     work::{CallKey, Pending, Work, WorkKey},
 };
 
+/// Time between two looks at the ownership of shards.
+const TENURE_INTERVAL: Duration = Duration::from_millis(50);
+
 /// State of an agent.
 pub struct Agent {
     me: Options,
@@ -66,12 +69,13 @@
     sequence: u64,
     told: Told,
     beat_at: Timestamp,
+    tenure_at: Timestamp,
     expire_at: Timestamp,
     jobs: Jobs,
     job_waiters: JobWaiters,
     awaiting: Awaiting,
     parking: Parking,
-    tasks: SlotMap<tasks::TaskKey, LocalTask>,
+    tasks: LocalTasks,
 }
 
 impl Agent {
@@ -103,12 +107,13 @@
             sequence: 0,
             told: Told::default(),
             beat_at: Timestamp::ZERO,
+            tenure_at: Timestamp::ZERO,
             expire_at: Timestamp::ZERO,
             jobs: Jobs::new(Placer::new(&options.availability_zone, options.seed)),
             job_waiters: JobWaiters::default(),
             awaiting: Awaiting::default(),
             parking: Parking::default(),
-            tasks: SlotMap::with_key(),
+            tasks: LocalTasks::new(),
             me: options,
         }
     }
@@ -120,7 +125,7 @@
             Event::Call { from, call, .. } => self.on_call(from, call),
             Event::PeerReplied { token, reply } => self.on_peer_replied(token, reply),
             Event::Executed { token, result, took } => self.on_executed(token, result, took),
-            Event::TaskEnded { token, result, took } => self.on_task_ended(token, result, took),
+            Event::TaskEnded { token, result, .. } => self.on_task_ended(token, result),
             Event::Datagram(datagram) => self.on_datagram(datagram),
             Event::State { state, read_at } => self.on_state(state, read_at),
             Event::Tick => self.on_tick(),
@@ -133,6 +138,11 @@
         std::mem::take(&mut self.effects)
     }
 
+    /// Number of ids in the ledger.
+    pub fn ledger_len(&self) -> usize {
+        self.ledger.len()
+    }
+
     /// Version of the configuration in force here, 0 for none.
     pub fn version(&self) -> u64 {
         self.state.version()
@@ -158,7 +168,10 @@
     fn on_tick(&mut self) {
         self.refuse_late();
         self.tick_membership();
-        self.tick_tenure();
+        if self.now >= self.tenure_at {
+            self.tenure_at = self.now + TENURE_INTERVAL;
+            self.tick_tenure();
+        }
         self.tick_jobs();
         self.tick_awaiting();
         self.tick_parking();
--- a/components/agent/src/membership.rs
+++ b/components/agent/src/membership.rs
@@ -97,6 +97,9 @@
         self.delegated.set_limits(work::ledger_limits(rules));
         self.router.set_inventory(inventory);
         self.jobs.set_inventory(inventory);
+        if let Some(worker) = inventory.worker(&self.me.name) {
+            self.tasks.set_cores(worker.cores);
+        }
         if let Some(executor) = inventory.executor(&self.me.name) {
             self.queue.set_slots(executor.slots);
         }
--- a/components/agent/src/place.rs
+++ b/components/agent/src/place.rs
@@ -219,7 +219,10 @@
 
     /// Load of the local endpoint, as it is reported to others.
     pub(crate) fn load(&self) -> Load {
-        self.queue.load(self.now)
+        match self.group() {
+            Group::Service(_) => self.queue.load(self.now),
+            Group::Workers => self.tasks.load(),
+        }
     }
 
     fn decide_place(
--- a/components/agent/src/tasks.rs
+++ b/components/agent/src/tasks.rs
@@ -1,12 +1,16 @@
 //! Tasks that run on the local worker for the job's coordinator.
 
-use std::time::Duration;
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
 
-use ident::RequestId;
+use ident::{RequestId, Timestamp};
 use node::{Effect, LinkError, ReplyTo, TaskToken};
-use slotmap::new_key_type;
+use placement::Health;
+use slotmap::{SlotMap, new_key_type};
 use verdict::{Answer, Outcome, Proof, Reason, Refusal};
-use wire::{Reply, StartTask};
+use wire::{Load, Reply, StartTask};
 
 use crate::{Agent, task_key, task_token};
 
@@ -15,14 +19,139 @@
     pub struct TaskKey;
 }
 
+/// Failed jobs in a row after which the worker is given no tasks for a while.
+const FAILED_JOBS: u32 = 5;
+
+/// Time for which a stopped job is remembered, so that a start which the stop
+/// overtook does not run.
+const STOP_MEMORY: Duration = Duration::from_secs(10);
+
+/// Most stopped jobs that are remembered.
+const STOP_LIMIT: usize = 4096;
+
+/// Tasks on the local worker.
+#[derive(Debug)]
+pub struct LocalTasks {
+    tasks: SlotMap<TaskKey, LocalTask>,
+    by_job: HashMap<RequestId, Vec<TaskKey>>,
+    stopped: VecDeque<StoppedJob>,
+    health: Health,
+    cores: u32,
+}
+
 /// A task on the local worker.
 #[derive(Debug)]
-pub struct LocalTask {
+struct LocalTask {
     job: RequestId,
     index: u32,
+    cores: u32,
+    expected: Duration,
     waiter: ReplyTo,
 }
 
+/// A job whose tasks were stopped.
+#[derive(Debug)]
+struct StoppedJob {
+    job: RequestId,
+    at: Timestamp,
+}
+
+impl LocalTasks {
+    /// Starts with no tasks.
+    pub fn new() -> LocalTasks {
+        LocalTasks {
+            tasks: SlotMap::with_key(),
+            by_job: HashMap::new(),
+            stopped: VecDeque::new(),
+            health: Health::new(FAILED_JOBS),
+            cores: 0,
+        }
+    }
+
+    /// Sets the number of cores that the inventory gives the worker.
+    pub fn set_cores(&mut self, cores: u32) {
+        self.cores = cores;
+    }
+
+    /// Whether no task runs.
+    pub fn is_empty(&self) -> bool {
+        self.tasks.is_empty()
+    }
+
+    /// Cores in use, as slots.
+    pub fn load(&self) -> Load {
+        let busy = self.tasks.values().map(|task| task.cores).sum();
+        let work = self.tasks.values().map(|task| task.expected).sum();
+        Load { busy, slots: self.cores, queued: 0, work }
+    }
+
+    fn objection(&self, start: &StartTask, now: Timestamp) -> Option<&'static str> {
+        if self.stopped.iter().any(|it| it.job == start.job) {
+            return Some("the job was stopped before its task came");
+        }
+        if self.health.is_ejected(now) {
+            return Some("the worker has failed too many jobs in a row");
+        }
+        if self.health.on_probation(now) && !self.tasks.is_empty() {
+            return Some("the worker is on probation and runs a task already");
+        }
+        None
+    }
+
+    fn contains(&self, job: RequestId, index: u32) -> bool {
+        let keys = self.by_job.get(&job).into_iter().flatten();
+        keys.filter_map(|key| self.tasks.get(*key)).any(|task| task.index == index)
+    }
+
+    fn add(&mut self, start: &StartTask, waiter: ReplyTo) -> TaskKey {
+        let key = self.tasks.insert(LocalTask {
+            job: start.job,
+            index: start.index,
+            cores: start.task.cores,
+            expected: Duration::from_millis(start.task.run_ms),
+            waiter,
+        });
+        self.by_job.entry(start.job).or_default().push(key);
+        key
+    }
+
+    fn remove(&mut self, key: TaskKey) -> Option<LocalTask> {
+        let task = self.tasks.remove(key)?;
+        if let Some(keys) = self.by_job.get_mut(&task.job) {
+            keys.retain(|it| *it != key);
+            if keys.is_empty() {
+                self.by_job.remove(&task.job);
+            }
+        }
+        Some(task)
+    }
+
+    fn tokens(&self, job: RequestId) -> Vec<TaskToken> {
+        let keys = self.by_job.get(&job).into_iter().flatten();
+        keys.map(|key| task_token(*key)).collect()
+    }
+
+    fn note_stop(&mut self, job: RequestId, now: Timestamp) {
+        while let Some(oldest) = self.stopped.front() {
+            if oldest.at + STOP_MEMORY > now && self.stopped.len() < STOP_LIMIT {
+                break;
+            }
+            self.stopped.pop_front();
+        }
+        self.stopped.push_back(StoppedJob { job, at: now });
+    }
+
+    fn observe(&mut self, job: RequestId, result: &Result<Answer, LinkError>, now: Timestamp) {
+        let was_stopped = self.stopped.iter().any(|it| it.job == job);
+        match result {
+            Ok(answer) if answer.status < 500 => self.health.on_done(),
+            Ok(_) => self.health.on_failed(job, now),
+            Err(LinkError::Lost) if !was_stopped => self.health.on_failed(job, now),
+            Err(LinkError::Lost | LinkError::NotSent) => {}
+        }
+    }
+}
+
 impl Agent {
     /// Starts a task for its coordinator.
     pub(crate) fn on_start_task(&mut self, from: ReplyTo, start: StartTask) {
@@ -30,14 +159,16 @@
             let message = format!("{} takes no new tasks.", self.me.node);
             return self.refuse_task(from, Reason::NoEndpoint, message);
         }
-        let present = |task: &LocalTask| task.job == start.job && task.index == start.index;
-        if self.tasks.values().any(present) {
+        if let Some(objection) = self.tasks.objection(&start, self.now) {
+            let message = format!("{} takes no task now: {objection}.", self.me.node);
+            return self.refuse_task(from, Reason::Overloaded, message);
+        }
+        if self.tasks.contains(start.job, start.index) {
             let message = format!("Task {} of {} runs already.", start.index, start.job);
             let refusal = Refusal::may_have_run(Reason::Invalid, message);
             return self.reply(from, Reply::Task(Outcome::Refused(refusal)));
         }
-        let task = LocalTask { job: start.job, index: start.index, waiter: from };
-        let key = self.tasks.insert(task);
+        let key = self.tasks.add(&start, from);
         self.effects.push(Effect::StartTask { token: task_token(key), task: start });
     }
 
@@ -47,13 +178,9 @@
     }
 
     /// Takes the local worker's answer.
-    pub(crate) fn on_task_ended(
-        &mut self,
-        token: TaskToken,
-        result: Result<Answer, LinkError>,
-        _took: Duration,
-    ) {
+    pub(crate) fn on_task_ended(&mut self, token: TaskToken, result: Result<Answer, LinkError>) {
         let Some(task) = self.tasks.remove(task_key(token)) else { return };
+        self.tasks.observe(task.job, &result, self.now);
         match result {
             Ok(answer) => self.reply(task.waiter, Reply::Task(Outcome::Done(answer))),
             Err(LinkError::NotSent) => {
@@ -70,7 +197,7 @@
 
     /// Prolongs the leases of a job's tasks.
     pub(crate) fn on_renew_tasks(&mut self, from: ReplyTo, job: RequestId, lease: Duration) {
-        for token in self.job_tokens(job) {
+        for token in self.tasks.tokens(job) {
             self.effects.push(Effect::RenewTask { token, lease });
         }
         self.reply(from, Reply::Ack);
@@ -78,14 +205,10 @@
 
     /// Stops a job's tasks.
     pub(crate) fn on_stop_tasks(&mut self, from: ReplyTo, job: RequestId) {
-        for token in self.job_tokens(job) {
+        self.tasks.note_stop(job, self.now);
+        for token in self.tasks.tokens(job) {
             self.effects.push(Effect::StopTask { token });
         }
         self.reply(from, Reply::Ack);
     }
-
-    fn job_tokens(&self, job: RequestId) -> Vec<TaskToken> {
-        let tasks = self.tasks.iter().filter(|(_, task)| task.job == job);
-        tasks.map(|(key, _)| task_token(key)).collect()
-    }
 }
--- a/components/entry/src/route.rs
+++ b/components/entry/src/route.rs
@@ -42,7 +42,7 @@
         else {
             return self.refuse_without_endpoint(key);
         };
-        if choice.wait + request.expected > time_left(request.deadline, self.now) {
+        if choice.wait >= time_left(request.deadline, self.now) {
             return self.refuse_overloaded(key, choice.wait);
         }
         self.send(key, choice.node, choice.candidates);
@@ -65,7 +65,7 @@
         else {
             return self.refuse_without_endpoint(key);
         };
-        if choice.wait + request.expected > time_left(request.deadline, self.now) {
+        if choice.wait >= time_left(request.deadline, self.now) {
             return self.refuse_overloaded(key, choice.wait);
         }
         let Some((id, owner)) = self.mint(key, choice.node) else {
--- a/daemon/src/endpoint.rs
+++ b/daemon/src/endpoint.rs
@@ -18,7 +18,6 @@
 /// Runs requests and tasks on the endpoint beside an agent.
 pub(crate) struct Endpoint {
     name: String,
-    address: SocketAddr,
     client: Client,
     connections: usize,
     running: HashMap<TaskToken, TaskName>,
@@ -59,7 +58,7 @@
         let connections = DEFAULT_CONNECTIONS;
         let client = Client::new(&group, address, connections);
         let running = HashMap::new();
-        Endpoint { name, address, client, connections, running, inbox, shared, tasks }
+        Endpoint { name, client, connections, running, inbox, shared, tasks }
     }
 
     /// Adapts the number of connections to the inventory.
@@ -73,7 +72,7 @@
         let connections = declared.map_or(DEFAULT_CONNECTIONS, |it| it as usize);
         if connections != self.connections {
             self.connections = connections;
-            self.client = self.client.renew(self.address, connections);
+            self.client.set_connections(connections);
         }
     }
 
@@ -193,11 +192,11 @@
         }
     }
 
-    /// The same client with another number of connections.
-    fn renew(&self, address: SocketAddr, connections: usize) -> Client {
+    /// Changes the number of connections; what is in progress goes on.
+    fn set_connections(&self, connections: usize) {
         match self {
-            Client::Executor(_) => Client::Executor(Executor::new(address, connections)),
-            Client::Worker(_) => Client::Worker(Worker::new(address, connections)),
+            Client::Executor(executor) => executor.set_connections(connections),
+            Client::Worker(worker) => worker.set_connections(connections),
         }
     }
 }
