Cover each promise and failure by a scenario

Cause: thirteen scenarios left most pairs of a promise and a failure open, and the fake log could neither forget records nor lose an answer.

--- a/components/scenario/src/check.rs
+++ b/components/scenario/src/check.rs
@@ -158,6 +158,14 @@
                 }
             }
             Expect::Share(percent, name, verdict) => self.check_share(*percent, name, *verdict),
+            Expect::Idle(name, after) => {
+                let (ids, limit) = (self.ids_of(name), self.zero() + *after);
+                let starts = self.endpoints.starts.iter().filter(|it| ids.contains(&it.id));
+                match starts.filter(|it| it.ended.is_none_or(|at| at > limit)).count() {
+                    0 => Ok(()),
+                    count => Err(format!("{count} starts of {name} still run after {after:?}")),
+                }
+            }
             Expect::Stopped(name, by) => {
                 let stopped = self.members[&self.names[name]].stopped_at;
                 match stopped.is_some_and(|at| at <= self.zero() + *by) {
@@ -199,8 +207,10 @@
     fn check_in_force(&self, by: Duration) -> Result<(), String> {
         let version = self.log.truth.version();
         let behind = self.members.values().filter(|it| it.is_running());
-        let behind: Vec<&str> =
-            behind.filter(|it| it.state.version() != version).map(|it| it.name.as_str()).collect();
+        let behind: Vec<&str> = behind
+            .filter(|it| it.follower.state().version() != version)
+            .map(|it| it.name.as_str())
+            .collect();
         if !behind.is_empty() {
             return Err(format!("version {version} is not in force on {behind:?}"));
         }
--- a/components/scenario/src/endpoint.rs
+++ b/components/scenario/src/endpoint.rs
@@ -31,6 +31,8 @@
     pub node: NodeId,
     pub id: RequestId,
     pub task: Option<u32>,
+    /// When it ended, if it has.
+    pub ended: Option<Timestamp>,
 }
 
 /// Something that an agent asks its endpoint to run.
@@ -47,6 +49,8 @@
 
 #[derive(Debug, Clone)]
 struct Running {
+    /// Position among the starts.
+    index: usize,
     node: NodeId,
     waiter: Waiter,
     result: Result<Answer, LinkError>,
@@ -67,8 +71,18 @@
         self.faults.insert(node, fault);
     }
 
-    pub fn kill_host(&mut self, node: NodeId) {
-        self.running.retain(|_, running| running.node != node);
+    pub fn kill_host(&mut self, node: NodeId, now: Timestamp) {
+        let here = self.running.iter().filter(|(_, running)| running.node == node);
+        let here: Vec<u64> = here.map(|(run, _)| *run).collect();
+        for run in here {
+            self.end(run, now);
+        }
+    }
+
+    fn end(&mut self, run: u64, now: Timestamp) -> Option<Running> {
+        let running = self.running.remove(&run)?;
+        self.starts[running.index].ended = Some(now);
+        Some(running)
     }
 
     pub fn forget_waiters(&mut self, node: NodeId) {
@@ -105,7 +119,7 @@
     }
 
     pub(crate) fn on_start_task(&mut self, node: NodeId, token: TaskToken, start: &StartTask) {
-        let run_time = Duration::from_millis(start.task.run_ms);
+        let run_time = run_time(start.task.body.as_bytes());
         let body = format!("\"{}-{}\"", start.job, start.index).into_bytes();
         let timeout = start.budget + Duration::from_secs(5);
         let waiter = Waiter::Worker(token);
@@ -129,7 +143,7 @@
     }
 
     pub(crate) fn on_finish(&mut self, run: u64) {
-        let Some(running) = self.endpoints.running.remove(&run) else { return };
+        let Some(running) = self.endpoints.end(run, self.now) else { return };
         let took = self.now.since(running.started);
         self.tell(running.node, running.waiter, running.result, took);
     }
@@ -148,7 +162,8 @@
             self.tell(node, waiter, Err(LinkError::NotSent), Duration::ZERO);
             return None;
         }
-        self.endpoints.starts.push(Start { at: self.now, node, id, task });
+        self.endpoints.starts.push(Start { at: self.now, node, id, task, ended: None });
+        let index = self.endpoints.starts.len() - 1;
         let answer = |status| Ok(Answer { status, body: body.clone() });
         let (after, result) = match fault {
             Fault::Well => (run_time, answer(200)),
@@ -162,7 +177,8 @@
         };
         self.endpoints.next += 1;
         let run = self.endpoints.next;
-        let running = Running { node, waiter, result, started: self.now, lease_ends: None };
+        let started = self.now;
+        let running = Running { index, node, waiter, result, started, lease_ends: None };
         self.endpoints.running.insert(run, running);
         self.schedule(after, Item::Finish(run));
         Some(run)
@@ -184,7 +200,7 @@
     }
 
     fn end_task(&mut self, run: u64) {
-        let Some(running) = self.endpoints.running.remove(&run) else { return };
+        let Some(running) = self.endpoints.end(run, self.now) else { return };
         let took = self.now.since(running.started);
         self.tell(running.node, running.waiter, Err(LinkError::Lost), took);
     }
--- a/components/scenario/src/play.rs
+++ b/components/scenario/src/play.rs
@@ -17,6 +17,9 @@
 /// One-way time between a caller and an entry.
 const CALLER_LATENCY: Duration = Duration::from_millis(3);
 
+/// Run time of a task that states none.
+const TASK_RUN: Duration = Duration::from_millis(100);
+
 /// Callers with what they sent and were answered.
 #[derive(Default)]
 pub(crate) struct Callers {
@@ -36,7 +39,7 @@
 #[derive(Debug, Clone)]
 pub(crate) enum What {
     Request { kind: String, run: Duration },
-    Job { tasks: usize, run: Duration },
+    Job { tasks: usize, task: TaskSpec },
 }
 
 /// One submission or question of a caller.
@@ -97,7 +100,7 @@
             Action::Cut(left, right) => self.cut(left, right),
             Action::Heal(left, right) => self.heal(left, right),
             Action::Silence(from, to) => self.silence(from, to),
-            Action::Log(fault) => self.log.fault = *fault,
+            Action::Log(fault) => self.log.set_fault(*fault),
             Action::Endpoint(name, fault) => {
                 let node = self.names[name];
                 self.endpoints.set_fault(node, *fault);
@@ -117,8 +120,8 @@
                 self.submit(&name, index, &sending);
             }
             Action::Job { name, tasks, sending } => {
-                let run = sending.run.unwrap_or(Duration::from_millis(100));
-                self.learn(&name, index, What::Job { tasks, run }, &sending);
+                let what = What::Job { tasks, task: task(&sending) };
+                self.learn(&name, index, what, &sending);
                 self.submit(&name, index, &sending);
             }
             Action::Resubmit { name, sending } => self.submit(&name, index, &sending),
@@ -157,15 +160,15 @@
                 kind: kind.clone(),
                 team,
                 deadline: sending.deadline,
-                declared: None,
+                declared: sending.declared,
                 body: run.as_millis().to_string().into_bytes(),
             }),
-            What::Job { tasks, run } => CallerRequest::Job(Job {
+            What::Job { tasks, task } => CallerRequest::Job(Job {
                 id: known.id,
                 team,
                 urgency: self.inventory.urgencies[0].name.clone(),
                 deadline_ms: sending.deadline.map(|it| it.as_millis() as u64),
-                tasks: vec![task(*run); *tasks],
+                tasks: vec![task.clone(); *tasks],
             }),
         };
         self.send_caller(name, index, sending, Purpose::Submit, request);
@@ -225,12 +228,14 @@
     }
 }
 
-fn task(run: Duration) -> TaskSpec {
+/// A task as it is declared; its body asks for the true run time.
+fn task(sending: &Sending) -> TaskSpec {
+    let run = sending.run.unwrap_or(TASK_RUN);
     TaskSpec {
-        cores: 1,
+        cores: sending.cores.unwrap_or(1),
         memory_mb: 512,
         accelerators: 0,
-        run_ms: run.as_millis() as u64,
-        body: String::new(),
+        run_ms: sending.declared.unwrap_or(run).as_millis() as u64,
+        body: run.as_millis().to_string(),
     }
 }
--- a/components/scenario/src/script.rs
+++ b/components/scenario/src/script.rs
@@ -48,6 +48,10 @@
     pub via: Option<String>,
     /// True run time.
     pub run: Option<Duration>,
+    /// Run time that the caller declares, if it is not the true one.
+    pub declared: Option<Duration>,
+    /// Cores that each task of a job declares; one if there is none.
+    pub cores: Option<u32>,
     /// Deadline that the caller states.
     pub deadline: Option<Duration>,
     /// Number of requests, each with an id of its own.
@@ -141,6 +145,8 @@
     Slow,
     /// Appends take effect, but their writers learn nothing.
     LosesAnswers,
+    /// It drops all records that it holds, and works.
+    Forgets,
 }
 
 /// Behaviour of an endpoint.
@@ -186,6 +192,8 @@
     Share(u64, String, Verdict),
     /// Time by which a node has finished its shutdown.
     Stopped(String, Duration),
+    /// No endpoint runs anything of a request or job after a time.
+    Idle(String, Duration),
 }
 
 /// Where and why a script cannot be read.
@@ -268,6 +276,7 @@
             "up" => LogFault::Up,
             "down" => LogFault::Down,
             "slow" => LogFault::Slow,
+            "forgets" => LogFault::Forgets,
             _ => LogFault::LosesAnswers,
         }),
         _ => Action::Endpoint(
@@ -303,6 +312,8 @@
         match rule {
             Rule::via => sending.via = Some(text(parts.next())),
             Rule::run => sending.run = Some(duration(parts.next())),
+            Rule::declared => sending.declared = Some(duration(parts.next())),
+            Rule::cores => sending.cores = Some(number(parts.next()) as u32),
             Rule::deadline => sending.deadline = Some(duration(parts.next())),
             Rule::repeat => {
                 sending.times = number(parts.next());
@@ -328,6 +339,7 @@
         Rule::in_force => Expect::InForce(duration(first)),
         Rule::no_start => Expect::NoStart(text(first), duration(parts.next())),
         Rule::share => Expect::Share(number(first), text(parts.next()), verdict(parts.next())),
+        Rule::idle => Expect::Idle(text(first), duration(parts.next())),
         _ => Expect::Stopped(text(first), duration(parts.next())),
     }
 }
--- a/components/scenario/src/world.rs
+++ b/components/scenario/src/world.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::{BTreeMap, BinaryHeap, HashMap},
     fmt,
+    sync::Arc,
     time::Duration,
 };
 
@@ -10,6 +11,7 @@
 use ident::{NodeId, Timestamp};
 use node::Event;
 use rand::{SeedableRng, rngs::StdRng};
+use register::State;
 
 use crate::{
     Report, Script,
@@ -59,6 +61,10 @@
     CallTimeout(u64),
     /// A node reads the log.
     ReadLog { node: NodeId, again: Option<Duration> },
+    /// A read of the log returns.
+    Page { node: NodeId, sent: Timestamp },
+    /// A peer's state arrives.
+    Fetched { node: NodeId, state: Arc<State>, read_at: Timestamp },
     /// A record reaches the log.
     Append { record: register::Record, by: Option<NodeId> },
     /// An endpoint finishes a request.
@@ -195,6 +201,8 @@
                 }
                 self.read_log(node);
             }
+            Item::Page { node, sent } => self.on_page(node, sent),
+            Item::Fetched { node, state, read_at } => self.on_fetched(node, &state, read_at),
             Item::Append { record, by } => self.on_append(record, by),
             Item::Finish(run) => self.on_finish(run),
             Item::CheckLease(run) => self.on_check_lease(run),
