Bound the horizon by the present deputy's promise alone

Cause: while an appointment was on its way to the log, its deputy's promise bounded the owner too. That is not needed: a deputy takes over only after the owner has shown that it knows the appointment, and then starts behind all that was decided before. It made owners stop in an outage that began during an appointment. Change: the bound is gone; scenarios for late hand-overs, each of which was seen to fail with its check removed.

--- a/components/ledger/tests/fences.rs
+++ b/components/ledger/tests/fences.rs
@@ -107,3 +107,49 @@
     assert_eq!(most_deciders_while_the_predecessor_goes_on(Broken::Nothing), 1);
     assert_eq!(most_deciders_while_the_predecessor_goes_on(Broken::PromiseOffset), 2);
 }
+
+/// An owner stops and starts again while its hand-over to host 1 is on its way.
+fn world_with_a_late_hand_over() -> (World, Shard, world::Message) {
+    let mut world = World::assigned(4, SEED, Broken::Nothing);
+    let early = world.make_id_in(|_, it| it.owner == node(0) && it.deputy == Some(node(1)));
+    world.hosts[0].cuts = vec![1, 2, 3];
+    world.stop(0);
+    let (_, message) = world.hand_overs(0).into_iter().find(|(to, _)| *to == node(1)).unwrap();
+    world.kill(0);
+    world.hosts[0].cuts = Vec::new();
+    world.start(0);
+    world.advance(Duration::from_secs(4));
+    (world, Shard::of(early), message)
+}
+
+/// Delivers a late ledger and returns who decides for an id made before it arrived.
+fn deciders_after(world: &mut World, shard: Shard, message: world::Message) -> Vec<usize> {
+    let id = world.make_id_in(|it, _| it == shard);
+    assert_eq!(world.deciders(id), [0]);
+    world.network.send_after(1, message, world.now, Duration::ZERO);
+    world.advance(Duration::from_secs(2));
+    world.deciders(id)
+}
+
+#[test]
+fn a_ledger_of_an_owner_that_has_started_again_is_not_accepted() {
+    let (mut world, shard, message) = world_with_a_late_hand_over();
+
+    let deciders = deciders_after(&mut world, shard, message);
+
+    assert_eq!(deciders, [0]);
+}
+
+#[test]
+fn a_ledger_for_an_earlier_start_of_the_deputy_is_not_accepted() {
+    let (mut world, shard, message) = world_with_a_late_hand_over();
+    world.kill(1);
+    world.start(1);
+    world.hosts[0].is_logless = true;
+    world.hosts[1].cuts = vec![0];
+    world.advance(Duration::from_millis(900));
+
+    let deciders = deciders_after(&mut world, shard, message);
+
+    assert_eq!(deciders, [0]);
+}
--- a/components/ledger/tests/world/host.rs
+++ b/components/ledger/tests/world/host.rs
@@ -240,15 +240,18 @@
     }
 
     pub(super) fn hand_over(&mut self, index: usize) {
-        let Some(process) = &self.hosts[index].process else { return };
-        let messages: Vec<(NodeId, Vec<u8>)> = process
-            .tenure
-            .released()
-            .iter()
-            .map(|transfer| (transfer.to, transfer.encode(&process.ledger)))
-            .collect();
-        for (to, ledger) in messages {
-            self.send_to_peer(index, to, Message::HandOver { from: node(index), ledger });
+        for (to, message) in self.hand_overs(index) {
+            self.send_to_peer(index, to, message);
         }
     }
+
+    /// The ledgers that the stopped process of a host passes on.
+    pub fn hand_overs(&self, index: usize) -> Vec<(NodeId, Message)> {
+        let process = self.hosts[index].process.as_ref().expect("the process runs");
+        let transfers = process.tenure.released().into_iter();
+        let from = node(index);
+        transfers
+            .map(|it| (it.to, Message::HandOver { from, ledger: it.encode(&process.ledger) }))
+            .collect()
+    }
 }
--- a/components/tenure/src/lib.rs
+++ b/components/tenure/src/lib.rs
@@ -14,9 +14,8 @@
 //! - Its lower fence for what it did not appoint itself lies [`PROMISE_TERM`] and
 //!   twice the skew after its start. Earlier starts decided for no id and gave no
 //!   promise beyond that.
-//! - The horizon is bounded by the promise of the deputy, and while an assignment
-//!   of its own may or may not be in the log, by those of the deputies in it too.
-//!   A promise that rests on a newer table than the owner's does not count yet.
+//! - The horizon is bounded by the promise of the deputy. A promise that rests on a
+//!   newer table than the owner's does not count yet.
 //! - A deputy takes over only after the owner has asked it for a promise with a
 //!   table that names it as deputy. It then starts twice the skew after its last
 //!   promise, which no id that was decided before that request reaches.
--- a/components/tenure/src/tenure.rs
+++ b/components/tenure/src/tenure.rs
@@ -1,9 +1,6 @@
 //! The state of a node's tenure and the decision about an id.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    time::Duration,
-};
+use std::{collections::BTreeMap, time::Duration};
 
 use ident::{Group, Incarnation, NodeId, RequestId, Shard, Timestamp};
 use register::Table;
@@ -256,11 +253,8 @@
 
     /// The node decides only for ids made before this time.
     pub(crate) fn horizon(&self, shard: Shard) -> Timestamp {
-        let present = self.view.get(shard);
-        let pending = self.proposals.of(shard).iter().map(|it| &it.assignment);
-        let deputies: BTreeSet<NodeId> =
-            present.into_iter().chain(pending).filter_map(|it| it.deputy).collect();
-        let promised = deputies.into_iter().map(|deputy| self.promises.received(deputy)).min();
+        let deputy = self.view.get(shard).and_then(|it| it.deputy);
+        let promised = deputy.map(|deputy| self.promises.received(deputy));
         let trusted = self.read_at + TABLE_TERM;
         promised.map_or(trusted, |promised| promised.min(trusted))
     }
