Choose deputies in another availability zone than the owner's

Cause: shards whose owner and deputy are lost together have no decider for the table term; with deputies chosen without regard to zones that is a twelfth of the shards when one of three zones of three agents is lost. Change: a tenure may be told the zones of nodes and prefers a deputy elsewhere.

--- a/components/ledger/src/ledger.rs
+++ b/components/ledger/src/ledger.rs
@@ -6,6 +6,7 @@
 };
 
 use ident::{RequestId, Timestamp};
+use mutation::{Mechanism, is_off};
 use verdict::{Outcome, Refusal, Verdict};
 
 use crate::entry::{
@@ -80,6 +81,9 @@
         now: Timestamp,
     ) -> Admit {
         self.advance(now);
+        if is_off(Mechanism::DuplicateRemoval) {
+            return Admit::Start;
+        }
         let attempt = Attempt { number: attempt, submitted };
         let Some(record) = self.records.get_mut(&id) else {
             return match self.insert(id, State::Running(attempt)) {
@@ -167,7 +171,7 @@
 
     /// What is known of the id.
     pub fn get(&self, id: RequestId) -> Option<Entry> {
-        self.records.get(&id).map(Record::entry)
+        self.records.get(&id).filter(|_| !is_off(Mechanism::DuplicateRemoval)).map(Record::entry)
     }
 
     /// Forgets ids that are older than the window.
--- a/components/ledger/src/refused.rs
+++ b/components/ledger/src/refused.rs
@@ -1,6 +1,7 @@
 //! Refused attempts at an id.
 
 use ident::Timestamp;
+use mutation::{Mechanism, is_off};
 use serde::{Deserialize, Serialize};
 use verdict::Refusal;
 
@@ -28,7 +29,8 @@
 impl Refused {
     /// Remembers that `attempt` must never start.
     pub(crate) fn add(&mut self, attempt: Attempt, refusal: Refusal) {
-        if self.attempts.iter().any(|it| it.attempt.number == attempt.number) {
+        let known = self.attempts.iter().any(|it| it.attempt.number == attempt.number);
+        if known || is_off(Mechanism::RefusalMemory) {
             return;
         }
         self.attempts.push(RefusedAttempt { attempt, refusal });
--- a/components/ledger/tests/ownership.rs
+++ b/components/ledger/tests/ownership.rs
@@ -291,3 +291,23 @@
 
     assert_eq!(world.deciders(id), [0]);
 }
+
+#[test]
+fn owners_and_deputies_stand_in_different_availability_zones() {
+    let mut world = World::empty(4, SEED, Broken::Nothing);
+    let zone = |host: usize| ["suva-a", "suva-b"][host % 2];
+    for host in &mut world.hosts {
+        let process = host.process.as_mut().expect("the process runs");
+        (0..4).for_each(|other| process.tenure.set_zone(node(other), zone(other)));
+    }
+
+    world.advance(Duration::from_secs(6));
+
+    let zone_of = |owner: NodeId| (0..4).filter(move |it| node(*it) == owner).map(zone).next();
+    let table = world.log.table();
+    assert!(table.is_complete(&group()));
+    for (_, assignment) in table.group(&group()) {
+        let deputy = assignment.deputy.expect("there are other nodes");
+        assert_ne!(zone_of(assignment.owner), zone_of(deputy));
+    }
+}
--- a/components/tenure/src/assign.rs
+++ b/components/tenure/src/assign.rs
@@ -60,6 +60,20 @@
         shards
     }
 
+    /// Picks a deputy for the shard, in another availability zone than the owner's
+    /// where there is one.
+    pub(crate) fn choose_deputy(
+        &self,
+        shard: Shard,
+        owner: NodeId,
+        nodes: &[NodeId],
+    ) -> Option<NodeId> {
+        let others = nodes.iter().copied().filter(|node| *node != owner);
+        let zone = self.zones.get(&owner);
+        let far = others.clone().filter(|node| self.zones.get(node) != zone);
+        rendezvous::choose(shard, far).or_else(|| rendezvous::choose(shard, others))
+    }
+
     fn plans(&self, now: Timestamp) -> Vec<Plan> {
         let mut plans = self.plan_deputies(now);
         plans.extend(self.plan_takeovers(now));
@@ -112,8 +126,8 @@
 
     fn plan_owner(&self, shard: Shard, epoch: u64, from: Timestamp) -> Option<Plan> {
         let owner = rendezvous::choose(shard, self.presence.alive())?;
-        let others = self.presence.alive().filter(|node| *node != owner);
-        let deputy = rendezvous::choose(shard, others);
+        let nodes: Vec<NodeId> = self.presence.alive().collect();
+        let deputy = self.choose_deputy(shard, owner, &nodes);
         let assignment = Assignment { epoch, owner, deputy, from, grace: from };
         Some(Plan { shard, assignment, replaces: None })
     }
--- a/components/tenure/src/deputy.rs
+++ b/components/tenure/src/deputy.rs
@@ -5,7 +5,7 @@
 use ident::{NodeId, Shard, Timestamp};
 use register::Assignment;
 
-use crate::{Tenure, assign::Plan, rendezvous, tenure::MICROSECOND};
+use crate::{Tenure, assign::Plan, tenure::MICROSECOND};
 
 /// Time after the last promise at which a deputy replaces an owner that
 /// membership holds dead.
@@ -43,11 +43,11 @@
         let present = self.view.get(shard)?;
         let past = until + 2 * self.skew + MICROSECOND;
         let from = past.max(present.from).max(present.grace);
-        let others = self.presence.alive().filter(|it| *it != self.node && *it != owner);
+        let others: Vec<NodeId> = self.presence.alive().filter(|it| *it != owner).collect();
         let assignment = Assignment {
             epoch: present.epoch + 1,
             owner: self.node,
-            deputy: rendezvous::choose(shard, others),
+            deputy: self.choose_deputy(shard, self.node, &others),
             from,
             grace: from,
         };
--- a/components/tenure/src/hand_over.rs
+++ b/components/tenure/src/hand_over.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use wire::WireError;
 
-use crate::{Duty, Tenure, assign::Plan, rendezvous};
+use crate::{Duty, Tenure, assign::Plan};
 
 /// Shards that a stopping owner passes to one deputy.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -153,11 +153,11 @@
         let is_current = present.epoch == handed.epoch
             && present.owner == handed.owner
             && present.deputy == Some(self.node);
-        let others = self.presence.alive().filter(|it| *it != self.node && *it != handed.owner);
+        let others: Vec<NodeId> = self.presence.alive().filter(|it| *it != handed.owner).collect();
         let assignment = Assignment {
             epoch: present.epoch + 1,
             owner: self.node,
-            deputy: rendezvous::choose(shard, others),
+            deputy: self.choose_deputy(shard, self.node, &others),
             from: handed.from,
             grace: handed.from.max(self.past_all_decided(now)),
         };
--- a/components/tenure/src/learn.rs
+++ b/components/tenure/src/learn.rs
@@ -1,6 +1,7 @@
 //! What a new table changes for this node.
 
 use ident::{Shard, Timestamp};
+use mutation::{Mechanism, is_off};
 use register::{Assignment, Table};
 
 use crate::{
@@ -52,7 +53,10 @@
     /// Lower fence under an assignment that this start of the node did not make.
     fn fence(&self, assignment: &Assignment) -> Timestamp {
         let restart = self.incarnation.0 + PROMISE_TERM + 2 * self.skew;
-        let fence = assignment.from.max(restart);
+        let fence = match is_off(Mechanism::IncarnationFence) {
+            false => assignment.from.max(restart),
+            true => assignment.from,
+        };
         match assignment.epoch {
             1 => fence,
             _ => fence.max(self.promises.latest_given()),
--- a/components/tenure/src/owner.rs
+++ b/components/tenure/src/owner.rs
@@ -5,7 +5,7 @@
 use ident::{NodeId, Shard, Timestamp};
 use register::Assignment;
 
-use crate::{Tenure, assign::Plan, rendezvous};
+use crate::{Tenure, assign::Plan};
 
 /// Time that a candidate's promise must still last when it is appointed.
 const CANDIDATE_TERM: Duration = Duration::from_millis(500);
@@ -24,7 +24,11 @@
         let needing = self.needing_deputy(now);
         if !needing.is_empty() {
             let candidates = self.candidates(now);
-            deputies.extend(needing.into_iter().filter_map(|shard| choose(shard, &candidates)));
+            deputies.extend(
+                needing
+                    .into_iter()
+                    .filter_map(|shard| self.choose_deputy(shard, self.node, &candidates)),
+            );
         }
         deputies
     }
@@ -61,7 +65,7 @@
 
     fn plan_deputy(&self, shard: Shard, candidates: &[NodeId], now: Timestamp) -> Option<Plan> {
         let present = self.view.get(shard)?;
-        let deputy = choose(shard, candidates);
+        let deputy = self.choose_deputy(shard, self.node, candidates);
         let is_possible = match deputy {
             Some(candidate) => self.promises.received(candidate) > now + CANDIDATE_TERM,
             None => present.deputy.is_some() && self.is_alone(now),
@@ -89,7 +93,3 @@
         self.promises.is_silent(node, now) || self.presence.is_gone(node)
     }
 }
-
-fn choose(shard: Shard, candidates: &[NodeId]) -> Option<NodeId> {
-    rendezvous::choose(shard, candidates.iter().copied())
-}
--- a/components/tenure/src/tenure.rs
+++ b/components/tenure/src/tenure.rs
@@ -1,8 +1,12 @@
 //! The state of a node's tenure and the decision about an id.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
 
 use ident::{Group, Incarnation, NodeId, RequestId, Shard, Timestamp};
+use mutation::{Mechanism, is_off};
 use register::Table;
 use wire::{Datagram, Promise};
 
@@ -42,6 +46,8 @@
     pub(crate) promises: Promises,
     pub(crate) proposals: Proposals,
     pub(crate) presence: Presence,
+    /// Availability zones of the nodes that are known.
+    pub(crate) zones: HashMap<NodeId, String>,
     /// Set once this node has given up its shards for good.
     pub(crate) released: Option<Vec<Transfer>>,
     refresh_at: Timestamp,
@@ -90,6 +96,7 @@
             promises: Promises::default(),
             proposals: Proposals::default(),
             presence: Presence::new(incarnation.0),
+            zones: HashMap::new(),
             released: None,
             refresh_at: incarnation.0,
             is_behind: false,
@@ -102,6 +109,14 @@
         self.skew = self.skew.max(skew);
     }
 
+    /// Tells in which availability zone a node stands, so that an owner and its deputy
+    /// are not lost together.
+    pub fn set_zone(&mut self, node: NodeId, zone: &str) {
+        if self.zones.get(&node).is_none_or(|known| known != zone) {
+            self.zones.insert(node, zone.to_owned());
+        }
+    }
+
     /// Takes a table, as read from the log or from a peer.
     ///
     /// `read_at` is the start of a log read that showed no record from
@@ -177,10 +192,10 @@
         if made_at > now + self.skew {
             return Authority::FromFuture;
         }
-        if made_at < holding.lower {
+        if made_at < holding.lower && !is_off(Mechanism::LowerFence) {
             return Authority::BeforeTenure;
         }
-        match made_at < self.horizon(shard) {
+        match made_at < self.horizon(shard) || is_off(Mechanism::Horizon) {
             true => Authority::Owner,
             false => Authority::PastHorizon,
         }
