Let tests switch each mechanism off

Cause: nothing showed that a scenario notices when a mechanism is missing. Change: a crate names the mechanisms; the cores ask at the place of each whether it is off.

--- a/components/agent/src/delegate.rs
+++ b/components/agent/src/delegate.rs
@@ -5,6 +5,7 @@
 
 use ident::{NodeId, Timestamp};
 use ledger::Admit;
+use mutation::{Mechanism, is_off};
 use node::{LinkError, PeerToken, ReplyTo};
 use routing::{Sample, SampleOutcome};
 use verdict::{Outcome, Proof, Reason, Refusal, Verdict};
@@ -139,7 +140,11 @@
         let id = work.run.id;
         let timeout = run_timeout(work.expected, self.time_left(work.deadline));
         let pending = Pending::HandOn { work: key, node, sent, asked: asked + 1 };
-        self.call(pending, node, Call::Await(id), timeout);
+        let call = match is_off(Mechanism::AskAgain) {
+            false => Call::Await(id),
+            true => Call::Execute(work.run.clone()),
+        };
+        self.call(pending, node, call, timeout);
     }
 
     fn lose(&mut self, key: WorkKey, node: NodeId, sent: Timestamp) {
--- a/components/agent/src/place.rs
+++ b/components/agent/src/place.rs
@@ -4,6 +4,7 @@
 
 use config::State as EndpointState;
 use ident::{Group, NodeId};
+use mutation::{Mechanism, is_off};
 use node::{Candidate, Decision, Effect, ExecToken, LinkError, Step};
 use queue::{Item, TeamKey};
 use routing::{Choice, Sample, SampleOutcome, Want};
@@ -68,7 +69,8 @@
             Group::Service(_) => config.inventory.executor(&self.me.name).map(|it| it.state),
             Group::Workers => config.inventory.worker(&self.me.name).map(|it| it.state),
         };
-        self.phase == Phase::Running && declared == Some(EndpointState::Active)
+        let is_active = declared == Some(EndpointState::Active) || is_off(Mechanism::Draining);
+        self.phase == Phase::Running && is_active
     }
 
     fn queue_here(&mut self, key: WorkKey, wait: Duration) {
--- a/components/entry/src/membership.rs
+++ b/components/entry/src/membership.rs
@@ -4,6 +4,7 @@
 
 use ident::{NodeId, Timestamp};
 use members::{HEARTBEAT_INTERVAL, Liveness};
+use mutation::{Mechanism, is_off};
 use node::Effect;
 use register::State;
 use wire::{AgentReport, Datagram};
@@ -76,7 +77,8 @@
 
     /// Takes newer state.
     pub(crate) fn on_state(&mut self, state: Arc<State>, read_at: Timestamp) {
-        if state.next_offset < self.state.next_offset {
+        let is_older = state.next_offset < self.state.next_offset;
+        if is_older && !is_off(Mechanism::MonotonicState) {
             return;
         }
         let changed = state.version() != self.state.version();
--- a/components/jobs/src/jobs.rs
+++ b/components/jobs/src/jobs.rs
@@ -4,6 +4,7 @@
 
 use config::Inventory;
 use ident::{NodeId, RequestId, Timestamp};
+use mutation::{Mechanism, is_off};
 use placement::{Placement, Placer};
 use verdict::{Answer, Outcome};
 use wire::{JobSpec, JobStatus};
@@ -237,7 +238,8 @@
         }
         let due = job.renew(now);
         self.update(id);
-        due.into_iter().map(|node| Action::Renew { node, job: id, lease: LEASE }).collect()
+        let due = due.into_iter().filter(|_| !is_off(Mechanism::LeaseRenewal));
+        due.map(|node| Action::Renew { node, job: id, lease: LEASE }).collect()
     }
 
     /// Starts tasks of the first waiting jobs.
@@ -308,7 +310,8 @@
         }
         let decision = Action::Decide(refused(&job, cause, &refusal));
         let ended = Action::Ended { job: id, outcome: Outcome::Refused(refusal) };
-        let stops = job.nodes().map(|node| Action::Stop { node, job: id });
+        let nodes = job.nodes().filter(|_| !is_off(Mechanism::WholeJob));
+        let stops = nodes.map(|node| Action::Stop { node, job: id });
         [decision, ended].into_iter().chain(stops).collect()
     }
 
--- a/components/queue/src/order.rs
+++ b/components/queue/src/order.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use ident::Timestamp;
+use mutation::{Mechanism, is_off};
 
 use crate::{Item, fair::Shares};
 
@@ -54,6 +55,7 @@
             return Some(index);
         }
     }
-    let key = |it: &Queued<K>| (it.item.rank, shares.turn(it.item.team), it.due);
+    let rank = |it: &Queued<K>| if is_off(Mechanism::UrgencyOrder) { 0 } else { it.item.rank };
+    let key = |it: &Queued<K>| (rank(it), shares.turn(it.item.team), it.due);
     admitted().min_by_key(|index| key(&queued[*index]))
 }
--- a/components/register/src/follower.rs
+++ b/components/register/src/follower.rs
@@ -10,6 +10,7 @@
 use std::{sync::Arc, time::Duration};
 
 use ident::Timestamp;
+use mutation::{Mechanism, is_off};
 
 use crate::{Applied, Entry, Page, Record, RecordId, Schedule, State};
 
@@ -101,7 +102,8 @@
     /// Takes a peer's state and the read that it rests on; returns whether it was later.
     pub fn adopt(&mut self, state: State, read_at: Timestamp) -> bool {
         let current = state.next_offset >= self.state.next_offset;
-        let later = state.next_offset > self.state.next_offset
+        let newer = state.next_offset > self.state.next_offset;
+        let later = (newer || is_off(Mechanism::MonotonicState))
             && Arc::make_mut(&mut self.state).adopt(state);
         if later || (current && self.state.next_offset > 0) {
             self.read_at = self.read_at.max(read_at);
--- a/components/retry/src/budget.rs
+++ b/components/retry/src/budget.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use ident::Timestamp;
+use mutation::{Mechanism, is_off};
 
 /// Retries that may be saved up.
 const MAX_SAVED: f64 = 20.0;
@@ -35,6 +36,9 @@
 
     /// Takes one retry out of the budget; false if there is none.
     pub fn try_spend(&mut self, now: Timestamp) -> bool {
+        if is_off(Mechanism::RetryBudget) {
+            return true;
+        }
         if self.share == 0.0 {
             return false;
         }
--- a/components/routing/src/inventory.rs
+++ b/components/routing/src/inventory.rs
@@ -4,6 +4,7 @@
 
 use config::{Inventory, State};
 use ident::Group;
+use mutation::{Mechanism, is_off};
 use wire::AgentReport;
 
 /// Endpoints by name, with the group that each is declared for.
@@ -37,6 +38,9 @@
 
     /// Why the agent gets no new work, if it gets none.
     pub(crate) fn objection(&self, report: &AgentReport) -> Option<&'static str> {
+        if is_off(Mechanism::Draining) {
+            return None;
+        }
         if report.leaving {
             return Some("is leaving");
         }
--- a/components/routing/src/review.rs
+++ b/components/routing/src/review.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use ident::{Group, NodeId, Timestamp};
+use mutation::{Mechanism, is_off};
 
 use crate::{
     health::{Phase, UsualHealth},
@@ -70,7 +71,7 @@
 /// Agents of a group of `total` that may be out at a time: at least one of
 /// several, unless ejection is turned off.
 fn max_ejected(total: usize, percent: u32) -> usize {
-    if percent == 0 || total < 2 {
+    if percent == 0 || total < 2 || is_off(Mechanism::OutlierEjection) {
         return 0;
     }
     (total * percent.min(100) as usize / 100).max(1)
