--- a/components/scenario/src/fleet.rs
+++ b/components/scenario/src/fleet.rs
@@ -241,6 +241,7 @@
         if let Some(member) = self.members.get_mut(&node) {
             member.life = Life::Paused;
         }
+        self.give_up_calls(|open| open.to == node);
     }
 
     pub(crate) fn resume(&mut self, name: &str) {
@@ -264,7 +265,9 @@
             Action::Cut(left, right) | Action::Heal(left, right) => {
                 self.check_place(left).and_then(|()| self.check_place(right))
             }
-            Action::Silence(from, to) => self.check_node(from).and_then(|()| self.check_node(to)),
+            Action::Silence(from, to) | Action::Hold(from, to, _) => {
+                self.check_node(from).and_then(|()| self.check_node(to))
+            }
             Action::Submit { sending, .. }
             | Action::Resubmit { sending, .. }
             | Action::Job { sending, .. }
--- a/components/scenario/src/log.rs
+++ b/components/scenario/src/log.rs
@@ -1,6 +1,6 @@
 //! The platform's log.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use ident::{NodeId, Timestamp};
 use node::Event;
@@ -90,6 +90,7 @@
         }
         let offset = self.log.end;
         self.log.end += 1;
+        self.report.note(self.now, describe(&record, by));
         self.log.truth.apply(offset, &record);
         self.log.entries.push(Entry { offset, record: Some(record) });
         self.report.appends += 1;
@@ -214,6 +215,19 @@
     }
 }
 
+fn describe(record: &Record, by: Option<NodeId>) -> String {
+    let by = by.map_or("an operator".to_owned(), |node| node.to_string());
+    match record {
+        Record::Config { base, .. } => format!("log: an edit of version {base} by {by}"),
+        Record::Assign { shards, group, .. } => {
+            let owners: BTreeSet<NodeId> = shards.iter().map(|(_, it)| it.owner).collect();
+            let count = shards.len();
+            format!("log: {count} shards of the {group} to {owners:?} by {by}")
+        }
+        Record::Snapshot { .. } => format!("log: a snapshot by {by}"),
+    }
+}
+
 fn set_state(inventory: &mut config::Inventory, name: &str, state: config::State) {
     for executor in &mut inventory.executors {
         if executor.name == name {
--- a/components/scenario/src/net.rs
+++ b/components/scenario/src/net.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use ident::NodeId;
+use ident::{NodeId, Timestamp};
 use node::{Event, LinkError, PeerToken, ReplyTo};
 use rand::RngExt;
 use wire::{Call, CallId, Datagram, Reply};
@@ -34,12 +34,22 @@
     next_call: u64,
     cuts: Vec<(Place, Place)>,
     silent: HashSet<(NodeId, NodeId)>,
+    held: Vec<Held>,
 }
 
-/// A call that has not ended.
-struct Open {
+/// An open connection on which everything arrives late.
+struct Held {
     from: NodeId,
     to: NodeId,
+    delay: Duration,
+    /// When the connection is given up.
+    until: Timestamp,
+}
+
+/// A call that has not ended.
+pub(crate) struct Open {
+    pub from: NodeId,
+    pub to: NodeId,
     token: PeerToken,
 }
 
@@ -81,10 +91,13 @@
         self.net.calls.insert(number, Open { from, to, token });
         let reply_to = ReplyTo { connection: number, call: CallId(number) };
         let event = Event::Call { from: reply_to, peer: from, call };
-        let delay = self.delay(from, to);
+        let held = self.held(from, to);
+        let delay = held.unwrap_or_else(|| self.delay(from, to));
         self.report.count_message();
         self.schedule(delay, Item::Deliver { node: to, event });
-        self.schedule(timeout, Item::CallTimeout(number));
+        let is_doubtful = held.is_some() || life == Life::Paused;
+        let patience = if is_doubtful { HEARTBEAT_LIMIT.min(timeout) } else { timeout };
+        self.schedule(patience, Item::CallTimeout(number));
     }
 
     pub(crate) fn on_reply(&mut self, from: NodeId, to: ReplyTo, reply: Reply) {
@@ -136,10 +149,8 @@
     pub(crate) fn cut(&mut self, left: &str, right: &str) {
         let cut = (self.place(left), self.place(right));
         self.net.cuts.push(cut);
-        let mut cut_off: Vec<u64> = self
-            .net
-            .calls
-            .iter()
+        let calls = self.net.calls.iter();
+        let mut cut_off: Vec<u64> = calls
             .filter(|(_, open)| self.is_cut(open.from, open.to))
             .map(|(number, _)| *number)
             .collect();
@@ -159,15 +170,31 @@
     pub(crate) fn silence(&mut self, from: &str, to: &str) {
         let (from, to) = (self.names[from], self.names[to]);
         self.net.silent.insert((from, to));
-        let mut stuck: Vec<u64> = self
-            .net
-            .calls
-            .iter()
-            .filter(|(_, open)| open.from == from && open.to == to)
-            .map(|(number, _)| *number)
-            .collect();
-        stuck.sort_unstable();
-        for number in stuck {
+        self.give_up_calls(|open| open.from == from && open.to == to);
+    }
+
+    /// Lets everything on the open connection arrive late; what is sent on it until
+    /// its heartbeats are missed is given up.
+    pub(crate) fn hold(&mut self, from: &str, to: &str, delay: Duration) {
+        let (from, to) = (self.names[from], self.names[to]);
+        let until = self.now + HEARTBEAT_LIMIT;
+        self.net.held.push(Held { from, to, delay, until });
+        self.give_up_calls(|open| open.from == from && open.to == to);
+    }
+
+    fn held(&self, from: NodeId, to: NodeId) -> Option<Duration> {
+        let mut held = self.net.held.iter();
+        let found = held.find(|it| it.from == from && it.to == to && self.now < it.until);
+        found.map(|it| it.delay)
+    }
+
+    /// Gives open calls up once heartbeats on their connection are missed.
+    pub(crate) fn give_up_calls(&mut self, is_doubtful: impl Fn(&Open) -> bool) {
+        let calls = self.net.calls.iter();
+        let mut doubtful: Vec<u64> =
+            calls.filter(|(_, open)| is_doubtful(open)).map(|(number, _)| *number).collect();
+        doubtful.sort_unstable();
+        for number in doubtful {
             self.schedule(HEARTBEAT_LIMIT, Item::CallTimeout(number));
         }
     }
--- a/components/scenario/src/play.rs
+++ b/components/scenario/src/play.rs
@@ -100,6 +100,7 @@
             Action::Cut(left, right) => self.cut(left, right),
             Action::Heal(left, right) => self.heal(left, right),
             Action::Silence(from, to) => self.silence(from, to),
+            Action::Hold(from, to, time) => self.hold(from, to, *time),
             Action::Log(fault) => self.log.set_fault(*fault),
             Action::Endpoint(name, fault) => {
                 let node = self.names[name];
@@ -135,6 +136,7 @@
             | Action::Cut(..)
             | Action::Heal(..)
             | Action::Silence(..)
+            | Action::Hold(..)
             | Action::Log(_)
             | Action::Endpoint(..) => {}
         }
--- a/components/scenario/src/script.rs
+++ b/components/scenario/src/script.rs
@@ -115,6 +115,9 @@
     Heal(String, String),
     /// The open connection from one node to another goes silent; new ones work.
     Silence(String, String),
+    /// What is sent on the open connection from one node to another arrives later
+    /// by a time; it is given up as silent, and new ones work.
+    Hold(String, String, Duration),
     /// The log changes its behaviour.
     Log(LogFault),
     /// An executor or worker changes its behaviour.
@@ -272,6 +275,10 @@
         Rule::cut => Action::Cut(text(first), text(parts.next())),
         Rule::heal => Action::Heal(text(first), text(parts.next())),
         Rule::silence => Action::Silence(text(first), text(parts.next())),
+        Rule::hold => {
+            let (from, to) = (text(first), text(parts.next()));
+            Action::Hold(from, to, duration(parts.next()))
+        }
         Rule::log => Action::Log(match text(first).as_str() {
             "up" => LogFault::Up,
             "down" => LogFault::Down,
