Bound load reports, hide agents that are gone, and wait for owners

Cause: load reports were bounded in time but not in bytes; `status` listed agents that were gone for ten minutes; a node called itself ready before the shards had owners; `job --no-wait` waited; an older state could change what the shell showed. Change: reports of a group stay within 14 KB/s at an entry; gone agents are left out; a node is ready once every service's shards are owned; `job` without a file reads the standard input and `--no-wait` returns within a second; cancellations that callers ask for do not count as waste.

--- a/components/agent/src/membership.rs
+++ b/components/agent/src/membership.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use ident::{Group, NodeId, Timestamp};
-use members::HEARTBEAT_INTERVAL;
+use members::{HEARTBEAT_ENTRIES, HEARTBEAT_INTERVAL};
 use node::{Effect, ReplyTo};
 use rand::RngExt;
 use register::{Record, State};
@@ -13,20 +13,25 @@
 
 use crate::{Agent, stop::Phase, work};
 
-/// Shortest time between two reports of the load while many slots are free.
-const IDLE_LOAD_INTERVAL: Duration = Duration::from_millis(50);
+/// Shortest time between two reports of the load.
+const MIN_LOAD_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Shortest time between two reports of the load while few slots are free.
-const BUSY_LOAD_INTERVAL: Duration = Duration::from_millis(10);
+/// Load reports that an agent may save up.
+const LOAD_REPORT_BURST: f64 = 10.0;
 
-/// Share of the slots, as a divisor, that counts as few.
-const FEW_SLOTS: u32 = 3;
+/// Traffic of load reports that each agent may cause at its entries, in bytes a
+/// second, divided among the agents of its group.
+const LOAD_BYTES_PER_S: f64 = 14_000.0;
+
+/// Size of a load report with its headers, in bytes.
+const LOAD_REPORT_BYTES: f64 = 57.0;
 
 /// Load that entries were told last.
 #[derive(Debug, Default)]
 pub struct Told {
     load: Load,
     at: Timestamp,
+    saved: f64,
 }
 
 impl Agent {
@@ -167,14 +172,17 @@
     pub(crate) fn report_load(&mut self) {
         let load = self.load();
         let is_same = load.busy == self.told.load.busy && load.queued == self.told.load.queued;
-        let interval = match self.queue.free() > load.slots / FEW_SLOTS {
-            true => IDLE_LOAD_INTERVAL,
-            false => BUSY_LOAD_INTERVAL,
-        };
-        if is_same || self.now < self.told.at + interval || *self.group() == Group::Workers {
+        let is_early = self.now < self.told.at + MIN_LOAD_INTERVAL;
+        if is_same || is_early || *self.group() == Group::Workers {
+            return;
+        }
+        let passed = self.now.since(self.told.at).as_secs_f64();
+        let saved = self.told.saved + passed * self.load_reports_per_s();
+        if saved < 1.0 {
             return;
         }
-        self.told = Told { load, at: self.now };
+        let saved = saved.min(LOAD_REPORT_BURST) - 1.0;
+        self.told = Told { load, at: self.now, saved };
         self.sequence += 1;
         for entry in self.members.heartbeat_entries() {
             let (node, incarnation) = (self.me.node, self.me.incarnation);
@@ -183,6 +191,15 @@
         }
     }
 
+    /// Rate at which the reports of all agents of the group together stay within
+    /// the traffic that an entry may be sent.
+    fn load_reports_per_s(&self) -> f64 {
+        let agents = self.members.alive(self.group()).len() + 1;
+        let entries = self.members.entries().len().max(HEARTBEAT_ENTRIES);
+        let at_entry = (agents * HEARTBEAT_ENTRIES) as f64 / entries as f64;
+        LOAD_BYTES_PER_S / LOAD_REPORT_BYTES / at_entry
+    }
+
     /// Carries out what ownership of shards demands.
     pub(crate) fn tick_tenure(&mut self) {
         if self.phase != Phase::Running || self.state.config.is_none() {
--- a/components/entry/src/asking.rs
+++ b/components/entry/src/asking.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use ident::{Group, NodeId, RequestId, Shard};
+use members::Liveness;
 use node::{CallerReply, CallerToken, Effect, LinkError, NodeStatus};
 use slotmap::new_key_type;
 use verdict::{Outcome, Reason, Refusal, Verdict};
@@ -192,12 +193,13 @@
 
     /// Tells which version is in force on which node.
     pub(crate) fn on_status(&mut self, token: CallerToken) {
+        let present = self.members.iter().filter(|it| it.liveness != Liveness::Gone);
         let status = NodeStatus {
             node: self.me.node,
             version: self.state.version(),
             next_offset: self.state.next_offset,
             entries: self.members.peers().map(|it| (it.node, it.next_offset)).collect(),
-            agents: self.members.iter().map(|it| it.report.clone()).collect(),
+            agents: present.map(|it| it.report.clone()).collect(),
         };
         let reply = CallerReply::Status(status);
         self.effects.push(Effect::Respond { token, reply });
--- a/daemon/src/shared.rs
+++ b/daemon/src/shared.rs
@@ -9,7 +9,9 @@
 };
 
 use front::Readiness;
+use ident::Group;
 use metrics::Metrics;
+use register::State;
 
 /// Counts and metrics that are read from outside the actor.
 pub(crate) struct Shared {
@@ -51,13 +53,17 @@
         self.lock_readiness().clone()
     }
 
-    /// Notes that the configuration of the given version is in force.
-    pub(crate) fn set_version(&self, version: u64) {
+    /// Notes the configuration in force and whether its services can be served.
+    pub(crate) fn set_state(&self, state: &State) {
         let mut readiness = self.lock_readiness();
-        readiness.version = version;
-        if version > 0 && !is_stopping(&readiness) {
-            readiness.ready = true;
-            readiness.reason = None;
+        let version = state.version();
+        if is_stopping(&readiness) {
+            readiness.version = version;
+        } else if version > 0 {
+            *readiness = match unowned_service(state) {
+                Some(_) => not_ready(version, UNOWNED),
+                None => Readiness { version, ready: true, reason: None },
+            };
         }
     }
 
@@ -105,6 +111,16 @@
 /// Why a stopping node is not ready.
 const STOPPING: &str = "the node is stopping";
 
+/// Why a node is not ready while ids of some service would be refused.
+const UNOWNED: &str = "not every shard of the services has an owner yet";
+
+/// Service with a shard that nobody owns.
+fn unowned_service(state: &State) -> Option<&str> {
+    let config = state.config.as_ref()?;
+    let mut names = config.inventory.services.iter().map(|service| service.name.as_str());
+    names.find(|name| !state.table.is_complete(&Group::Service((*name).to_owned())))
+}
+
 fn is_stopping(readiness: &Readiness) -> bool {
     readiness.reason.as_deref() == Some(STOPPING)
 }
--- a/daemon/src/shell.rs
+++ b/daemon/src/shell.rs
@@ -6,7 +6,7 @@
 use journal::Journal;
 use link::{Peers, Server};
 use node::{CallerReply, CallerToken, Decision, Effect, Event, PeerToken};
-use register::Record;
+use register::{Record, State};
 use tokio::sync::{mpsc, oneshot, watch};
 use wire::{Call, Datagram};
 
@@ -93,17 +93,22 @@
         self.callers.remove(&token).is_some()
     }
 
+    fn note_state(&mut self, state: &State) {
+        if state.next_offset < self.next_offset {
+            return;
+        }
+        self.next_offset = state.next_offset;
+        self.parts.shared.set_state(state);
+        if let Some(endpoint) = &mut self.endpoint {
+            endpoint.configure(state);
+        }
+    }
+
     /// Takes note of an event on its way to the core.
     pub(crate) fn note(&mut self, now: Timestamp, event: &Event) {
         self.parts.shared.metrics().on_event(now, event);
         match event {
-            Event::State { state, .. } => {
-                self.next_offset = state.next_offset;
-                self.parts.shared.set_version(state.version());
-                if let Some(endpoint) = &mut self.endpoint {
-                    endpoint.configure(state);
-                }
-            }
+            Event::State { state, .. } => self.note_state(state),
             Event::TaskEnded { token, .. } => {
                 if let Some(endpoint) = &mut self.endpoint {
                     endpoint.end_task(*token);
--- a/load/src/measure.rs
+++ b/load/src/measure.rs
@@ -50,13 +50,14 @@
         }
         tally
     });
-    system.disturb(scenario, length).await?;
+    let cancellations = system.disturb(scenario, length).await?;
     senders.await?;
     let mut tally = collector.await?;
     for (name, count) in system.messages() {
         let before = messages.get(name).copied().unwrap_or(0);
         tally.messages.insert(name, count - before);
     }
+    tally.cancellations = cancellations;
     tally.datagrams = system.datagrams_per_node().saturating_sub(datagrams);
     tally.double_starts = system.double_starts();
     tally.cpu = cpu_time()?.saturating_sub(cpu);
--- a/load/src/system.rs
+++ b/load/src/system.rs
@@ -137,8 +137,9 @@
         }
     }
 
-    /// Brings the scenario's fault about, for as long as it lasts.
-    pub async fn disturb(&mut self, scenario: Scenario, length: Duration) -> Result<()> {
+    /// Brings the scenario's fault about, for as long as it lasts; returns the
+    /// number of cancellations sent.
+    pub async fn disturb(&mut self, scenario: Scenario, length: Duration) -> Result<u64> {
         match scenario {
             Scenario::Steady50
             | Scenario::Steady80
@@ -157,7 +158,7 @@
                     executor.silence_connections();
                 }
             }
-            Scenario::Cancellations => self.cancel_in_waves(length).await?,
+            Scenario::Cancellations => return self.cancel_in_waves(length).await,
             Scenario::LogOutage => {
                 if let System::Cluster(cluster) = self {
                     cluster.log.set_outage(true);
@@ -165,7 +166,7 @@
             }
             Scenario::ConfigChanges => self.publish_changes(length).await?,
         }
-        Ok(())
+        Ok(0)
     }
 
     fn executor(&self, index: usize) -> Option<&ExecutorServer> {
@@ -196,11 +197,12 @@
         }
     }
 
-    async fn cancel_in_waves(&self, length: Duration) -> Result<()> {
-        let Client::Entries(callers, _) = self.client() else { return Ok(()) };
+    async fn cancel_in_waves(&self, length: Duration) -> Result<u64> {
+        let Client::Entries(callers, _) = self.client() else { return Ok(0) };
         let pause = Duration::from_millis(100);
         let count = CANCELLATIONS_PER_S / 10;
-        for _ in 0..length.as_millis() / pause.as_millis() {
+        let rounds = (length.as_millis() / pause.as_millis()) as u64;
+        for _ in 0..rounds {
             for _ in 0..count {
                 let caller = callers[0].clone();
                 let id = RequestId::new(Timestamp::now(), rand::random());
@@ -210,7 +212,7 @@
             }
             sleep(pause).await;
         }
-        Ok(())
+        Ok(rounds * u64::from(count))
     }
 
     async fn publish_changes(&self, length: Duration) -> Result<()> {
--- a/load/src/tally.rs
+++ b/load/src/tally.rs
@@ -38,6 +38,8 @@
     pub may_have_run: u64,
     /// Messages between nodes on behalf of requests, by type.
     pub messages: BTreeMap<&'static str, u64>,
+    /// Cancellations that callers asked for.
+    pub cancellations: u64,
     /// Datagrams for membership and load that a node sent, on average.
     pub datagrams: u64,
     /// Starts beyond the first of non-idempotent requests.
@@ -66,6 +68,7 @@
             not_run: 0,
             may_have_run: 0,
             messages: BTreeMap::new(),
+            cancellations: 0,
             datagrams: 0,
             double_starts: 0,
             cpu: Duration::ZERO,
@@ -98,10 +101,13 @@
         self.ratios.value_at_quantile(quantile) as f64 / RATIO_UNIT
     }
 
-    /// Messages beyond two for each answered request, in percent of those two.
+    /// Messages beyond two for each answered request or cancellation of a caller,
+    /// in percent of the two for each answer.
     pub fn wasted_percent(&self) -> f64 {
         let needed = 2.0 * self.done as f64;
-        (self.messages.values().sum::<u64>() as f64 - needed).max(0.0) * 100.0 / needed.max(1.0)
+        let asked = 2.0 * self.cancellations as f64;
+        (self.messages.values().sum::<u64>() as f64 - asked - needed).max(0.0) * 100.0
+            / needed.max(1.0)
     }
 
     /// Missed deadlines in a thousand feasible requests of every class.
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -216,9 +216,9 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "job")]
 pub(crate) struct Job {
-    /// job in JSON; - reads the standard input
+    /// job in JSON; the standard input if there is none
     #[argh(positional)]
-    pub(crate) file: String,
+    pub(crate) file: Option<String>,
     /// do not wait for the results
     #[argh(switch)]
     pub(crate) no_wait: bool,
--- a/src/cmd/job.rs
+++ b/src/cmd/job.rs
@@ -11,26 +11,31 @@
     cli::Job,
     cmd::submit::choose_id,
     entry::{Call, Entry},
-    input::{entry, read_file},
+    input::{STDIN, entry, read_file},
     outcome::{IdOrigin, Outcome},
     output::{Exit, Failure, Output},
 };
 
 /// Pause between two questions about a job.
 const POLL_PAUSE: Duration = Duration::from_millis(200);
-/// Time for the entry to take a job.
+/// Time for the entry to answer a job whose results are waited for.
 const SUBMIT_TIMEOUT: Duration = Duration::from_secs(120);
+/// Time for the entry to pass a job on whose results are not waited for.
+const PASS_ON_TIME: Duration = Duration::from_secs(1);
 
 pub(crate) async fn run(args: &Job, env: Environment<'_>) -> Result<Output, Failure> {
     let entry = entry(args.entry.as_deref(), env)?;
-    let text = read_file(&args.file)?;
-    let mut job: node::Job = serde_json::from_str(&text).map_err(|err| {
-        Failure::usage(format!("The job {:?} is not accepted: {err}.", args.file))
-    })?;
+    let file = args.file.as_deref().unwrap_or(STDIN);
+    let text = read_file(file)?;
+    let mut job: node::Job = serde_json::from_str(&text)
+        .map_err(|err| Failure::usage(format!("The job {file:?} is not accepted: {err}.")))?;
     let (id, origin) = choose_id(job.id);
     job.id = Some(id);
     let end = Instant::now() + Duration::from_secs(args.wait_s);
-    let mut outcome = submit(&entry, &job, id, origin).await;
+    let mut outcome = match args.no_wait {
+        true => submit_only(&entry, &job, id).await,
+        false => submit(&entry, &job, id, origin).await,
+    };
     while !args.no_wait && is_running(&outcome) && Instant::now() < end {
         sleep(POLL_PAUSE).await;
         outcome = ask(&entry, id).await;
@@ -51,17 +56,29 @@
     }
 }
 
+/// Submits a job and asks soon after how far it is; the job goes on without
+/// the connection that brought it.
+async fn submit_only(entry: &Entry, job: &node::Job, id: RequestId) -> Outcome {
+    match entry.call(post(job, PASS_ON_TIME)).await {
+        Ok(response) => Outcome::parse_job(id, &response, entry.address()),
+        Err(_) => ask(entry, id).await,
+    }
+}
+
 async fn submit(entry: &Entry, job: &node::Job, id: RequestId, origin: IdOrigin) -> Outcome {
-    let call = Call {
+    match entry.call(post(job, SUBMIT_TIMEOUT)).await {
+        Ok(response) => Outcome::parse_job(id, &response, entry.address()),
+        Err(err) => Outcome::without_answer(id, origin, &err),
+    }
+}
+
+fn post(job: &node::Job, limit: Duration) -> Call {
+    Call {
         method: Method::POST,
         path: "/v1/jobs".to_owned(),
         headers: Vec::new(),
         body: serde_json::to_vec(job).expect("a job has only types that JSON can hold"),
-        limit: SUBMIT_TIMEOUT,
-    };
-    match entry.call(call).await {
-        Ok(response) => Outcome::parse_job(id, &response, entry.address()),
-        Err(err) => Outcome::without_answer(id, origin, &err),
+        limit,
     }
 }
 
--- a/src/input.rs
+++ b/src/input.rs
@@ -12,7 +12,7 @@
 use crate::{Environment, current::Current, entry::Entry, output::Failure};
 
 /// Name of the standard input.
-const STDIN: &str = "-";
+pub(crate) const STDIN: &str = "-";
 
 /// An inventory with its text.
 pub(crate) struct Source {
