--- a/load/src/cli.rs
+++ b/load/src/cli.rs
@@ -17,6 +17,8 @@
     Compare(Compare),
     /// Processor time that the dispatcher adds to a request.
     Cost(Cost),
+    /// Slopes of processor time, memory and bytes against the size.
+    Capacity(Capacity),
 }
 
 /// Compare response times, missed deadlines and messages, side by side.
@@ -56,3 +58,17 @@
     #[argh(option, default = "64")]
     pub parallel: u32,
 }
+
+/// Measure how processor time, memory and bytes grow with the size.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "capacity")]
+pub struct Capacity {
+    /// part to measure: memory, nodes, state, jobs or spread; may be repeated; all
+    /// of them if there is none
+    #[argh(option)]
+    pub part: Vec<crate::cmd::capacity::Part>,
+
+    /// seed of the nodes' randomness
+    #[argh(option, default = "1")]
+    pub seed: u64,
+}
--- /dev/null
+++ b/load/src/cmd/capacity/jobs.rs
@@ -0,0 +1,88 @@
+//! Placement and coordination of jobs on one core.
+
+use std::time::{Duration, Instant};
+
+use eyre::Result;
+use ident::Timestamp;
+use jobs::{Action, Jobs, TaskResult};
+use placement::Placer;
+use wire::StartTask;
+
+use super::{
+    fleet::{self, START},
+    memory::job,
+    requests::answer,
+};
+
+/// Sizes that are compared.
+const WORKERS: [u32; 4] = [10, 100, 400, fleet::FULL_WORKERS];
+/// Jobs that are averaged.
+const JOBS: u64 = 300;
+
+/// Time that the jobs took.
+#[derive(Debug, Default)]
+struct Spent {
+    submit: Duration,
+    results: Duration,
+    started: u32,
+}
+
+/// Prints the cost of a task by the number of workers.
+pub fn measure() -> Result<()> {
+    println!(
+        "{:>7} {:>8} {:>13} {:>13} {:>14}",
+        "workers", "tasks", "submit µs/task", "result µs/task", "tasks/s a core"
+    );
+    for workers in WORKERS {
+        let spent = run(workers);
+        let micros = |time: Duration| time.as_secs_f64() * 1e6 / f64::from(spent.started.max(1));
+        let (submit, results) = (micros(spent.submit), micros(spent.results));
+        println!(
+            "{workers:>7} {:>8} {submit:>13.2} {results:>13.2} {:>14.0}",
+            spent.started,
+            1e6 / (submit + results)
+        );
+    }
+    Ok(())
+}
+
+/// Runs one job after the other, each to its end.
+fn run(workers: u32) -> Spent {
+    let mut jobs = Jobs::new(Placer::new(&fleet::zone(0), 1));
+    jobs.set_inventory(&fleet::inventory(workers));
+    for report in fleet::reports(workers) {
+        jobs.placer().on_report(&report, START);
+    }
+    let mut spent = Spent::default();
+    for number in 0..JOBS {
+        let now = START + Duration::from_millis(10) * number as u32;
+        let began = Instant::now();
+        let actions = jobs.submit(job(number), now);
+        spent.submit += began.elapsed();
+        finish(&mut jobs, actions, now, &mut spent);
+    }
+    spent
+}
+
+/// Ends every task that was started, and those started after.
+fn finish(jobs: &mut Jobs, actions: Vec<Action>, now: Timestamp, spent: &mut Spent) {
+    let mut starts: Vec<StartTask> = started(actions);
+    while let Some(start) = starts.pop() {
+        spent.started += 1;
+        let began = Instant::now();
+        let result = TaskResult::Done(answer());
+        let actions = jobs.on_task(start.job, start.index, result, now);
+        spent.results += began.elapsed();
+        starts.extend(started(actions));
+    }
+}
+
+fn started(actions: Vec<Action>) -> Vec<StartTask> {
+    let starts = actions.into_iter().filter_map(|action| match action {
+        Action::Start { start, .. } => Some(start),
+        Action::Renew { .. } | Action::Stop { .. } | Action::Ended { .. } | Action::Decide(_) => {
+            None
+        }
+    });
+    starts.collect()
+}
--- /dev/null
+++ b/load/src/cmd/capacity/nodes.rs
@@ -0,0 +1,92 @@
+//! What an entry and an agent spend while nothing is asked of them, and per request.
+
+use std::time::Duration;
+
+use eyre::Result;
+
+use super::{
+    cores::Cost,
+    fleet,
+    requests::{agent_request, entry_request},
+    world::{Spent, World},
+};
+
+/// Sizes that are compared.
+const WORKERS: [u32; 4] = [10, 100, 400, fleet::FULL_WORKERS];
+/// Time in which the entries hear of every agent.
+const WARM_UP: Duration = Duration::from_secs(30);
+/// Time that is measured.
+const MEASURED: Duration = Duration::from_secs(10);
+
+/// Prints a row for each role and size.
+pub fn measure(seed: u64) -> Result<()> {
+    println!(
+        "{:<14} {:>7} {:>9} {:>9} {:>9} {:>9} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8}",
+        "role",
+        "workers",
+        "tick µs",
+        "beat µs",
+        "gossip µs",
+        "ack µs",
+        "core %",
+        "out/s",
+        "in/s",
+        "B/s out",
+        "B/s in",
+        "appends"
+    );
+    let mut costs = Vec::new();
+    for workers in WORKERS {
+        let mut world = World::new(workers, seed)?;
+        world.run(WARM_UP);
+        world.clear();
+        world.run(MEASURED);
+        print_row("entry", workers, &world.spent(0));
+        print_row("agent/worker", workers, &world.spent(world.worker()));
+        print_row("agent/executor", workers, &world.spent(world.executor()));
+        costs.push((workers, requests(&mut world)));
+    }
+    println!();
+    println!(
+        "{:>7} {:>14} {:>16} {:>14} {:>14}",
+        "workers", "entry check µs", "entry reserve µs", "agent check µs", "agent reserve µs"
+    );
+    for (workers, [check, reserve, run, owned]) in costs {
+        println!(
+            "{workers:>7} {:>14.1} {:>16.1} {:>14.1} {:>14.1}",
+            check.micros(),
+            reserve.micros(),
+            run.micros(),
+            owned.micros()
+        );
+    }
+    Ok(())
+}
+
+fn requests(world: &mut World) -> [Cost; 4] {
+    [
+        entry_request(world, "check"),
+        entry_request(world, "reserve"),
+        agent_request(world, "check"),
+        agent_request(world, "reserve"),
+    ]
+}
+
+fn print_row(role: &str, workers: u32, spent: &Spent) {
+    let seconds = MEASURED.as_secs_f64();
+    let per_s = |count: usize| count as f64 / seconds;
+    println!(
+        "{role:<14} {workers:>7} {:>9.2} {:>9.2} {:>9.2} {:>9.2} {:>8.3} {:>8.0} {:>8.0} {:>8.0} \
+         {:>8.0} {:>8}",
+        spent.tick.micros(),
+        spent.heartbeat.micros(),
+        spent.gossip.micros(),
+        spent.ack.micros(),
+        spent.total().as_secs_f64() * 100.0 / seconds,
+        per_s(spent.sent.count),
+        per_s(spent.received.count),
+        per_s(spent.sent.bytes),
+        per_s(spent.received.bytes),
+        spent.appended,
+    );
+}
--- /dev/null
+++ b/load/src/cmd/capacity/state.rs
@@ -0,0 +1,209 @@
+//! The replicated state: its size, what handling it costs, and what spreading
+//! the changes of a day takes.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use eyre::Result;
+use ident::Timestamp;
+use node::Event;
+use register::{Record, State};
+use uuid::Uuid;
+use wire::{Call, CallId, Fetch, Frame, Reply, Snapshot, encode};
+
+use super::{
+    cores::{self, Cost},
+    fleet::{self, ENTRIES, NEXT_OFFSET, START},
+};
+
+/// Sizes that are compared.
+const WORKERS: [u32; 4] = [10, 100, 400, fleet::FULL_WORKERS];
+/// Changes of the configuration in a day.
+const CHANGES: usize = 2100;
+const DAY_S: usize = 86_400;
+/// Times that each operation is measured.
+const ROUNDS: u32 = 20;
+/// Bytes of an HTTP read of the log that finds nothing, with its answer.
+const EMPTY_POLL_BYTES: usize = 350;
+/// Length of a frame on a connection.
+const LENGTH_BYTES: usize = 4;
+
+/// What is known of a state.
+struct Sizes {
+    workers: u32,
+    agents: usize,
+    text: usize,
+    record: usize,
+    /// State as a peer gets it.
+    state: usize,
+    /// Request for it.
+    fetch: usize,
+    /// Offset in a datagram, by which a change is announced.
+    offset: usize,
+}
+
+/// Prints sizes, times and bytes a day.
+pub fn measure() -> Result<()> {
+    println!(
+        "{:>7} {:>9} {:>9} {:>9} {:>8} {:>8} {:>9} {:>9} {:>9} {:>9}",
+        "workers",
+        "text B",
+        "record B",
+        "state B",
+        "apply ms",
+        "parse ms",
+        "encode µs",
+        "decode ms",
+        "entry µs",
+        "agent µs"
+    );
+    let mut sizes = Vec::new();
+    for workers in WORKERS {
+        sizes.push(measure_size(workers)?);
+    }
+    print_spreading(&sizes);
+    print_rule(&sizes);
+    Ok(())
+}
+
+fn measure_size(workers: u32) -> Result<Sizes> {
+    let state = fleet::shared(workers)?;
+    let text = state.config.as_ref().map(|config| config.text.clone()).unwrap_or_default();
+    let record = Record::Config { record: Uuid::from_u128(2), base: 1, text: text.clone() };
+    let json = serde_json::to_vec(&record)?;
+    let encoded = state.encode();
+
+    let apply = time(|| {
+        State::clone(&state).apply(NEXT_OFFSET, &record);
+    });
+    let parse = time(|| {
+        let _ = serde_json::from_slice::<Record>(&json);
+    });
+    let encoding = time(|| {
+        state.encode();
+    });
+    let decoding = time(|| {
+        let _ = State::decode(&encoded);
+    });
+    let (entry, agent) = adoptions(workers, &state, &record);
+    println!(
+        "{workers:>7} {:>9} {:>9} {:>9} {:>8.2} {:>8.2} {:>9.1} {:>9.2} {:>9.1} {:>9.1}",
+        text.len(),
+        json.len(),
+        encoded.len(),
+        millis(apply),
+        millis(parse),
+        millis(encoding) * 1e3,
+        millis(decoding),
+        millis(entry) * 1e3,
+        millis(agent) * 1e3
+    );
+    Ok(Sizes {
+        workers,
+        agents: fleet::reports(workers).len(),
+        text: text.len(),
+        record: json.len(),
+        state: framed(&reply(&state)),
+        fetch: framed(&Frame::Call(CallId(1000), Call::Fetch(Fetch { have: NEXT_OFFSET }))),
+        offset: encode(&NEXT_OFFSET).len(),
+    })
+}
+
+/// Time that cores take to adopt a state with a new version.
+fn adoptions(workers: u32, state: &Arc<State>, record: &Record) -> (Duration, Duration) {
+    let mut newer = State::clone(state);
+    newer.apply(NEXT_OFFSET, record);
+    let newer = Arc::new(newer);
+    let read_at = START + Duration::from_secs(2);
+    let worker = &fleet::reports(workers)[0];
+    let (mut entries, mut agents) = (Cost::default(), Cost::default());
+    for _ in 0..ROUNDS {
+        let event = || Event::State { state: Arc::clone(&newer), read_at };
+        cores::entry(0, state, 1).handle(read_at, event(), &mut entries);
+        cores::agent(worker, state, 1).handle(read_at, event(), &mut agents);
+    }
+    (entries.total / ROUNDS, agents.total / ROUNDS)
+}
+
+fn print_spreading(sizes: &[Sizes]) {
+    println!();
+    println!(
+        "{:>7} {:>34} {:>12} {:>12} {:>14} {:>14}",
+        "workers",
+        "way of spreading",
+        "B/s an agent",
+        "B/s an entry",
+        "B/s of the log",
+        "changes B"
+    );
+    for size in sizes {
+        let per_s = |bytes: usize| bytes * CHANGES / DAY_S;
+        let served = size.agents.div_ceil(ENTRIES as usize);
+        let change = size.fetch + size.state;
+        let read = per_s(size.record) + EMPTY_POLL_BYTES / 2;
+        print_way(
+            size,
+            "fetched when announced",
+            [per_s(change), per_s(change) * served + read, read * ENTRIES as usize, change],
+        );
+        let polled = per_s(size.record) + EMPTY_POLL_BYTES;
+        let nodes = size.agents + ENTRIES as usize;
+        print_way(size, "log polled every second", [polled, polled, polled * nodes, size.record]);
+        print_way(
+            size,
+            "pushed by entries",
+            [
+                per_s(size.state),
+                per_s(size.state) * served + read,
+                read * ENTRIES as usize,
+                size.state,
+            ],
+        );
+    }
+}
+
+fn print_way(size: &Sizes, name: &str, figures: [usize; 4]) {
+    let [agent, entry, log, change] = figures;
+    println!("{:>7} {name:>34} {agent:>12} {entry:>12} {log:>14} {change:>14}", size.workers);
+}
+
+/// Costs of an update, and of an invalidation with a miss, in bytes.
+fn print_rule(sizes: &[Sizes]) {
+    println!();
+    println!(
+        "{:>7} {:>12} {:>14} {:>10} {:>10}",
+        "workers", "update B", "invalidate B", "miss B", "text B"
+    );
+    for size in sizes {
+        let miss = size.fetch + size.state;
+        println!(
+            "{:>7} {:>12} {:>14} {:>10} {:>10}",
+            size.workers, size.state, size.offset, miss, size.text
+        );
+    }
+}
+
+fn reply(state: &State) -> Frame {
+    let snapshot =
+        Snapshot { next_offset: state.next_offset, read_at: Timestamp::MAX, state: state.encode() };
+    Frame::Reply(CallId(1000), Reply::State(Some(snapshot)))
+}
+
+fn framed(frame: &Frame) -> usize {
+    encode(frame).len() + LENGTH_BYTES
+}
+
+/// Mean time of an operation.
+fn time(operation: impl Fn()) -> Duration {
+    let began = Instant::now();
+    for _ in 0..ROUNDS {
+        operation();
+    }
+    began.elapsed() / ROUNDS
+}
+
+fn millis(time: Duration) -> f64 {
+    time.as_secs_f64() * 1e3
+}
--- a/load/src/cmd/mod.rs
+++ b/load/src/cmd/mod.rs
@@ -1,4 +1,5 @@
 //! One file for each sub-command.
 
+pub mod capacity;
 pub mod compare;
 pub mod cost;
--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -9,6 +9,7 @@
 async fn main() -> eyre::Result<()> {
     let args: Args = argh::from_env();
     match args.command {
+        Command::Capacity(args) => cmd::capacity::capacity(&args).await,
         Command::Compare(args) => cmd::compare::compare(&args).await,
         Command::Cost(args) => cmd::cost::cost(&args).await,
     }
