--- a/components/scenario/src/check.rs
+++ b/components/scenario/src/check.rs
@@ -19,6 +19,7 @@
 
 impl World {
     pub(crate) fn check(&mut self) {
+        self.tally();
         self.check_single_starts();
         self.check_not_run();
         self.check_answers();
@@ -29,6 +30,19 @@
         }
     }
 
+    fn tally(&mut self) {
+        for sent in self.callers.sent.values().filter(|it| it.purpose == Purpose::Submit) {
+            let tally = self.report.tallies.entry(sent.name.clone()).or_default();
+            tally.sent += 1;
+            let first = sent.answers.first();
+            let done = first.filter(|answer| answer.verdict() == Some(Verdict::Done));
+            if let Some(answer) = done {
+                tally.done += 1;
+                tally.time += answer.at.since(sent.at);
+            }
+        }
+    }
+
     /// A non-idempotent request and each task of a job starts at most once.
     fn check_single_starts(&mut self) {
         let idempotent = self.idempotent_ids();
--- a/components/scenario/src/lib.rs
+++ b/components/scenario/src/lib.rs
@@ -16,7 +16,7 @@
 mod world;
 
 pub use crate::{
-    report::{Line, Report},
+    report::{Line, Report, Tally},
     script::{
         Action, Change, Compare, Expect, Fault, LogFault, Script, ScriptError, Sending, Step,
     },
--- a/components/scenario/src/net.rs
+++ b/components/scenario/src/net.rs
@@ -142,6 +142,7 @@
         if self.is_cut(from, to) {
             return;
         }
+        self.report.datagrams += 1;
         let delay = self.delay(from, to);
         self.schedule(delay, Item::Deliver { node: to, event: Event::Datagram(datagram) });
     }
--- a/components/scenario/src/report.rs
+++ b/components/scenario/src/report.rs
@@ -1,6 +1,6 @@
 //! What a run has shown.
 
-use std::{collections::BTreeMap, fmt};
+use std::{collections::BTreeMap, fmt, time::Duration};
 
 use ident::{NodeId, Timestamp};
 use node::Decision;
@@ -14,6 +14,17 @@
     pub text: String,
 }
 
+/// Answers to all submissions under one name of the script.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Submissions.
+    pub sent: u64,
+    /// Submissions that were answered `done`.
+    pub done: u64,
+    /// Time from these submissions to their answers, added up.
+    pub time: Duration,
+}
+
 /// What a run has shown.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Report {
@@ -23,6 +34,10 @@
     pub trace: Vec<Line>,
     /// Messages between nodes, datagrams left out.
     pub messages: u64,
+    /// Datagrams between nodes.
+    pub datagrams: u64,
+    /// Answers by the names of the script.
+    pub tallies: BTreeMap<String, Tally>,
     /// Records appended to the log.
     pub appends: u64,
     /// Answers given to callers.
@@ -40,6 +55,8 @@
             violations: Vec::new(),
             trace: Vec::new(),
             messages: 0,
+            datagrams: 0,
+            tallies: BTreeMap::new(),
             appends: 0,
             answers: 0,
             published_at: None,
--- a/components/scenario/src/script.rs
+++ b/components/scenario/src/script.rs
@@ -377,8 +377,10 @@
 
 fn duration(pair: Option<Pair<'_, Rule>>) -> Duration {
     let text = text(pair);
-    match text.strip_suffix("ms") {
-        Some(millis) => Duration::from_millis(millis.parse().unwrap_or(u64::MAX)),
-        None => Duration::from_secs(text.trim_end_matches('s').parse().unwrap_or(u64::MAX)),
+    let count = |digits: &str| digits.parse().unwrap_or(u64::MAX);
+    match (text.strip_suffix("us"), text.strip_suffix("ms")) {
+        (Some(micros), _) => Duration::from_micros(count(micros)),
+        (None, Some(millis)) => Duration::from_millis(count(millis)),
+        (None, None) => Duration::from_secs(count(text.trim_end_matches('s'))),
     }
 }
