--- a/components/agent/src/lib.rs
+++ b/components/agent/src/lib.rs
@@ -83,6 +83,10 @@
     pub fn new(options: Options) -> Agent {
         let inventory = Inventory::default();
         let rules = &inventory.rules;
+        let (node, zone) = (options.node, &options.availability_zone);
+        let mut tenure =
+            Tenure::new(node, options.incarnation, options.group.clone(), rules.skew());
+        tenure.set_zone(node, zone);
         Agent {
             now: Timestamp::ZERO,
             effects: Vec::new(),
@@ -90,12 +94,7 @@
             state: Arc::new(State::default()),
             read_at: Timestamp::ZERO,
             phase: Phase::Running,
-            tenure: Tenure::new(
-                options.node,
-                options.incarnation,
-                options.group.clone(),
-                rules.skew(),
-            ),
+            tenure,
             ledger: Ledger::new(work::ledger_limits(rules)),
             delegated: Ledger::new(work::ledger_limits(rules)),
             queue: Queue::new(0, place::QUEUE_LIMIT),
--- a/components/agent/src/membership.rs
+++ b/components/agent/src/membership.rs
@@ -73,6 +73,7 @@
             return;
         }
         self.members.on_report(report, self.now);
+        self.tenure.set_zone(report.node, &report.availability_zone);
         self.router.on_report(report, self.now);
         self.router.set_suspected(report.node, false);
         self.jobs.placer().on_report(report, self.now);
--- a/components/entry/src/membership.rs
+++ b/components/entry/src/membership.rs
@@ -87,7 +87,7 @@
         if changed {
             self.apply_config();
         }
-        self.owners = Owners::of(&self.state.table, &self.members);
+        self.owners = Owners::of(&self.state.table, &self.members, self.now);
     }
 
     fn apply_config(&mut self) {
@@ -112,7 +112,7 @@
             return;
         }
         self.gossip_at = self.now + HEARTBEAT_INTERVAL;
-        self.owners = Owners::of(&self.state.table, &self.members);
+        self.owners = Owners::of(&self.state.table, &self.members, self.now);
         self.quotas.set_share(self.members.entries().len() + 1, self.now);
         let next_offset = self.state.next_offset;
         let incarnation = self.me.incarnation;
--- a/components/entry/src/owners.rs
+++ b/components/entry/src/owners.rs
@@ -1,14 +1,18 @@
 //! Shards for which ids can be made.
 //!
 //! An owner whose deputy is silent may be about to stop deciding, so shards
-//! with such a deputy are avoided, and so are those of a silent owner.
+//! with such a deputy are avoided, and so are those of a silent owner or of one
+//! that has just started and refuses ids from around its start.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, time::Duration};
 
-use ident::{Group, NodeId, SHARD_COUNT, Shard};
+use ident::{Group, NodeId, SHARD_COUNT, Shard, Timestamp};
 use members::{Liveness, Members};
 use register::{Assignment, Table};
 
+/// Time after its start for which an owner refuses new ids.
+const START_TIME: Duration = Duration::from_millis(2500);
+
 /// Shards by owner, as far as they are steady.
 #[derive(Debug, Default)]
 pub struct Owners {
@@ -24,10 +28,10 @@
 
 impl Owners {
     /// Finds the steady shards of a table.
-    pub fn of(table: &Table, members: &Members) -> Owners {
+    pub fn of(table: &Table, members: &Members, now: Timestamp) -> Owners {
         let mut by_node: HashMap<NodeId, Steady> = HashMap::new();
         for group in table.groups() {
-            let steady = table.group(group).filter(|(_, it)| is_steady(it, members));
+            let steady = table.group(group).filter(|(_, it)| is_steady(it, members, now));
             for (shard, assignment) in steady {
                 let owned = by_node.entry(assignment.owner).or_insert_with(|| Steady {
                     group: group.clone(),
@@ -56,8 +60,10 @@
     }
 }
 
-fn is_steady(assignment: &Assignment, members: &Members) -> bool {
-    let is_alive =
-        |node: NodeId| members.get(node).is_some_and(|member| member.liveness == Liveness::Alive);
-    is_alive(assignment.owner) && assignment.deputy.is_none_or(is_alive)
+fn is_steady(assignment: &Assignment, members: &Members, now: Timestamp) -> bool {
+    let alive =
+        |node: NodeId| members.get(node).filter(|member| member.liveness == Liveness::Alive);
+    let owner = alive(assignment.owner);
+    let has_started = owner.is_some_and(|it| it.report.incarnation.0 + START_TIME <= now);
+    has_started && assignment.deputy.is_none_or(|deputy| alive(deputy).is_some())
 }
--- a/components/entry/src/retrying.rs
+++ b/components/entry/src/retrying.rs
@@ -116,7 +116,12 @@
             Verdict::MayHaveRun | Verdict::Done => request.doubt = true,
         }
         request.refusal = Some(refusal.clone());
-        if !self.retry_idempotent(key) {
+        let is_leaving = refusal.reason == Reason::NoEndpoint;
+        let again = match refusal.verdict() == Verdict::NotRun && is_leaving {
+            true => self.route_again(key),
+            false => self.retry_idempotent(key),
+        };
+        if !again {
             let request = &self.requests[key];
             let weaken = request.chosen || request.doubt || !request.open.is_empty();
             self.end_refused(key, if weaken { refusal.weaken() } else { refusal });
@@ -130,7 +135,17 @@
         if !request.open.is_empty() {
             return true;
         }
-        if request.attempts >= MAX_ATTEMPTS || !self.budget.try_spend(self.now) {
+        self.budget.try_spend(self.now) && self.route_again(key)
+    }
+
+    /// Sends a request that an agent could not take to another one; nothing ran,
+    /// so the retry budget is not touched.
+    fn route_again(&mut self, key: RequestKey) -> bool {
+        let request = &self.requests[key];
+        if !request.open.is_empty() {
+            return true;
+        }
+        if request.attempts >= MAX_ATTEMPTS {
             return false;
         }
         self.route(key);
@@ -195,7 +210,8 @@
         self.timers.insert(Timer { at, request: key, due: Due::Retry });
     }
 
-    fn give_up_on_owner(&mut self, key: RequestKey) {
+    /// Refuses a request whose owner cannot be reached.
+    pub(crate) fn give_up_on_owner(&mut self, key: RequestKey) {
         let message = "The owner of the id cannot be reached.".to_owned();
         let refusal = self.unsent_refusal(key, Reason::NotOwner, message);
         self.end_refused(key, refusal.with_retry_after(OWNER_RETRY));
--- a/components/entry/src/route.rs
+++ b/components/entry/src/route.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use ident::{Group, NodeId, RequestId, SHARD_COUNT, Shard};
+use members::Liveness;
 use node::{Candidate, Decision, Step};
 use rand::RngExt;
 use routing::Want;
@@ -52,8 +53,11 @@
     fn route_owner(&mut self, key: RequestKey) {
         let request = &self.requests[key];
         let shard = Shard::of(request.id());
-        match self.state.table.get(&request.group, shard) {
-            Some(assignment) => self.send(key, assignment.owner, Vec::new()),
+        let owner = self.state.table.get(&request.group, shard).map(|it| it.owner);
+        let is_gone = |node| self.members.get(node).is_some_and(|it| it.liveness == Liveness::Gone);
+        match owner {
+            Some(owner) if is_gone(owner) => self.give_up_on_owner(key),
+            Some(owner) => self.send(key, owner, Vec::new()),
             None => self.refuse_without_endpoint(key),
         }
     }
--- a/components/tenure/src/assign.rs
+++ b/components/tenure/src/assign.rs
@@ -19,6 +19,13 @@
 /// Time after which an owner is given up that no deputy can replace.
 const ABANDON_AFTER: Duration = Duration::from_secs(10);
 
+/// Time for which the group must stay settled before its first owners are chosen,
+/// so that all agents that start together get a share.
+const FIRST_SETTLE: Duration = Duration::from_secs(1);
+
+/// The same for an agent that has heard of no other.
+const LONE_SETTLE: Duration = Duration::from_secs(4);
+
 /// An assignment to append.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Plan {
@@ -93,6 +100,11 @@
 
     /// Owners for shards that have none.
     fn plan_first(&self, now: Timestamp) -> Vec<Plan> {
+        let is_alone = self.presence.alive().count() < 2;
+        let wait = if is_alone { LONE_SETTLE } else { FIRST_SETTLE };
+        if self.presence.settled_for(now).is_none_or(|settled| settled < wait) {
+            return Vec::new();
+        }
         let free = self.view.unassigned().iter().filter(|it| self.proposals.of(**it).is_empty());
         free.filter_map(|shard| self.plan_owner(*shard, 1, now)).collect()
     }
