--- a/load/src/cmd/capacity/spread.rs
+++ b/load/src/cmd/capacity/spread.rs
@@ -18,7 +18,9 @@
 /// Changes that are published.
 const CHANGES: usize = 10;
 /// Time that idle nodes are watched.
-const IDLE: Duration = Duration::from_secs(20);
+const IDLE: Duration = Duration::from_secs(15);
+/// Time in which a host's shards get new owners and deputies.
+const TAKEOVER: Duration = Duration::from_secs(8);
 /// Time in which a version must be in force everywhere.
 const LIMIT: Duration = Duration::from_secs(11);
 
@@ -27,14 +29,14 @@
 struct Owners {
     /// Nodes that own a shard.
     owners: usize,
-    /// Shards for which nobody decides.
-    vacant: usize,
+    /// Shards that nobody decides new ids for.
+    closed: usize,
 }
 
 /// Prints a row for each size.
 pub async fn measure(seed: u64) -> Result<()> {
     println!(
-        "{:>7} {:>6} {:>15} {:>15} {:>16} {:>16} {:>8} {:>7} {:>7}",
+        "{:>7} {:>6} {:>15} {:>15} {:>16} {:>16} {:>8} {:>7} {:>7} {:>8} {:>7}",
         "workers",
         "nodes",
         "in force p50 ms",
@@ -43,7 +45,9 @@
         "datagrams/s each",
         "appended",
         "owners",
-        "vacant"
+        "closed",
+        "of death",
+        "changed"
     );
     for workers in WORKERS {
         let mut inventory = fleet::inventory(workers);
@@ -51,7 +55,7 @@
         inventory.kinds.clear();
         inventory.executors.clear();
         let plan = Plan { inventory: inventory.to_toml(), entries: ENTRIES, seed };
-        let cluster = Cluster::start(&plan).await?;
+        let mut cluster = Cluster::start(&plan).await?;
         let nodes = cluster.nodes();
 
         let (before, cpu, datagrams) = (follow(&cluster).await?, cpu_time()?, cluster.datagrams());
@@ -65,10 +69,11 @@
         let idle = cpu.as_secs_f64() * 100.0 / IDLE.as_secs_f64() / nodes as f64;
         let rate = datagrams as f64 / IDLE.as_secs_f64() / nodes as f64;
         let appended = after.next_offset - before.next_offset;
-        let Owners { owners, vacant } = Owners::of(&after);
+        let (of_death, changed) = kill_host(&mut cluster).await?;
+        let Owners { owners, closed } = Owners::of(&after, Timestamp::now());
         println!(
             "{workers:>7} {nodes:>6} {:>15} {:>15} {idle:>16.2} {rate:>16.1} {appended:>8} \
-             {owners:>7} {vacant:>7}",
+             {owners:>7} {closed:>7} {of_death:>8} {changed:>7}",
             times[CHANGES / 2].as_millis(),
             times[CHANGES - 1].as_millis()
         );
@@ -96,16 +101,29 @@
 }
 
 impl Owners {
-    fn of(state: &State) -> Owners {
+    fn of(state: &State, now: Timestamp) -> Owners {
         let shards: Vec<&Assignment> =
             state.table.group(&Group::Workers).map(|(_, assignment)| assignment).collect();
-        let (vacant, owned): (Vec<&Assignment>, Vec<&Assignment>) =
-            shards.into_iter().partition(|it| it.from == Timestamp::MAX);
+        let (closed, owned): (Vec<&Assignment>, Vec<&Assignment>) =
+            shards.into_iter().partition(|it| it.from > now);
         let owners: BTreeSet<NodeId> = owned.iter().map(|it| it.owner).collect();
-        Owners { owners: owners.len(), vacant: vacant.len() }
+        Owners { owners: owners.len(), closed: closed.len() }
     }
 }
 
+/// Kills a host; returns the records that are appended and the shards that change.
+async fn kill_host(cluster: &mut Cluster) -> Result<(u64, usize)> {
+    let before = follow(cluster).await?;
+    cluster.hosts[0].kill();
+    sleep(TAKEOVER).await;
+    let after = follow(cluster).await?;
+    let changed = after.table.group(&Group::Workers).filter(|(shard, assignment)| {
+        let earlier = before.table.get(&Group::Workers, *shard);
+        earlier.is_none_or(|it| it.epoch != assignment.epoch)
+    });
+    Ok((after.next_offset - before.next_offset, changed.count()))
+}
+
 /// Times from the publication of each change until it is in force everywhere.
 async fn publish(cluster: &Cluster) -> Result<Vec<Duration>> {
     let mut inventory = cluster.inventory()?;
