Send a lost hand-over again

Cause: a stopping agent whose connection to its deputy was silent sent its ledger once, and the deputy took over later without it: two of a hundred requests that had run were answered may_have_run (stop-silent-connections). Change: a hand-over whose reply is lost is sent again, at most three times; the fake network replaces a silent connection when its heartbeats would.

--- a/components/agent/src/delegate.rs
+++ b/components/agent/src/delegate.rs
@@ -48,7 +48,7 @@
                 self.on_handed_on(work, node, sent, asked, reply);
             }
             Pending::Task { job, index, node } => self.on_task_reply(job, index, node, reply),
-            Pending::HandOver => self.on_handed_over(reply),
+            Pending::HandOver { to, tries } => self.on_handed_over(to, tries, &reply),
             Pending::Notice => {}
         }
     }
--- a/components/agent/src/stop.rs
+++ b/components/agent/src/stop.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use ident::NodeId;
 use node::{Effect, LinkError, ReplyTo};
 use tenure::Transfer;
 use wire::{Call, HandOver, Reply};
@@ -14,6 +15,9 @@
 /// Time that the receiver of a ledger has to accept it.
 const HAND_OVER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Times that a ledger is sent before its receiver is given up.
+const MAX_HAND_OVERS: u32 = 3;
+
 /// How far the shutdown has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
@@ -68,20 +72,39 @@
     }
 
     fn is_handing_over(&self) -> bool {
-        self.calls.values().any(|pending| matches!(pending, Pending::HandOver))
+        self.calls.values().any(|pending| matches!(pending, Pending::HandOver { .. }))
     }
 
     fn hand_over(&mut self, transfers: Vec<Transfer>) {
         for transfer in transfers {
-            let ledger = transfer.encode(&self.ledger);
-            let call = Call::HandOver(HandOver { from: self.me.node, ledger });
-            self.call(Pending::HandOver, transfer.to, call, HAND_OVER_TIMEOUT);
+            self.send_transfer(&transfer, 0);
         }
     }
 
-    /// Takes the reply to a hand-over; without one the receiver takes over
-    /// later, as after the death of this agent.
-    pub(crate) fn on_handed_over(&mut self, _reply: Result<Reply, LinkError>) {}
+    fn send_transfer(&mut self, transfer: &Transfer, tries: u32) {
+        let ledger = transfer.encode(&self.ledger);
+        let call = Call::HandOver(HandOver { from: self.me.node, ledger });
+        let pending = Pending::HandOver { to: transfer.to, tries };
+        self.call(pending, transfer.to, call, HAND_OVER_TIMEOUT);
+    }
+
+    /// Takes the reply to a hand-over. One that was lost is sent again, which does
+    /// no harm if it had arrived; without any the receiver takes over later, as
+    /// after the death of this agent.
+    pub(crate) fn on_handed_over(
+        &mut self,
+        to: NodeId,
+        tries: u32,
+        reply: &Result<Reply, LinkError>,
+    ) {
+        if reply.is_ok() || tries + 1 >= MAX_HAND_OVERS {
+            return;
+        }
+        let transfers = self.tenure.released();
+        if let Some(transfer) = transfers.iter().find(|transfer| transfer.to == to) {
+            self.send_transfer(transfer, tries + 1);
+        }
+    }
 
     /// Continues with the shards and the ledger of a stopping owner.
     pub(crate) fn on_hand_over(&mut self, from: ReplyTo, hand_over: &HandOver) {
--- a/components/agent/src/work.rs
+++ b/components/agent/src/work.rs
@@ -79,7 +79,12 @@
         asked: u32,
     },
     /// The peer receives the ledger of this agent.
-    HandOver,
+    HandOver {
+        /// The peer.
+        to: NodeId,
+        /// Times that it was sent before.
+        tries: u32,
+    },
     /// The peer runs a task of a job that this agent coordinates.
     Task {
         /// Job that the task belongs to.
--- a/components/scenario/src/net.rs
+++ b/components/scenario/src/net.rs
@@ -83,7 +83,10 @@
         if life == Life::Dead {
             return self.schedule(HEARTBEAT_LIMIT, failed(LinkError::NotSent));
         }
-        if self.is_cut(from, to) || self.is_silent(from, to) {
+        if let Some(until) = self.silent_until(from, to) {
+            return self.schedule(until.since(self.now), failed(LinkError::Lost));
+        }
+        if self.is_cut(from, to) {
             return self.schedule(HEARTBEAT_LIMIT, failed(LinkError::Lost));
         }
         self.net.next_call += 1;
@@ -102,7 +105,7 @@
 
     pub(crate) fn on_reply(&mut self, from: NodeId, to: ReplyTo, reply: Reply) {
         let Some(open) = self.net.calls.get(&to.connection) else { return };
-        if self.is_cut(from, open.from) || self.is_silent(open.from, open.to) {
+        if self.is_cut(from, open.from) || self.silent_until(open.from, open.to).is_some() {
             return;
         }
         let Some(open) = self.net.calls.remove(&to.connection) else { return };
@@ -196,14 +199,13 @@
             calls.filter(|(_, open)| is_doubtful(open)).map(|(number, _)| *number).collect();
         doubtful.sort_unstable();
         for number in doubtful {
-            self.schedule(HEARTBEAT_LIMIT, Item::CallTimeout(number));
+            self.schedule(IDLE_LIMIT, Item::CallTimeout(number));
         }
     }
 
-    /// Whether the connection from one node to another is silent and has not been
-    /// replaced.
-    fn is_silent(&self, from: NodeId, to: NodeId) -> bool {
-        self.net.silent.get(&(from, to)).is_some_and(|until| self.now < *until)
+    /// When the silent connection from one node to another will be replaced.
+    fn silent_until(&self, from: NodeId, to: NodeId) -> Option<Timestamp> {
+        self.net.silent.get(&(from, to)).copied().filter(|until| self.now < *until)
     }
 
     /// Whether nothing passes between two nodes.
