--- a/components/endpoint/src/worker.rs
+++ b/components/endpoint/src/worker.rs
@@ -60,7 +60,8 @@
 }
 
 /// What a worker reports to be in use, with a lag.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Deserialize)]
 pub struct Usage {
     /// Processor cores.
     pub cores: u32,
@@ -73,7 +74,8 @@
 }
 
 /// Body of `POST /tasks`.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct StartBody<'a> {
     job: RequestId,
     index: u32,
@@ -83,19 +85,22 @@
 }
 
 /// Body of `POST /tasks/{job}/{index}/lease`.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct LeaseBody {
     lease_ms: u64,
 }
 
 /// Body of `POST /tasks/{job}/{index}/stop`.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct StopBody {
     checkpoint: bool,
 }
 
 /// Body of `POST /tasks/{job}/{index}/throttle`.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct ThrottleBody {
     percent: u32,
 }
--- a/components/ident/src/group.rs
+++ b/components/ident/src/group.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Agents that serve the same requests; each group has shards of its own.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum Group {
     /// Executors of one service.
     Service(String),
--- a/components/ident/src/node.rs
+++ b/components/ident/src/node.rs
@@ -7,14 +7,14 @@
 use crate::Timestamp;
 
 /// Address that a node listens on for its peers; it outlives restarts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct NodeId(pub SocketAddr);
 
 /// One start of a node: the time at which it began to listen.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Incarnation(pub Timestamp);
 
--- a/components/ident/src/request.rs
+++ b/components/ident/src/request.rs
@@ -8,7 +8,8 @@
 use crate::Timestamp;
 
 /// Id of a request or job: a UUIDv7, which carries its creation time.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(try_from = "Uuid", into = "Uuid")]
 pub struct RequestId(Uuid);
 
--- a/components/ident/src/shard.rs
+++ b/components/ident/src/shard.rs
@@ -11,7 +11,8 @@
 pub const SHARD_COUNT: u16 = 256;
 
 /// A slice of the id space with one owner.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Shard(u16);
 
--- a/components/ident/src/time.rs
+++ b/components/ident/src/time.rs
@@ -9,9 +9,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Microseconds since the Unix epoch.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Timestamp(u64);
 
--- a/components/ledger/src/entry.rs
+++ b/components/ledger/src/entry.rs
@@ -41,7 +41,8 @@
 }
 
 /// How far an id has come.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) enum State {
     /// All attempts so far were refused.
     Open,
@@ -58,7 +59,8 @@
 }
 
 /// One submission of an id.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct Attempt {
     /// Random number of the submission.
     pub number: u64,
@@ -67,7 +69,8 @@
 }
 
 /// An id's state and its refused attempts.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct Record {
     pub state: State,
     pub refused: Refused,
--- a/components/ledger/src/export.rs
+++ b/components/ledger/src/export.rs
@@ -16,7 +16,8 @@
 const MAX_ENTRIES: usize = 50_000;
 
 /// Entries on their way to the next owner.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Export {
     /// Ids made before this time may be missing.
     pub since: Timestamp,
--- a/components/ledger/src/refused.rs
+++ b/components/ledger/src/refused.rs
@@ -14,13 +14,15 @@
 ///
 /// The latest few are remembered by number. Those before them are covered by the
 /// time of the latest among them: what was submitted until then can't start.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct Refused {
     attempts: Vec<RefusedAttempt>,
     until: Option<Timestamp>,
 }
 
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 struct RefusedAttempt {
     attempt: Attempt,
     refusal: Refusal,
--- a/components/metrics/src/labels.rs
+++ b/components/metrics/src/labels.rs
@@ -3,7 +3,8 @@
 use prometheus_client::encoding::EncodeLabelSet;
 
 /// Labels of answered requests.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
 pub(crate) struct Request {
     /// Service that was asked.
     pub(crate) service: String,
@@ -16,7 +17,8 @@
 }
 
 /// Labels of response times.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
 pub(crate) struct Kind {
     /// Service that was asked.
     pub(crate) service: String,
@@ -25,7 +27,8 @@
 }
 
 /// Labels of messages.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
 pub(crate) struct Message {
     /// Type of the message.
     pub(crate) r#type: String,
--- a/components/node/src/caller.rs
+++ b/components/node/src/caller.rs
@@ -50,7 +50,8 @@
 }
 
 /// A job of several tasks.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Job {
     /// Id that the caller chose, if it chose one.
@@ -95,7 +96,8 @@
 }
 
 /// What an entry knows of the system.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct NodeStatus {
     /// Entry that answers.
     pub node: NodeId,
--- a/components/node/src/decision.rs
+++ b/components/node/src/decision.rs
@@ -5,7 +5,8 @@
 use verdict::{Reason, Verdict};
 
 /// A node that could have been chosen.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Candidate {
     /// The node.
     pub node: NodeId,
@@ -17,7 +18,8 @@
 }
 
 /// What was decided about a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Step {
     /// An entry chose an agent.
@@ -45,7 +47,8 @@
 }
 
 /// One routing or placement decision.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Decision {
     /// Request or job.
     pub id: RequestId,
--- a/components/standin/src/control.rs
+++ b/components/standin/src/control.rs
@@ -41,7 +41,8 @@
 }
 
 /// What a stand-in has done so far.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 #[serde(untagged)]
 pub enum Counts {
     /// Records that the log took, and the offset that comes next.
--- a/components/standin/src/executor.rs
+++ b/components/standin/src/executor.rs
@@ -51,7 +51,8 @@
 }
 
 /// Answer to a request that ran.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct RunAnswer {
     /// Executor that ran the request.
     pub executor: String,
@@ -69,13 +70,15 @@
     runs: Mutex<BTreeMap<RequestId, u32>>,
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 struct RunBody {
     #[serde(default)]
     run_ms: u64,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Failure {
     error: &'static str,
 }
--- a/components/standin/src/worker/protocol.rs
+++ b/components/standin/src/worker/protocol.rs
@@ -13,7 +13,8 @@
 }
 
 /// Starts a task.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct StartBody {
     /// Job that the task belongs to.
     pub job: RequestId,
@@ -36,28 +37,32 @@
 }
 
 /// Renews a lease.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LeaseBody {
     /// Time that the task may go on from now, in milliseconds.
     pub lease_ms: u64,
 }
 
 /// Stops a task.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct StopBody {
     /// Whether the task's progress is to be kept.
     pub checkpoint: bool,
 }
 
 /// Slows a task down.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ThrottleBody {
     /// Share of full speed, 1 to 100.
     pub percent: u32,
 }
 
 /// Result of a task that ran to its end.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct TaskAnswer {
     /// Worker that ran it.
     pub worker: String,
@@ -70,14 +75,16 @@
 }
 
 /// Answer of a task that was stopped.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Stopped {
     /// Why it was stopped.
     pub stopped: StopCause,
 }
 
 /// Why a task was stopped.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum StopCause {
     /// It was asked to stop.
@@ -91,7 +98,8 @@
 }
 
 /// What was in use a while ago.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Usage {
     /// Processor cores.
     pub cores: u32,
@@ -104,7 +112,8 @@
 }
 
 /// Answer to a request that was not carried out.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(super) struct Failure {
     pub(super) error: String,
 }
--- a/components/tenure/src/hand_over.rs
+++ b/components/tenure/src/hand_over.rs
@@ -23,7 +23,8 @@
 }
 
 /// A shard that is handed over.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct Handed {
     /// Owner that gives it up.
     pub owner: NodeId,
--- a/components/verdict/src/answer.rs
+++ b/components/verdict/src/answer.rs
@@ -7,7 +7,8 @@
 use crate::{Proof, Reason, Verdict};
 
 /// Whole answer of an executor.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Answer {
     /// HTTP status that the executor gave.
     pub status: u16,
@@ -16,7 +17,8 @@
 }
 
 /// Answer without a result, with the verdict that the caller may rely on.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Refusal {
     verdict: Verdict,
     /// What led to it.
@@ -28,7 +30,8 @@
 }
 
 /// Final outcome of one id.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Outcome {
     /// The executor answered.
     Done(Answer),
--- a/components/verdict/src/lib.rs
+++ b/components/verdict/src/lib.rs
@@ -19,7 +19,8 @@
 };
 
 /// Whether the request behind an id may have run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Verdict {
     /// No attempt at this id has reached an executor.
--- a/components/verdict/src/reason.rs
+++ b/components/verdict/src/reason.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Why a request was refused or failed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Reason {
     /// A field of the request is malformed or out of range.
--- a/components/wire/src/datagram.rs
+++ b/components/wire/src/datagram.rs
@@ -6,7 +6,8 @@
 use crate::Load;
 
 /// One UDP message.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum Datagram {
     /// From an agent to its entries: it is alive.
     Heartbeat(AgentReport),
@@ -67,7 +68,8 @@
 }
 
 /// An agent from which nothing newer than a given report was heard.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Silence {
     /// Agent that is silent.
     pub node: NodeId,
@@ -79,7 +81,8 @@
 
 /// A deputy's promise not to take over the owner's shards for ids made before
 /// a given time.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Promise {
     /// Deputy that promises.
     pub deputy: NodeId,
@@ -94,7 +97,8 @@
 }
 
 /// What a node does.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Role {
     /// Takes requests from callers.
     Entry,
@@ -103,7 +107,8 @@
 }
 
 /// News on an agent, newest by incarnation, then by sequence number.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct AgentReport {
     /// Agent that the report is about.
     pub node: NodeId,
--- a/components/wire/src/frame.rs
+++ b/components/wire/src/frame.rs
@@ -11,12 +11,14 @@
 pub const MAX_FRAME_BYTES: usize = 8 * 1024 * 1024;
 
 /// Number of a call on its connection; replies repeat it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct CallId(pub u64);
 
 /// One message on a connection.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum Frame {
     /// First frame in each direction: who speaks.
     Hello {
--- a/components/wire/src/message.rs
+++ b/components/wire/src/message.rs
@@ -7,7 +7,8 @@
 use verdict::Outcome;
 
 /// What one node asks of another.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum Call {
     /// Decides whether the request may start and runs it.
     Run(Run),
@@ -44,7 +45,8 @@
 }
 
 /// A request on its way to an executor.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Run {
     /// Id of the request.
     pub id: RequestId,
@@ -71,21 +73,24 @@
 }
 
 /// Cancels a request or job.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Cancel {
     /// Id of the request or job.
     pub id: RequestId,
 }
 
 /// Asks for the replicated state.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Fetch {
     /// Log offset up to which the caller has applied records.
     pub have: u64,
 }
 
 /// Ledger of the shards that a stopping owner gives up.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct HandOver {
     /// Node that gives up its shards.
     pub from: NodeId,
@@ -94,7 +99,8 @@
 }
 
 /// A job as its caller submits it.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct JobSpec {
     /// Id of the job.
     pub id: RequestId,
@@ -115,7 +121,8 @@
 }
 
 /// A task of a job.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct TaskSpec {
     /// Processor cores that it needs.
     pub cores: u32,
@@ -132,7 +139,8 @@
 }
 
 /// Starts one task under a lease.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct StartTask {
     /// Job that the task belongs to.
     pub job: RequestId,
@@ -147,7 +155,8 @@
 }
 
 /// State of a job.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum JobStatus {
     /// Some tasks have not ended.
     Running {
@@ -161,7 +170,8 @@
 }
 
 /// What a node answers.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum Reply {
     /// Result of `Run` and `Execute`.
     Run(RunReply),
@@ -178,7 +188,8 @@
 }
 
 /// What a node knows of an id.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum Status {
     /// The node has not seen the id, or no longer remembers it.
     Unknown,
@@ -189,7 +200,8 @@
 }
 
 /// Result of a request, with news on the node that ran it.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct RunReply {
     /// Final outcome.
     pub outcome: Outcome,
@@ -202,7 +214,8 @@
 }
 
 /// Load of an agent.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Load {
     /// Slots in use.
     pub busy: u32,
@@ -215,7 +228,8 @@
 }
 
 /// Replicated state as of a log offset.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Snapshot {
     /// Every record before this offset has been applied.
     pub next_offset: u64,
--- a/load/src/cli.rs
+++ b/load/src/cli.rs
@@ -3,14 +3,16 @@
 use argh::FromArgs;
 
 /// Measures primrosemux on loopback against two baselines.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 pub struct Args {
     #[argh(subcommand)]
     pub command: Command,
 }
 
 /// What to measure.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand)]
 pub enum Command {
     /// Response times, deadlines and messages under load and faults.
@@ -22,7 +24,8 @@
 }
 
 /// Compare response times, missed deadlines and messages, side by side.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "compare")]
 pub struct Compare {
     /// inventory file; its workers are left out
@@ -47,7 +50,8 @@
 }
 
 /// Measure the processor time of requests that take no time on the executor.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "cost")]
 pub struct Cost {
     /// requests to send
@@ -60,7 +64,8 @@
 }
 
 /// Measure how processor time, memory and bytes grow with the size.
-#[derive(Debug, FromArgs)]
+#[derive(Debug)]
+#[derive(FromArgs)]
 #[argh(subcommand, name = "capacity")]
 pub struct Capacity {
     /// part to measure: memory, nodes, state, jobs or spread; may be repeated; all
--- a/load/src/cmd/capacity.rs
+++ b/load/src/cmd/capacity.rs
@@ -9,6 +9,7 @@
 mod memory;
 mod nodes;
 mod requests;
+mod spent;
 mod spread;
 mod state;
 mod world;
--- a/load/src/cmd/capacity/nodes.rs
+++ b/load/src/cmd/capacity/nodes.rs
@@ -8,7 +8,8 @@
     cores::Cost,
     fleet,
     requests::{agent_request, entry_request},
-    world::{Spent, World},
+    spent::Spent,
+    world::World,
 };
 
 /// Sizes that are compared.
@@ -21,7 +22,7 @@
 /// Prints a row for each role and size.
 pub fn measure(seed: u64) -> Result<()> {
     println!(
-        "{:<14} {:>7} {:>9} {:>9} {:>9} {:>9} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8}",
+        "{:<14} {:>7} {:>9} {:>9} {:>9} {:>9} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8} {:>6}",
         "role",
         "workers",
         "tick µs",
@@ -33,7 +34,8 @@
         "in/s",
         "B/s out",
         "B/s in",
-        "appends"
+        "appends",
+        "peers"
     );
     let mut costs = Vec::new();
     for workers in WORKERS {
@@ -41,9 +43,19 @@
         world.run(WARM_UP);
         world.clear();
         world.run(MEASURED);
-        print_row("entry", workers, &world.spent(0));
-        print_row("agent/worker", workers, &world.spent(world.worker()));
-        print_row("agent/executor", workers, &world.spent(world.executor()));
+        print_row("entry", workers, &world.spent(0), world.peers(0));
+        print_row(
+            "agent/worker",
+            workers,
+            &world.spent(world.worker()),
+            world.peers(world.worker()),
+        );
+        print_row(
+            "agent/executor",
+            workers,
+            &world.spent(world.executor()),
+            world.peers(world.executor()),
+        );
         costs.push((workers, requests(&mut world)));
     }
     println!();
@@ -72,12 +84,12 @@
     ]
 }
 
-fn print_row(role: &str, workers: u32, spent: &Spent) {
+fn print_row(role: &str, workers: u32, spent: &Spent, peers: usize) {
     let seconds = MEASURED.as_secs_f64();
     let per_s = |count: usize| count as f64 / seconds;
     println!(
         "{role:<14} {workers:>7} {:>9.2} {:>9.2} {:>9.2} {:>9.2} {:>8.3} {:>8.0} {:>8.0} {:>8.0} \
-         {:>8.0} {:>8}",
+         {:>8.0} {:>8} {peers:>6}",
         spent.tick.micros(),
         spent.heartbeat.micros(),
         spent.gossip.micros(),
--- a/load/src/cmd/capacity/world.rs
+++ b/load/src/cmd/capacity/world.rs
@@ -1,17 +1,22 @@
 //! Eleven entries, an agent beside a worker and one beside an executor, among
 //! agents that only send heartbeats and promises.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use eyre::Result;
 use ident::{NodeId, Timestamp};
 use node::{Effect, Event};
 use register::{Assignment, State};
-use wire::{AgentReport, Datagram, Promise, encode};
+use wire::{AgentReport, Datagram, Promise};
 
 use super::{
     cores::{self, Core, Cost},
     fleet::{self, ENTRIES, START},
+    spent::{Sort, Spent},
 };
 
 /// Time between two ticks of a node.
@@ -26,45 +31,13 @@
 const PROMISE_TERM: Duration = Duration::from_millis(1500);
 /// Entries that an agent sends its heartbeats to.
 const HEARTBEAT_ENTRIES: u64 = 3;
-/// Bytes that IP and UDP add to a datagram.
-const HEADER_BYTES: usize = 28;
-
-/// What a node has spent.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct Spent {
-    /// Ticks.
-    pub tick: Cost,
-    /// Heartbeats that were taken.
-    pub heartbeat: Cost,
-    /// Gossip that was taken.
-    pub gossip: Cost,
-    /// Answers to heartbeats that were taken.
-    pub ack: Cost,
-    /// Promises and requests for them that were taken.
-    pub promise: Cost,
-    /// Reads of the log that showed nothing new.
-    pub read: Cost,
-    /// Datagrams sent.
-    pub sent: Traffic,
-    /// Datagrams received.
-    pub received: Traffic,
-    /// Records to append, which are not appended here.
-    pub appended: u32,
-}
-
-/// Datagrams, with their headers.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct Traffic {
-    /// Number of datagrams.
-    pub count: usize,
-    /// Bytes of all together.
-    pub bytes: usize,
-}
 
 /// A node whose core is driven.
 struct Driven {
     core: Core,
     spent: Spent,
+    /// Peers that entries told it of.
+    peers: BTreeSet<NodeId>,
 }
 
 /// The whole system on a clock of its own.
@@ -139,6 +112,11 @@
         self.nodes[index].spent
     }
 
+    /// Peers that a node was told of since its start.
+    pub fn peers(&self, index: usize) -> usize {
+        self.nodes[index].peers.len()
+    }
+
     /// Forgets what has been spent.
     pub fn clear(&mut self) {
         for node in &mut self.nodes {
@@ -160,7 +138,7 @@
 
     fn add(&mut self, node: NodeId, core: Core) {
         self.places.insert(node, self.nodes.len());
-        self.nodes.push(Driven { core, spent: Spent::default() });
+        self.nodes.push(Driven { core, spent: Spent::default(), peers: BTreeSet::new() });
     }
 
     fn step(&mut self) {
@@ -201,6 +179,9 @@
         let spent = &mut self.nodes[index].spent;
         spent.received.add(&letter.datagram);
         let mut cost = Cost::default();
+        if let Datagram::HeartbeatAck { peers, .. } = &letter.datagram {
+            self.nodes[index].peers.extend(peers.iter().map(|report| report.node));
+        }
         let sort = Sort::of(&letter.datagram);
         let event = Event::Datagram(letter.datagram);
         let effects = self.nodes[index].core.handle(self.now, event, &mut cost);
@@ -273,47 +254,3 @@
         self.mail.push(Letter { to: owner, datagram: Datagram::Promise(promise) });
     }
 }
-
-/// Sort of datagram.
-#[derive(Debug, Clone, Copy)]
-enum Sort {
-    Heartbeat,
-    Gossip,
-    Ack,
-    Promise,
-}
-
-impl Sort {
-    fn of(datagram: &Datagram) -> Sort {
-        match datagram {
-            Datagram::Heartbeat(_) | Datagram::Load { .. } => Sort::Heartbeat,
-            Datagram::Gossip { .. } => Sort::Gossip,
-            Datagram::HeartbeatAck { .. } => Sort::Ack,
-            Datagram::PromiseRequest { .. } | Datagram::Promise(_) => Sort::Promise,
-        }
-    }
-}
-
-impl Spent {
-    /// Processor time of everything.
-    pub fn total(&self) -> Duration {
-        let costs = [self.tick, self.heartbeat, self.gossip, self.ack, self.promise, self.read];
-        costs.iter().map(|cost| cost.total).sum()
-    }
-
-    fn sort(&mut self, sort: Sort) -> &mut Cost {
-        match sort {
-            Sort::Heartbeat => &mut self.heartbeat,
-            Sort::Gossip => &mut self.gossip,
-            Sort::Ack => &mut self.ack,
-            Sort::Promise => &mut self.promise,
-        }
-    }
-}
-
-impl Traffic {
-    fn add(&mut self, datagram: &Datagram) {
-        self.count += 1;
-        self.bytes += encode(datagram).len() + HEADER_BYTES;
-    }
-}
