Build decisions in one place and choose an agent in one step

Refusals, hand-ons and starts were put together field by field in both cores, and an entry chose an agent for idempotent requests and for made ids in two copies of the same lines. An unused type of the wire is gone.

--- a/components/agent/src/own.rs
+++ b/components/agent/src/own.rs
@@ -6,7 +6,7 @@
 use ledger::{Admit, Cancelled, Entry};
 use node::{Decision, Effect, ReplyTo, Step};
 use tenure::{Authority, PROMISE_TERM};
-use verdict::{Outcome, Proof, Reason, Refusal, Verdict};
+use verdict::{Outcome, Proof, Reason, Refusal};
 use wire::{Call, Cancel, Reply, Run, RunReply, Status};
 
 use crate::{
@@ -131,15 +131,8 @@
             return false;
         };
         work.waiters.push(from);
-        self.decide(Decision {
-            id,
-            step: Step::Attach,
-            node: Some(self.me.node),
-            reason: None,
-            verdict: None,
-            candidates: Vec::new(),
-            detail: "The id is queued or running here already.".to_owned(),
-        });
+        let detail = "The id is queued or running here already.";
+        self.decide(Decision::new(id, Step::Attach, detail).on(self.me.node));
         true
     }
 
@@ -187,7 +180,7 @@
             }
             Origin::Idempotent => {}
         }
-        self.decide_refusal(run.id, &refusal);
+        self.decide(Decision::refuse(run.id, &refusal));
         self.answer(&work, Outcome::Refused(refusal), None, Duration::ZERO);
     }
 
@@ -206,20 +199,14 @@
     }
 
     fn repeat(&mut self, to: ReplyTo, id: RequestId, outcome: Outcome) {
-        self.decide(Decision {
-            id,
-            step: Step::Repeat,
-            node: Some(self.me.node),
-            reason: None,
-            verdict: Some(outcome.verdict()),
-            candidates: Vec::new(),
-            detail: "The id has its outcome already.".to_owned(),
-        });
+        let repeat = Decision::new(id, Step::Repeat, "The id has its outcome already.");
+        let verdict = Some(outcome.verdict());
+        self.decide(Decision { verdict, ..repeat.on(self.me.node) });
         self.reply_outcome(to, outcome);
     }
 
     pub(crate) fn refuse(&mut self, to: ReplyTo, id: RequestId, refusal: Refusal) {
-        self.decide_refusal(id, &refusal);
+        self.decide(Decision::refuse(id, &refusal));
         self.reply_outcome(to, Outcome::Refused(refusal));
     }
 
@@ -229,18 +216,6 @@
         self.reply(to, Reply::Run(RunReply { outcome, ran_on: None, run_time, load }));
     }
 
-    fn decide_refusal(&mut self, id: RequestId, refusal: &Refusal) {
-        self.decide(Decision {
-            id,
-            step: Step::Refuse,
-            node: None,
-            reason: Some(refusal.reason),
-            verdict: Some(refusal.verdict()),
-            candidates: Vec::new(),
-            detail: refusal.message.clone(),
-        });
-    }
-
     /// Tells what this agent knows of a request.
     pub(crate) fn on_ask(&mut self, from: ReplyTo, id: RequestId) {
         let status = self.status(id);
@@ -318,15 +293,8 @@
     }
 
     fn decide_cancel(&mut self, id: RequestId, detail: &str) {
-        self.decide(Decision {
-            id,
-            step: Step::Cancel,
-            node: Some(self.me.node),
-            reason: Some(Reason::Cancelled),
-            verdict: None,
-            candidates: Vec::new(),
-            detail: detail.to_owned(),
-        });
+        let cancel = Decision::new(id, Step::Cancel, detail).on(self.me.node);
+        self.decide(Decision { reason: Some(Reason::Cancelled), ..cancel });
     }
 
     pub(crate) fn call(
@@ -360,6 +328,5 @@
 const CANCELLED: &str = "The request was cancelled before it started.";
 
 fn cancelled() -> Refusal {
-    debug_assert_eq!(Verdict::NotRun.join(Verdict::NotRun), Verdict::NotRun);
     Refusal::not_run(Proof::owner_never_started(), Reason::Cancelled, CANCELLED)
 }
--- a/components/agent/src/place.rs
+++ b/components/agent/src/place.rs
@@ -120,15 +120,9 @@
         let timeout = run_timeout(work.expected, run.budget);
         let (id, expected) = (run.id, work.expected);
         self.router.on_sent(choice.node, expected, self.now);
-        self.decide(Decision {
-            id,
-            step: Step::HandOn,
-            node: Some(choice.node),
-            reason: None,
-            verdict: None,
-            candidates: choice.candidates,
-            detail: "Another agent's endpoint is free sooner.".to_owned(),
-        });
+        let detail = "Another agent's endpoint is free sooner.";
+        let hand_on = Decision::new(id, Step::HandOn, detail).on(choice.node);
+        self.decide(Decision { candidates: choice.candidates, ..hand_on });
         let pending = Pending::HandOn { work: key, node: choice.node, sent: self.now, asked: 0 };
         self.call(pending, choice.node, Call::Execute(run), timeout);
         true
@@ -237,15 +231,8 @@
     ) {
         let id = self.works[key].run.id;
         let wait_ms = wait.as_secs_f64() * 1000.0;
-        self.decide(Decision {
-            id,
-            step,
-            node: Some(node),
-            reason: None,
-            verdict: None,
-            candidates: vec![Candidate { node, wait_ms, excluded: None }],
-            detail: detail.to_owned(),
-        });
+        let candidates = vec![Candidate { node, wait_ms, excluded: None }];
+        self.decide(Decision { candidates, ..Decision::new(id, step, detail).on(node) });
     }
 }
 
--- a/components/entry/src/answer.rs
+++ b/components/entry/src/answer.rs
@@ -1,7 +1,7 @@
 //! Final answers to callers.
 
 use ident::{NodeId, RequestId};
-use node::{CallerReply, CallerToken, Decision, Effect, Step};
+use node::{CallerReply, CallerToken, Decision, Effect};
 use verdict::{Outcome, Refusal};
 use wire::JobStatus;
 
@@ -26,7 +26,7 @@
     /// Refuses the request and forgets it.
     pub(crate) fn end_refused(&mut self, key: RequestKey, refusal: Refusal) {
         let id = self.requests[key].id();
-        self.decide_refusal(id, &refusal);
+        self.decide(Decision::refuse(id, &refusal));
         self.end(key, Outcome::Refused(refusal), None);
     }
 
@@ -38,7 +38,7 @@
         refusal: Refusal,
     ) {
         if let Some(id) = id {
-            self.decide_refusal(id, &refusal);
+            self.decide(Decision::refuse(id, &refusal));
         }
         let outcome = Outcome::Refused(refusal);
         let reply = CallerReply::Outcome { id, outcome, ran_on: None };
@@ -52,16 +52,4 @@
             self.requests.remove(key);
         }
     }
-
-    fn decide_refusal(&mut self, id: RequestId, refusal: &Refusal) {
-        self.decide(Decision {
-            id,
-            step: Step::Refuse,
-            node: None,
-            reason: Some(refusal.reason),
-            verdict: Some(refusal.verdict()),
-            candidates: Vec::new(),
-            detail: refusal.message.clone(),
-        });
-    }
 }
--- a/components/entry/src/route.rs
+++ b/components/entry/src/route.rs
@@ -6,7 +6,7 @@
 use members::Liveness;
 use node::{Candidate, Decision, Step};
 use rand::RngExt;
-use routing::Want;
+use routing::{Choice, Want};
 use verdict::{Reason, Refusal};
 
 use crate::{
@@ -37,17 +37,28 @@
     }
 
     fn route_any(&mut self, key: RequestKey) {
+        let Some(choice) = self.choose_agent(key) else { return };
+        self.send(key, choice.node, choice.candidates);
+        self.arm_hedge(key);
+    }
+
+    /// Chooses the agent that answers soonest, or refuses the request if none can
+    /// answer in time.
+    fn choose_agent(&mut self, key: RequestKey) -> Option<Choice> {
         let request = &self.requests[key];
         let want = want(request);
-        let Some(choice) = self.router.choose(&request.group, &want, self.now, &mut self.rng)
-        else {
-            return self.refuse_without_endpoint(key);
-        };
-        if choice.wait >= time_left(request.deadline, self.now) {
-            return self.refuse_overloaded(key, choice.wait);
+        let choice = self.router.choose(&request.group, &want, self.now, &mut self.rng);
+        match choice {
+            None => {
+                self.refuse_without_endpoint(key);
+                None
+            }
+            Some(choice) if choice.wait >= time_left(request.deadline, self.now) => {
+                self.refuse_overloaded(key, choice.wait);
+                None
+            }
+            Some(choice) => Some(choice),
         }
-        self.send(key, choice.node, choice.candidates);
-        self.arm_hedge(key);
     }
 
     fn route_owner(&mut self, key: RequestKey) {
@@ -63,15 +74,7 @@
     }
 
     fn route_minted(&mut self, key: RequestKey) {
-        let request = &self.requests[key];
-        let want = want(request);
-        let Some(choice) = self.router.choose(&request.group, &want, self.now, &mut self.rng)
-        else {
-            return self.refuse_without_endpoint(key);
-        };
-        if choice.wait >= time_left(request.deadline, self.now) {
-            return self.refuse_overloaded(key, choice.wait);
-        }
+        let Some(choice) = self.choose_agent(key) else { return };
         let Some((id, owner)) = self.mint(key, choice.node) else {
             return self.refuse_without_endpoint(key);
         };
@@ -116,18 +119,11 @@
         request.tried.push(node);
         let id = request.id();
         self.router.on_sent(node, request.expected, now);
-        self.decide(Decision {
-            id,
-            step,
-            node: Some(node),
-            reason: None,
-            verdict: None,
-            candidates,
-            detail: match step {
-                Step::Route => "The entry chose this agent.".to_owned(),
-                _ => "The request was sent once more.".to_owned(),
-            },
-        });
+        let detail = match step {
+            Step::Route => "The entry chose this agent.",
+            _ => "The request was sent once more.",
+        };
+        self.decide(Decision { candidates, ..Decision::new(id, step, detail).on(node) });
         let pending = Pending::Attempt { request: key, node, sent: now };
         self.call(pending, node, call, budget + CALL_GRACE);
     }
--- a/components/node/src/decision.rs
+++ b/components/node/src/decision.rs
@@ -2,7 +2,7 @@
 
 use ident::{NodeId, RequestId};
 use serde::{Deserialize, Serialize};
-use verdict::{Reason, Verdict};
+use verdict::{Reason, Refusal, Verdict};
 
 /// A node that could have been chosen.
 #[derive(Debug, Clone, PartialEq)]
@@ -65,3 +65,32 @@
     /// One sentence for people.
     pub detail: String,
 }
+
+impl Decision {
+    /// A decision about `id`, told in one sentence.
+    pub fn new(id: RequestId, step: Step, detail: impl Into<String>) -> Decision {
+        Decision {
+            id,
+            step,
+            node: None,
+            reason: None,
+            verdict: None,
+            candidates: Vec::new(),
+            detail: detail.into(),
+        }
+    }
+
+    /// The decision to refuse `id`.
+    pub fn refuse(id: RequestId, refusal: &Refusal) -> Decision {
+        Decision {
+            reason: Some(refusal.reason),
+            verdict: Some(refusal.verdict()),
+            ..Decision::new(id, Step::Refuse, &refusal.message)
+        }
+    }
+
+    /// The same decision with the node that it chose.
+    pub fn on(self, node: NodeId) -> Decision {
+        Decision { node: Some(node), ..self }
+    }
+}
--- a/components/wire/src/datagram.rs
+++ b/components/wire/src/datagram.rs
@@ -96,16 +96,6 @@
     pub until: Timestamp,
 }
 
-/// What a node does.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub enum Role {
-    /// Takes requests from callers.
-    Entry,
-    /// Stands beside an endpoint of the group.
-    Agent(Group),
-}
-
 /// News on an agent, newest by incarnation, then by sequence number.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -9,7 +9,7 @@
 mod message;
 
 pub use crate::{
-    datagram::{AgentReport, Datagram, Promise, Role, Silence},
+    datagram::{AgentReport, Datagram, Promise, Silence},
     frame::{CallId, Frame, MAX_FRAME_BYTES, WireError, decode, encode},
     message::{
         Call, Cancel, Fetch, HandOver, JobSpec, JobStatus, Load, Reply, Run, RunReply, Snapshot,
