Claim not_run for a malformed request only if it names no id

Cause, found by reading: an entry answered not_run to a malformed job or deadline under an id that the caller chose, though an earlier, well-formed copy of it may have run; the HTTP side already knew better.

--- a/components/entry/src/filter.rs
+++ b/components/entry/src/filter.rs
@@ -1,9 +1,8 @@
 //! Filters that a request passes before it is routed.
 //!
 //! Each filter turns what the one before it produced into a stronger type or a
-//! refusal. A request with a field that no process would accept is `not_run`
-//! whatever its id; a refusal for load or quota is `not_run` here only for an id
-//! that this entry made, as an earlier submission may have used any other.
+//! refusal. A refusal here is `not_run` only for an id that this entry made: an
+//! earlier submission, perhaps a well-formed one, may have used any other.
 
 use std::{sync::Arc, time::Duration};
 
@@ -80,7 +79,7 @@
         self.check_id(request.id, config)?;
         let urgency = inventory.urgency(&kind.urgency);
         let default = urgency.map_or(MAX_DEADLINE, |it| Duration::from_millis(it.deadline_ms));
-        let deadline = check_deadline(request.deadline.unwrap_or(default))?;
+        let deadline = check_deadline(request.id, request.deadline.unwrap_or(default))?;
         let known = Duration::from_millis(kind.run_ms);
         let declared = Some(request.declared.unwrap_or(known));
         let run = Run {
@@ -117,10 +116,10 @@
             let message = format!("urgency {:?} is not declared.", job.urgency);
             return Err(unknown(job.id, message));
         };
-        check_tasks(&job.tasks)?;
+        check_tasks(job.id, &job.tasks)?;
         self.check_id(job.id, config)?;
         let millis = job.deadline_ms.unwrap_or(urgency.deadline_ms);
-        let deadline = check_deadline(Duration::from_millis(millis))?;
+        let deadline = check_deadline(job.id, Duration::from_millis(millis))?;
         let longest = job.tasks.iter().map(|task| task.run_ms).max().unwrap_or_default();
         Ok(Classified {
             group: Group::Workers,
@@ -250,28 +249,25 @@
     }
 }
 
-fn invalid(message: String) -> Refusal {
-    Refusal::not_run(Proof::rejected_by_every_process(), Reason::Invalid, message)
-}
-
-fn check_deadline(deadline: Duration) -> Result<Duration, Refusal> {
+fn check_deadline(id: Option<RequestId>, deadline: Duration) -> Result<Duration, Refusal> {
     if deadline.is_zero() || deadline > MAX_DEADLINE {
         let millis = deadline.as_millis();
         let longest = MAX_DEADLINE.as_millis();
-        return Err(invalid(format!("deadline_ms {millis} is not within 1 and {longest}.")));
+        let message = format!("deadline_ms {millis} is not within 1 and {longest}.");
+        return Err(unsent(id, Reason::Invalid, message));
     }
     Ok(deadline)
 }
 
-fn check_tasks(tasks: &[TaskSpec]) -> Result<(), Refusal> {
+fn check_tasks(id: Option<RequestId>, tasks: &[TaskSpec]) -> Result<(), Refusal> {
     if tasks.is_empty() || tasks.len() > MAX_TASKS {
         let count = tasks.len();
-        return Err(invalid(format!("tasks has {count} items; a job has 1 to {MAX_TASKS}.")));
-    }
-    match tasks.iter().position(|task| task.cores == 0) {
-        Some(index) => Err(invalid(format!("tasks[{index}].cores is 0; a task needs 1 or more."))),
-        None => Ok(()),
+        let message = format!("tasks has {count} items; a job has 1 to {MAX_TASKS}.");
+        return Err(unsent(id, Reason::Invalid, message));
     }
+    let Some(index) = tasks.iter().position(|task| task.cores == 0) else { return Ok(()) };
+    let message = format!("tasks[{index}].cores is 0; a task needs 1 or more.");
+    Err(unsent(id, Reason::Invalid, message))
 }
 
 /// Time until a deadline.
--- a/components/verdict/src/reason.rs
+++ b/components/verdict/src/reason.rs
@@ -71,7 +71,8 @@
         Proof { _private: () }
     }
 
-    /// The request was malformed, so that no process would have let it start.
+    /// The request was malformed and named no id, so that no process would have let
+    /// it start.
     pub fn rejected_by_every_process() -> Proof {
         Proof { _private: () }
     }
