Compute the time left in one way, and set one timeout for notices

An entry wrapped Timestamp::since in a function of its own, an agent in a method whose comment said something else; the agent set the timeout of calls that only inform a peer twice. No behaviour changes.

--- a/components/agent/src/coordinate.rs
+++ b/components/agent/src/coordinate.rs
@@ -9,14 +9,16 @@
 use verdict::{Outcome, Proof, Reason, Refusal};
 use wire::{Call, JobSpec, JobStatus, Reply, Status};
 
-use crate::{Agent, awaiting::Asked, parking::ParkedCall, work::Pending};
+use crate::{
+    Agent,
+    awaiting::Asked,
+    parking::ParkedCall,
+    work::{NOTICE_TIMEOUT, Pending},
+};
 
 /// Time that a worker has beyond the job's deadline to report the end of a task.
 const TASK_GRACE: Duration = Duration::from_secs(5);
 
-/// Time after which a call that only informs a peer counts as lost.
-const NOTICE_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// Callers that wait for the end of jobs.
 #[derive(Debug, Default)]
 pub struct JobWaiters {
--- a/components/agent/src/delegate.rs
+++ b/components/agent/src/delegate.rs
@@ -138,7 +138,7 @@
         }
         let Some(work) = self.works.get(key) else { return };
         let id = work.run.id;
-        let timeout = run_timeout(work.expected, self.time_left(work.deadline));
+        let timeout = run_timeout(work.expected, work.deadline.since(self.now));
         let pending = Pending::HandOn { work: key, node, sent, asked: asked + 1 };
         let call = match is_off(Mechanism::AskAgain) {
             false => Call::Await(id),
--- a/components/agent/src/own.rs
+++ b/components/agent/src/own.rs
@@ -13,15 +13,12 @@
     Agent,
     awaiting::Asked,
     parking::ParkedCall,
-    work::{Origin, Pending, Stage, Work, WorkKey},
+    work::{NOTICE_TIMEOUT, Origin, Pending, Stage, Work, WorkKey},
 };
 
 /// Time after which a caller may try again when ownership is in doubt.
 const OWNER_RETRY: Duration = PROMISE_TERM;
 
-/// Time after which a call that only informs a peer counts as lost.
-const NOTICE_TIMEOUT: Duration = Duration::from_secs(2);
-
 impl Agent {
     /// Decides whether a request may start.
     pub(crate) fn on_run(&mut self, from: ReplyTo, run: Run) {
@@ -318,11 +315,6 @@
         self.ledger.expire(self.now);
         self.delegated.expire(self.now);
     }
-
-    /// Whether any caller of the request still has time for its answer.
-    pub(crate) fn time_left(&self, deadline: Timestamp) -> Duration {
-        deadline.since(self.now)
-    }
 }
 
 const CANCELLED: &str = "The request was cancelled before it started.";
--- a/components/agent/src/work.rs
+++ b/components/agent/src/work.rs
@@ -16,6 +16,9 @@
     pub struct CallKey;
 }
 
+/// Time after which a call that only informs a peer counts as lost.
+pub const NOTICE_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Memory for the answers that a ledger keeps, in bytes.
 const LEDGER_BYTES: usize = 64 * 1024 * 1024;
 
--- a/components/entry/src/filter.rs
+++ b/components/entry/src/filter.rs
@@ -6,7 +6,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use ident::{Group, RequestId, Timestamp};
+use ident::{Group, RequestId};
 use node::{CallerToken, Job, Request as CallerRequest};
 use quota::OverQuota;
 use rand::RngExt;
@@ -269,8 +269,3 @@
     let message = format!("tasks[{index}].cores is 0; a task needs 1 or more.");
     Err(unsent(id, Reason::Invalid, message))
 }
-
-/// Time until a deadline.
-pub(crate) fn time_left(deadline: Timestamp, now: Timestamp) -> Duration {
-    deadline.since(now)
-}
--- a/components/entry/src/route.rs
+++ b/components/entry/src/route.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     Entry,
-    filter::{time_left, unsent},
+    filter::unsent,
     request::{Due, Pending, Request, RequestKey, Route, Timer},
     retrying::MAX_ATTEMPTS,
 };
@@ -53,7 +53,7 @@
                 self.refuse_without_endpoint(key);
                 None
             }
-            Some(choice) if choice.wait >= time_left(request.deadline, self.now) => {
+            Some(choice) if choice.wait >= request.deadline.since(self.now) => {
                 self.refuse_overloaded(key, choice.wait);
                 None
             }
@@ -107,7 +107,7 @@
         let now = self.now;
         let hints = self.hints(key, node);
         let request = &mut self.requests[key];
-        let budget = time_left(request.deadline, now);
+        let budget = request.deadline.since(now);
         let call = request.call(budget, hints);
         let step = match (request.attempts, request.open.is_empty()) {
             (0, _) => Step::Route,
@@ -161,7 +161,7 @@
         let want = want(request);
         let choice = self.router.choose(&request.group, &want, self.now, &mut self.rng);
         let Some(choice) = choice else { return };
-        let room = time_left(request.deadline, self.now);
+        let room = request.deadline.since(self.now);
         let is_free = choice.wait.is_zero();
         if is_free && request.expected < room && self.budget.try_spend(self.now) {
             self.send(key, choice.node, choice.candidates);
