--- /dev/null
+++ b/components/broker/src/agents.rs
@@ -0,0 +1,81 @@
+//! The agents that an entry knows, and what it believes of their room.
+
+use std::{collections::BTreeMap, net::SocketAddrV4};
+
+use mesh::{Channel, Command, Health, Notice, Report, Uptime};
+
+use crate::limits::{AGENT_SILENCE_MS, SUSPECT_MS};
+
+/// Agents by their addresses.
+pub(crate) type Agents = BTreeMap<SocketAddrV4, Agent>;
+
+/// One agent.
+#[derive(Debug)]
+pub(crate) struct Agent {
+    pub(crate) zone: String,
+    pub(crate) channel: Channel<Command, Notice>,
+    pub(crate) report: Report,
+    pub(crate) heard: Uptime,
+    pub(crate) learnt: Uptime,
+    pub(crate) next_probe: Uptime,
+    /// Its runs have been taken for lost.
+    pub(crate) lost: bool,
+}
+
+/// Room that an entry may use.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct Room {
+    pub(crate) cpu: u32,
+    pub(crate) memory: u32,
+    pub(crate) gpus: u32,
+    /// Tasks that may be placed at most.
+    pub(crate) tasks: usize,
+}
+
+impl Agent {
+    pub(crate) fn new(own: u64, now: Uptime, zone: String) -> Agent {
+        Agent {
+            zone,
+            channel: Channel::new(own),
+            report: Report::default(),
+            heard: Uptime::default(),
+            learnt: now,
+            next_probe: now,
+            lost: true,
+        }
+    }
+
+    /// Whether it may be given work for `service`.
+    pub(crate) fn serves(&self, now: Uptime, service: &str) -> bool {
+        now.since(self.heard) < SUSPECT_MS
+            && self.report.health != Health::Closed
+            && self.report.endpoint.as_ref().is_some_and(|it| it.service == service)
+    }
+
+    /// Whether it has been silent for so long that its runs are lost.
+    pub(crate) fn is_silent(&self, now: Uptime) -> bool {
+        now.since(self.heard) >= AGENT_SILENCE_MS
+    }
+
+    /// Room that is left by its report and the orders that it has not seen.
+    pub(crate) fn room(&self) -> Room {
+        let report = &self.report;
+        let tasks = match report.health {
+            Health::Open => usize::MAX,
+            Health::Trial => 1,
+            Health::Closed => 0,
+        };
+        let mut room = Room { cpu: report.cpu, memory: report.memory, gpus: report.gpus, tasks };
+        for command in self.channel.pending() {
+            if let Command::Start(order) = command {
+                let count = order.runs.len();
+                let runs = u32::try_from(count).unwrap_or(u32::MAX);
+                room.cpu = room.cpu.saturating_sub(order.cpu.saturating_mul(runs));
+                room.memory = room.memory.saturating_sub(order.memory.saturating_mul(runs));
+                room.gpus = room.gpus.saturating_sub(order.gpus.saturating_mul(runs));
+                room.tasks = room.tasks.saturating_sub(count);
+            }
+        }
+        room
+    }
+}
--- /dev/null
+++ b/components/broker/src/limits.rs
@@ -0,0 +1,38 @@
+//! Time limits of an entry.
+
+/// Time between two probes of an agent, in ms; three fit into the silence that ends runs.
+pub const PROBE_MS: u64 = 120;
+/// Time between two probes of an agent that does not answer, in ms.
+pub(crate) const SEARCH_MS: u64 = 500;
+/// Silence after which an agent is given no more work, in ms.
+pub(crate) const SUSPECT_MS: u64 = 280;
+/// Silence after which the runs of an agent are taken for lost, in ms.
+pub const AGENT_SILENCE_MS: u64 = 400;
+/// Time since an agent was last heard after which none of its runs can be left, in ms.
+///
+/// The agent's patience with a silent entry, an unanswered stop, and the lease with its
+/// drift: 400 + 150 + 500 + 13, and a margin for late timers.
+pub const RUNS_OVER_MS: u64 = 1_150;
+/// Time since a new incarnation of an agent appeared after which no run of the earlier one
+/// can be left, in ms: the lease with its drift, and a margin.
+pub(crate) const RESTARTED_OVER_MS: u64 = 550;
+/// Time between two ticks from which the host is taken to have been suspended, in ms.
+///
+/// Less than the silence after which agents stop this entry's runs.
+pub const SUSPENDED_MS: u64 = 350;
+/// Time after which a silent agent is forgotten, in ms.
+pub(crate) const FORGET_AGENT_MS: u64 = 60_000;
+/// Time for which an agent may let a run wait for room, in ms: the age of reports.
+pub(crate) const PATIENCE_MS: u64 = 60;
+/// Time for which the answer to a job is remembered, in ms.
+pub(crate) const REMEMBER_MS: u64 = 10_000;
+/// Jobs are of use until this multiple of their objective.
+pub(crate) const USEFUL_OBJECTIVES: u64 = 3;
+/// Shortest time to come back that a refused caller is told, in ms.
+pub(crate) const MIN_RETRY_AFTER_MS: u64 = 1_000;
+/// Time after which a stopping entry takes no more jobs, in ms; the balancer has noticed.
+pub(crate) const STOP_TAKING_MS: u64 = 2_300;
+/// Time after which a stopping entry gives its jobs up, in ms; 6 s are given.
+pub(crate) const STOP_LIMIT_MS: u64 = 5_300;
+/// Time for which a stopping entry waits at least, in ms; callers still send.
+pub(crate) const STOP_LEAST_MS: u64 = 2_600;
--- /dev/null
+++ b/components/broker/src/place.rs
@@ -0,0 +1,124 @@
+//! Chooses endpoints for the tasks of a job.
+//!
+//! A job ends with its last task, so each task goes where it is expected to end first. Of
+//! endpoints that are equally fast the one with the most room is taken, which spreads the
+//! damage of a crash; chance decides between those that are nearly equal, since several
+//! entries choose at the same moment by the same reports.
+
+use std::net::SocketAddrV4;
+
+use mesh::Uptime;
+use rand::{Rng, RngExt};
+
+use crate::{
+    agents::{Agents, Room},
+    job::{Step, Task},
+};
+
+/// Extra run time that another availability zone stands for, in percent.
+const OTHER_ZONE: u64 = 2;
+/// Extra run time on a rack that is not near the data, in percent.
+const OTHER_RACK: u64 = 50;
+/// Extra run time that a full endpoint stands for, in percent; leaves room for large tasks.
+const FULL: u64 = 30;
+/// Differences of less than this are left to chance, in percent.
+const CHANCE: u64 = 6;
+
+/// Endpoints that may be given tasks of one service at this moment.
+#[derive(Debug)]
+pub(crate) struct Candidates {
+    list: Vec<Candidate>,
+}
+
+#[derive(Debug)]
+struct Candidate {
+    agent: SocketAddrV4,
+    room: Room,
+    capacity: u32,
+    slowness: u64,
+    other_zone: bool,
+    labels: Vec<String>,
+}
+
+impl Candidates {
+    /// Candidates among `agents` for `service`, seen from the availability zone `zone`.
+    pub(crate) fn new(agents: &Agents, now: Uptime, service: &str, zone: &str) -> Candidates {
+        let serving = agents.iter().filter(|(_, agent)| agent.serves(now, service));
+        let list = serving
+            .filter_map(|(address, agent)| {
+                let info = agent.report.endpoint.as_ref()?;
+                Some(Candidate {
+                    agent: *address,
+                    room: agent.room(),
+                    capacity: info.cpu.max(1),
+                    slowness: agent.report.slowness.max(1).into(),
+                    other_zone: agent.zone != zone,
+                    labels: info.labels.clone(),
+                })
+            })
+            .collect();
+        Candidates { list }
+    }
+
+    /// Thousandths of a core of all candidates.
+    pub(crate) fn capacity(&self) -> u64 {
+        self.list.iter().map(|it| u64::from(it.capacity)).sum()
+    }
+
+    /// Whether any candidate could ever run a task of `step`.
+    pub(crate) fn suit(&self, step: &Step) -> bool {
+        self.list.iter().any(|it| it.suits(step))
+    }
+
+    /// Takes room for a task at the best endpoint.
+    pub(crate) fn take(
+        &mut self,
+        step: &Step,
+        task: &Task,
+        crowded: &[SocketAddrV4],
+        rng: &mut impl Rng,
+    ) -> Option<SocketAddrV4> {
+        let fitting = |it: &&mut Candidate| {
+            it.fits(step) && !task.avoid.contains(&it.agent) && !crowded.contains(&it.agent)
+        };
+        let scored = self.list.iter_mut().filter(fitting).map(|it| {
+            let cost = it.cost(step) * (100 + rng.random_range(0..CHANCE)) / 100;
+            (cost, it)
+        });
+        let (_, best) = scored.min_by_key(|(cost, _)| *cost)?;
+        best.room.cpu -= step.cpu;
+        best.room.memory -= step.memory;
+        best.room.gpus -= step.gpus;
+        best.room.tasks -= 1;
+        Some(best.agent)
+    }
+}
+
+impl Candidate {
+    fn suits(&self, step: &Step) -> bool {
+        step.label.as_ref().is_none_or(|label| self.labels.contains(label))
+            && self.capacity >= step.cpu
+    }
+
+    fn fits(&self, step: &Step) -> bool {
+        let room = &self.room;
+        room.tasks > 0
+            && room.cpu >= step.cpu
+            && room.memory >= step.memory
+            && room.gpus >= step.gpus
+            && self.suits(step)
+    }
+
+    /// Relative run time with what else counts against the endpoint.
+    fn cost(&self, step: &Step) -> u64 {
+        let used = u64::from(self.capacity.saturating_sub(self.room.cpu));
+        let mut extra = FULL * used / u64::from(self.capacity);
+        if self.other_zone {
+            extra += OTHER_ZONE;
+        }
+        if step.rack.as_ref().is_some_and(|rack| !self.labels.contains(rack)) {
+            extra += OTHER_RACK;
+        }
+        self.slowness * (100 + extra) * 10
+    }
+}
--- /dev/null
+++ b/components/guard/src/entries.rs
@@ -0,0 +1,35 @@
+//! The entries that an agent works for.
+
+use std::{collections::BTreeMap, net::SocketAddrV4};
+
+use mesh::{Channel, Command, Notice, Uptime};
+
+/// Entries by their addresses.
+pub(crate) type Entries = BTreeMap<SocketAddrV4, Entry>;
+
+/// One entry.
+#[derive(Debug)]
+pub(crate) struct Entry {
+    pub(crate) channel: Channel<Notice, Command>,
+    pub(crate) heard: Uptime,
+    /// Its runs have been stopped since it went silent.
+    pub(crate) silent: bool,
+    /// Its jobs wait for room.
+    pub(crate) waiting: bool,
+    /// It asked for a report.
+    pub(crate) probed: bool,
+    pub(crate) reported: Uptime,
+}
+
+impl Entry {
+    pub(crate) fn new(own: u64, now: Uptime) -> Entry {
+        Entry {
+            channel: Channel::new(own),
+            heard: now,
+            silent: false,
+            waiting: false,
+            probed: false,
+            reported: Uptime::default(),
+        }
+    }
+}
--- /dev/null
+++ b/components/logs/src/bounded.rs
@@ -0,0 +1,124 @@
+//! Log lines that never block and whose volume is bounded.
+//!
+//! Lines are encoded at once and written by a thread of their own. Those beyond the rate of
+//! a second, or beyond what the thread keeps up with, are dropped and counted; the count
+//! stands in a line of its own.
+
+use std::{
+    fmt,
+    io::{self, Write},
+    sync::{
+        Mutex, PoisonError,
+        mpsc::{Receiver, SyncSender, sync_channel},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use eyre::{Context, Result};
+use log::{Level, LevelFilter, Record};
+use log4rs::{
+    append::Append,
+    encode::{Encode, json::JsonEncoder, writer::simple::SimpleWriter},
+};
+
+use crate::setup::init;
+
+/// Lines that may wait to be written.
+const MAX_WAITING: usize = 4_096;
+/// Part of the rate that only warnings and errors may use, as a divisor.
+const RESERVE: u32 = 5;
+
+/// Sends log lines to the standard output, at most `rate` a second.
+///
+/// # Errors
+///
+/// If the writing thread cannot be started or a logger has been set before.
+pub fn init_bounded(level: LevelFilter, rate: u32) -> Result<()> {
+    let (sender, receiver) = sync_channel(MAX_WAITING);
+    thread::Builder::new()
+        .name("log".to_owned())
+        .spawn(move || write_lines(&receiver))
+        .context("the thread that writes log lines cannot be started")?;
+    let budget = Budget { since: Instant::now(), used: 0, dropped: 0 };
+    let appender =
+        Bounded { encoder: JsonEncoder::new(), sender, rate, budget: Mutex::new(budget) };
+    init(Box::new(appender), level)
+}
+
+struct Bounded {
+    encoder: JsonEncoder,
+    sender: SyncSender<Vec<u8>>,
+    rate: u32,
+    budget: Mutex<Budget>,
+}
+
+/// Lines of the present second.
+struct Budget {
+    since: Instant,
+    used: u32,
+    dropped: u64,
+}
+
+impl Budget {
+    /// Whether another line may be written.
+    fn allows(&mut self, level: Level, rate: u32) -> bool {
+        if self.since.elapsed() >= Duration::from_secs(1) {
+            self.since = Instant::now();
+            self.used = 0;
+        }
+        let limit = if level <= Level::Warn { rate } else { rate - rate / RESERVE };
+        if self.used >= limit {
+            self.dropped += 1;
+            return false;
+        }
+        self.used += 1;
+        true
+    }
+}
+
+impl Append for Bounded {
+    fn append(&self, record: &Record<'_>) -> anyhow::Result<()> {
+        let dropped = {
+            let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+            if !budget.allows(record.level(), self.rate) {
+                return Ok(());
+            }
+            std::mem::take(&mut budget.dropped)
+        };
+        let mut writer = SimpleWriter(Vec::with_capacity(512));
+        self.encoder.encode(&mut writer, record)?;
+        if dropped > 0 {
+            let line = format!(
+                "{{\"level\":\"WARN\",\"message\":\"log lines were dropped\",\"dropped\":{dropped},\"rate\":{}}}\n",
+                self.rate
+            );
+            writer.0.extend_from_slice(line.as_bytes());
+        }
+        if self.sender.try_send(writer.0).is_err() {
+            let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+            budget.dropped += dropped + 1;
+        }
+        Ok(())
+    }
+
+    fn flush(&self) {}
+}
+
+impl fmt::Debug for Bounded {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Bounded").field("rate", &self.rate).finish_non_exhaustive()
+    }
+}
+
+/// Writes lines, as many at a time as are there.
+fn write_lines(lines: &Receiver<Vec<u8>>) {
+    while let Ok(mut batch) = lines.recv() {
+        while let Ok(line) = lines.try_recv() {
+            batch.extend_from_slice(&line);
+        }
+        // There is nowhere to report a failure of the standard output to.
+        let _ = io::stdout().write_all(&batch);
+        let _ = io::stdout().flush();
+    }
+}
--- a/components/logs/src/setup.rs
+++ b/components/logs/src/setup.rs
@@ -35,7 +35,7 @@
     init(Box::new(appender), level)
 }
 
-fn init(appender: Box<dyn Append>, level: LevelFilter) -> Result<()> {
+pub(crate) fn init(appender: Box<dyn Append>, level: LevelFilter) -> Result<()> {
     let config = Config::builder()
         .appender(Appender::builder().build(APPENDER, appender))
         .build(Root::builder().appender(APPENDER).build(level))
--- /dev/null
+++ b/components/mesh/src/channel.rs
@@ -0,0 +1,150 @@
+//! Delivers items once and in order over datagrams that may be lost or repeated.
+//!
+//! Each side numbers its items. A frame carries those that are due, and acknowledges all
+//! that were received without a gap. What is not acknowledged in time is sent again from
+//! the oldest on. A peer that was started anew begins with a new channel.
+
+use std::collections::VecDeque;
+
+use crate::{Frame, Uptime};
+
+/// Time after which an item that is not acknowledged is sent again, in ms.
+///
+/// Several round trips between availability zones, and the delay of acknowledgements.
+pub const RESEND_MS: u64 = 60;
+
+/// Items in one frame at most, so that it fits a datagram.
+const MAX_ITEMS: usize = 12;
+
+/// One end of a channel that sends `O` and receives `I`.
+#[derive(Debug)]
+pub struct Channel<O, I> {
+    own: u64,
+    peer: u64,
+    first: u64,
+    out: VecDeque<Sent<O>>,
+    received: u64,
+    owes: bool,
+    _in: std::marker::PhantomData<I>,
+}
+
+#[derive(Debug)]
+struct Sent<O> {
+    item: O,
+    sent: Option<Uptime>,
+}
+
+/// What a frame brought.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Accepted<I> {
+    /// New items, in order.
+    pub items: Vec<I>,
+    /// The peer was started anew: what it had been told before is gone.
+    pub restarted: bool,
+    /// The frame was meant for this incarnation or came from one that knew none.
+    pub current: bool,
+}
+
+impl<O: Clone, I> Channel<O, I> {
+    /// A channel to a peer of which nothing is known.
+    pub fn new(own: u64) -> Channel<O, I> {
+        Channel {
+            own,
+            peer: 0,
+            first: 1,
+            out: VecDeque::new(),
+            received: 0,
+            owes: false,
+            _in: std::marker::PhantomData,
+        }
+    }
+
+    /// Queues an item.
+    pub fn push(&mut self, item: O) {
+        self.out.push_back(Sent { item, sent: None });
+    }
+
+    /// Items that are not acknowledged yet.
+    pub fn pending(&self) -> impl Iterator<Item = &O> {
+        self.out.iter().map(|it| &it.item)
+    }
+
+    /// Whether a frame should be sent at once.
+    pub fn is_due(&self, now: Uptime) -> bool {
+        self.owes || self.start(now).is_some()
+    }
+
+    /// Incarnation of the peer, 0 for unknown.
+    pub fn peer(&self) -> u64 {
+        self.peer
+    }
+
+    /// Next frame, with the items that are due.
+    pub fn frame<S>(&mut self, now: Uptime, state: S) -> Frame<O, S> {
+        self.owes = false;
+        let start = self.start(now).unwrap_or(self.out.len());
+        let mut items = Vec::new();
+        for sent in self.out.iter_mut().skip(start).take(MAX_ITEMS) {
+            sent.sent = Some(now);
+            items.push(sent.item.clone());
+        }
+        Frame {
+            sender: self.own,
+            receiver: self.peer,
+            first: self.first + start as u64,
+            items,
+            acknowledged: self.received,
+            state,
+        }
+    }
+
+    /// Takes a frame in.
+    pub fn accept<S>(&mut self, frame: Frame<I, S>) -> Accepted<I> {
+        let restarted = self.peer != 0 && self.peer != frame.sender;
+        if self.peer != frame.sender {
+            self.reset(frame.sender);
+        }
+        if frame.receiver != self.own {
+            let current = frame.receiver == 0;
+            if !current {
+                // The peer must learn of this incarnation before its items count.
+                self.owes = true;
+            }
+            return Accepted { items: Vec::new(), restarted, current };
+        }
+        while self.first <= frame.acknowledged && self.out.pop_front().is_some() {
+            self.first += 1;
+        }
+        let Frame { first, items, .. } = frame;
+        let mut fresh = Vec::new();
+        for (number, item) in (first..).zip(items) {
+            self.owes = true;
+            if number == self.received + 1 {
+                self.received = number;
+                fresh.push(item);
+            }
+        }
+        Accepted { items: fresh, restarted, current: true }
+    }
+
+    /// Position of the first item that is due.
+    fn start(&self, now: Uptime) -> Option<usize> {
+        let overdue = |sent: Uptime| now.since(sent) >= RESEND_MS;
+        if self.out.front()?.sent.is_some_and(overdue) {
+            return Some(0);
+        }
+        self.out.iter().position(|it| it.sent.is_none())
+    }
+
+    /// Starts afresh with another incarnation of the peer.
+    fn reset(&mut self, peer: u64) {
+        let unknown = self.peer == 0;
+        self.peer = peer;
+        self.received = 0;
+        self.owes = true;
+        if !unknown {
+            self.first = 1;
+            self.out.clear();
+        }
+    }
+}
--- /dev/null
+++ b/components/mesh/src/uptime.rs
@@ -0,0 +1,33 @@
+//! Time since a host was started.
+
+use std::ops::{Add, Sub};
+
+use serde::{Deserialize, Serialize};
+
+/// Milliseconds since the host was started, suspended time included.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+pub struct Uptime(pub u64);
+
+impl Uptime {
+    /// Milliseconds since `earlier`, 0 if it lies ahead.
+    pub fn since(self, earlier: Uptime) -> u64 {
+        self.0.saturating_sub(earlier.0)
+    }
+}
+
+impl Add<u64> for Uptime {
+    type Output = Uptime;
+
+    fn add(self, ms: u64) -> Uptime {
+        Uptime(self.0.saturating_add(ms))
+    }
+}
+
+impl Sub<u64> for Uptime {
+    type Output = Uptime;
+
+    fn sub(self, ms: u64) -> Uptime {
+        Uptime(self.0.saturating_sub(ms))
+    }
+}
--- /dev/null
+++ b/hostd/src/agent.rs
@@ -0,0 +1,166 @@
+//! The actor that runs an agent's core.
+
+use std::{
+    net::SocketAddrV4,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use guard::{Answer, Call, Effect, Event, Guard, Heartbeat};
+use mesh::{Datagram, Member, Uptime};
+use platform::{EndpointClient, HostSettings};
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use tokio::sync::watch;
+
+use crate::{
+    clock::uptime,
+    datagrams::Datagrams,
+    discovery::Discovery,
+    metrics::{Metrics, Outcome},
+};
+
+/// What the actor is told.
+pub(crate) enum Message {
+    /// The endpoint lives.
+    Heartbeat(Heartbeat),
+    /// The endpoint has left.
+    Left(String),
+    /// A datagram has arrived.
+    Datagram(SocketAddrV4, Datagram),
+    /// A call of the endpoint was answered, or not.
+    Answered {
+        /// Number of the call.
+        id: u64,
+        /// Answer.
+        answer: Answer,
+        /// Time that it took.
+        took: Duration,
+    },
+    /// The store knows these members.
+    Members(Vec<Member>),
+    /// The settings have changed.
+    Settings(Box<HostSettings>),
+    /// Time passes.
+    Tick,
+    /// The process is to stop.
+    Stop,
+}
+
+/// The actor.
+pub(crate) struct AgentActor;
+
+/// What the actor is started with.
+pub(crate) struct Parts {
+    pub(crate) guard: Guard,
+    pub(crate) discovery: Discovery,
+    pub(crate) datagrams: Datagrams,
+    pub(crate) endpoint: EndpointClient,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) finished: watch::Sender<bool>,
+}
+
+/// State of the actor.
+pub(crate) struct State {
+    parts: Parts,
+    myself: ActorRef<Message>,
+}
+
+impl Actor for AgentActor {
+    type Msg = Message;
+    type State = State;
+    type Arguments = Parts;
+
+    async fn pre_start(
+        &self,
+        myself: ActorRef<Message>,
+        parts: Parts,
+    ) -> Result<State, ActorProcessingErr> {
+        Ok(State { parts, myself })
+    }
+
+    async fn handle(
+        &self,
+        _myself: ActorRef<Message>,
+        message: Message,
+        state: &mut State,
+    ) -> Result<(), ActorProcessingErr> {
+        state.handle(uptime(), message);
+        Ok(())
+    }
+}
+
+impl State {
+    fn handle(&mut self, now: Uptime, message: Message) {
+        match message {
+            Message::Heartbeat(beat) => self.run(now, Event::Heartbeat(beat)),
+            Message::Left(instance) => self.run(now, Event::Left { instance }),
+            Message::Datagram(from, datagram) => self.on_datagram(now, from, datagram),
+            Message::Answered { id, answer, took } => {
+                self.count(&answer, took);
+                self.run(now, Event::Answered { id, answer });
+            }
+            Message::Members(members) => {
+                self.parts.discovery.learn(now, members);
+            }
+            Message::Settings(settings) => self.parts.discovery.configure(&settings),
+            Message::Tick => {
+                self.parts.discovery.tick(now);
+                self.run(now, Event::Tick);
+                self.parts.metrics.active.set(self.parts.guard.active() as i64);
+                self.parts.metrics.open.set(i64::from(self.parts.guard.is_open(now)));
+            }
+            Message::Stop => self.run(now, Event::Stop),
+        }
+    }
+
+    fn on_datagram(&mut self, now: Uptime, from: SocketAddrV4, datagram: Datagram) {
+        match datagram {
+            Datagram::Entry(frame) => {
+                self.parts.discovery.hear(now, from);
+                self.run(now, Event::Frame { from, frame });
+            }
+            Datagram::Hello(hello) => {
+                self.parts.discovery.on_hello(now, hello);
+            }
+            Datagram::Agent(_) => {
+                log::warn!(from:% = from; "an agent has sent a report to an agent")
+            }
+        }
+    }
+
+    fn run(&mut self, now: Uptime, event: Event) {
+        for effect in self.parts.guard.handle(now, event) {
+            match effect {
+                Effect::Call { id, call } => self.call(id, call),
+                Effect::Send { to, datagram } => self.parts.datagrams.send(to, &datagram),
+                Effect::Finished => {
+                    self.parts.finished.send_replace(true);
+                }
+            }
+        }
+    }
+
+    fn call(&self, id: u64, call: Call) {
+        let endpoint = self.parts.endpoint.clone();
+        let myself = self.myself.clone();
+        tokio::spawn(async move {
+            let started = Instant::now();
+            let answer = endpoint.call(&call).await;
+            let took = started.elapsed();
+            // The core is gone only when the process ends.
+            let _ = myself.cast(Message::Answered { id, answer, took });
+        });
+    }
+
+    fn count(&self, answer: &Answer, took: Duration) {
+        let outcome = match answer {
+            Answer::Accepted { .. } => "accepted",
+            Answer::Seen(_) => "seen",
+            Answer::Rejected(_) => "rejected",
+            Answer::Unsent => "unsent",
+            Answer::Unknown => "unanswered",
+        };
+        self.parts.metrics.calls.get_or_create(&Outcome::new(outcome)).inc();
+        self.parts.metrics.call_time.observe(took.as_secs_f64());
+    }
+}
--- /dev/null
+++ b/hostd/src/cmd.rs
@@ -0,0 +1,100 @@
+//! The roles of the daemon.
+
+pub(crate) mod agent;
+pub(crate) mod entry;
+
+use std::{net::SocketAddr, path::Path, sync::Arc, time::Duration};
+
+use eyre::{Result, eyre};
+use mesh::{Member, Role};
+use platform::HostSettings;
+use tokio::{
+    sync::watch,
+    time::{MissedTickBehavior, interval, sleep},
+};
+
+use crate::{
+    http::{ConnectionLimits, listen},
+    metrics::{Metrics, serve_metrics},
+    signals::{Asked, Signals},
+};
+
+/// Time between two looks at the settings file, which may change without a signal.
+const SETTINGS_LOOK: Duration = Duration::from_secs(2);
+/// Time for the last answers and log lines to be written.
+const LINGER: Duration = Duration::from_millis(60);
+/// Connections for metrics and readiness.
+const PAGE_LIMITS: ConnectionLimits =
+    ConnectionLimits { connections: 64, header_time: Duration::from_secs(2), header_bytes: 8_192 };
+
+/// This process as a member.
+fn member(settings: &HostSettings, role: Role) -> Member {
+    Member { address: settings.mesh, role, zone: settings.zone.clone() }
+}
+
+/// Address that the settings must name.
+fn required(
+    address: Option<SocketAddr>,
+    what: &str,
+    settings: &HostSettings,
+) -> Result<SocketAddr> {
+    address.ok_or_else(|| {
+        eyre!(
+            "the settings of {} name no listen address for {what}; the role needs one",
+            settings.name
+        )
+    })
+}
+
+/// Serves metrics beside the address for datagrams.
+fn start_metrics(settings: &HostSettings, port: u16, metrics: &Arc<Metrics>) -> Result<()> {
+    let listener = listen(SocketAddr::new((*settings.mesh.ip()).into(), port))?;
+    tokio::spawn(serve_metrics(listener, PAGE_LIMITS, Arc::clone(metrics)));
+    Ok(())
+}
+
+/// Passes signals and changes of the settings on until the process may end.
+async fn wait(
+    path: &Path,
+    mut signals: Signals,
+    mut settings: HostSettings,
+    mut finished: watch::Receiver<bool>,
+    mut tell: impl FnMut(Notice),
+) {
+    let mut looks = interval(SETTINGS_LOOK);
+    looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            asked = signals.next() => match asked {
+                Asked::Stop => {
+                    log::info!("the process is asked to stop");
+                    tell(Notice::Stop);
+                }
+                Asked::Reload => reload(path, &mut settings, &mut tell),
+            },
+            _ = looks.tick() => reload(path, &mut settings, &mut tell),
+            _ = finished.wait_for(|it| *it) => break,
+        }
+    }
+    log::info!("the process ends");
+    sleep(LINGER).await;
+}
+
+/// What a role is told from outside.
+enum Notice {
+    Settings(Box<HostSettings>),
+    Stop,
+}
+
+/// Reads the settings again; what cannot be read changes nothing.
+fn reload(path: &Path, settings: &mut HostSettings, tell: &mut impl FnMut(Notice)) {
+    match platform::load_settings(path) {
+        Ok(new) if new != *settings => {
+            log::info!(seeds = new.seeds.len(); "the settings have changed and are read again");
+            *settings = new.clone();
+            tell(Notice::Settings(Box::new(new)));
+        }
+        Ok(_) => {}
+        Err(err) => log::error!(error:% = format!("{err:#}"); "the settings stay as they were"),
+    }
+}
--- /dev/null
+++ b/hostd/src/config.rs
@@ -0,0 +1,38 @@
+//! The configuration in force, shared by all connections of a process.
+
+use std::sync::{Arc, PoisonError, RwLock};
+
+use broker::Config;
+use platform::Operator;
+
+use crate::metrics::Metrics;
+
+/// The configuration in force; none before the first has been read.
+#[derive(Debug, Default)]
+pub(crate) struct InForce {
+    config: RwLock<Option<Arc<Config>>>,
+}
+
+impl InForce {
+    /// The newest configuration.
+    pub(crate) fn read(&self) -> Option<Arc<Config>> {
+        self.config.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    fn set(&self, config: Config) {
+        *self.config.write().unwrap_or_else(PoisonError::into_inner) = Some(Arc::new(config));
+    }
+}
+
+/// Brings each newer configuration into force for as long as the process runs.
+pub(crate) async fn follow(mut operator: Operator, in_force: Arc<InForce>, metrics: Arc<Metrics>) {
+    loop {
+        let config = operator.next().await;
+        log::info!(
+            version = config.version, offset = config.offset, routes = config.routes.len();
+            "a configuration is in force"
+        );
+        metrics.version.set(i64::try_from(config.version).unwrap_or(i64::MAX));
+        in_force.set(config);
+    }
+}
--- /dev/null
+++ b/hostd/src/discovery.rs
@@ -0,0 +1,124 @@
+//! Finds other processes through the store and through each other.
+
+use std::time::Duration;
+
+use eyre::{Context, Result};
+use mesh::{Datagram, Hello, Member, Members, Role, Uptime};
+use platform::{HostSettings, Store};
+use rand::{SeedableRng, rngs::SmallRng};
+use tokio::time::sleep;
+
+use crate::datagrams::Datagrams;
+
+/// Topic with a record for each process that was started.
+const TOPIC: &str = "keyed.hosts";
+/// Time between two greetings while few members are known, in ms.
+const EAGER_MS: u64 = 150;
+/// Time between two greetings, in ms.
+const CALM_MS: u64 = 700;
+/// Time after the start of a process for which it is eager, in ms.
+const EAGER_TIME_MS: u64 = 3_000;
+/// Pause after the store has failed.
+const PAUSE: Duration = Duration::from_millis(400);
+/// Longest pause after the store has failed.
+const MAX_PAUSE: Duration = Duration::from_secs(5);
+
+/// Keeps the members that a process knows.
+pub(crate) struct Discovery {
+    members: Members,
+    rng: SmallRng,
+    datagrams: Datagrams,
+    started: Uptime,
+    next: Uptime,
+}
+
+impl Discovery {
+    /// Knows the seeds of the settings only.
+    pub(crate) fn new(
+        now: Uptime,
+        own: Member,
+        settings: &HostSettings,
+        datagrams: Datagrams,
+        seed: u64,
+    ) -> Discovery {
+        Discovery {
+            members: Members::new(own, settings.seeds.clone()),
+            rng: SmallRng::seed_from_u64(seed),
+            datagrams,
+            started: now,
+            next: now,
+        }
+    }
+
+    /// Takes new settings over.
+    pub(crate) fn configure(&mut self, settings: &HostSettings) {
+        self.members.set_seeds(settings.seeds.clone());
+    }
+
+    /// Answers a greeting; returns the members that were unknown.
+    pub(crate) fn on_hello(&mut self, now: Uptime, hello: Hello) -> Vec<Member> {
+        let (from, ask) = (hello.from.address, hello.ask);
+        let new = self.members.accept(now, hello);
+        if ask {
+            let answer = self.members.hello(now, false, &mut self.rng);
+            self.datagrams.send(from, &Datagram::Hello(answer));
+        }
+        new
+    }
+
+    /// Learns of members from the store; returns those that were unknown.
+    pub(crate) fn learn(&mut self, now: Uptime, members: Vec<Member>) -> Vec<Member> {
+        members.into_iter().filter(|it| self.members.learn(now, it.clone())).collect()
+    }
+
+    /// Takes note of a sign of life.
+    pub(crate) fn hear(&mut self, now: Uptime, address: std::net::SocketAddrV4) {
+        self.members.hear(now, address);
+    }
+
+    /// Greets somebody when it is time.
+    pub(crate) fn tick(&mut self, now: Uptime) {
+        if now < self.next {
+            return;
+        }
+        self.members.forget(now);
+        let eager = now.since(self.started) < EAGER_TIME_MS;
+        self.next = now + if eager { EAGER_MS } else { CALM_MS };
+        if let Some(to) = self.members.pick(now, &mut self.rng) {
+            let hello = self.members.hello(now, true, &mut self.rng);
+            self.datagrams.send(to, &Datagram::Hello(hello));
+        }
+    }
+
+    /// Number of entries, this process included if it is one.
+    pub(crate) fn entries(&self) -> usize {
+        let own = usize::from(self.members.own().role == Role::Entry);
+        self.members.with_role(Role::Entry).count() + own
+    }
+}
+
+/// Puts a process on record in the store, and reads who else is.
+pub(crate) async fn register(store: Store, own: Member) -> Vec<Member> {
+    let mut pause = PAUSE;
+    loop {
+        match try_register(&store, &own).await {
+            Ok(members) => {
+                log::info!(members = members.len(); "the process is on record in the store");
+                return members;
+            }
+            Err(err) => {
+                log::warn!(error:% = format!("{err:#}"); "the process cannot be put on record in the store");
+                sleep(pause).await;
+                pause = (pause * 2).min(MAX_PAUSE);
+            }
+        }
+    }
+}
+
+async fn try_register(store: &Store, own: &Member) -> Result<Vec<Member>> {
+    let value = postcard::to_stdvec(own).context("the member cannot be encoded")?;
+    store.append(TOPIC, &own.address.to_string(), &value).await.context("the record")?;
+    let (records, _) = store.newest(TOPIC).await.context("the list")?;
+    let decode = |value: &Vec<u8>| postcard::from_bytes(value).ok();
+    Ok(records.iter().filter_map(|it| decode(&it.value)).collect())
+}
--- /dev/null
+++ b/hostd/src/entry.rs
@@ -0,0 +1,196 @@
+//! The actor that runs an entry's core.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddrV4,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+
+use broker::{Broker, Effect, Event, Reply, Status, Submission};
+use mesh::{Datagram, JobId, Member, Role, Uptime};
+use platform::HostSettings;
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use tokio::sync::{oneshot, watch};
+
+use crate::{clock::uptime, datagrams::Datagrams, discovery::Discovery, metrics::Metrics};
+
+/// What the actor is told.
+pub(crate) enum Message {
+    /// A caller sends a job.
+    Submit {
+        /// Number of the request.
+        token: u64,
+        /// Job.
+        submission: Box<Submission>,
+        /// Where the answer goes.
+        reply: oneshot::Sender<Reply>,
+    },
+    /// A caller has left.
+    Gone(u64),
+    /// A caller cancels a job; answers whether it was known.
+    Cancel(JobId, oneshot::Sender<bool>),
+    /// A caller asks for a job.
+    Status(JobId, oneshot::Sender<Option<Status>>),
+    /// A caller asks for the jobs of a queue that have not begun.
+    Pending(String, oneshot::Sender<usize>),
+    /// A datagram has arrived.
+    Datagram(SocketAddrV4, Datagram),
+    /// The store knows these members.
+    Members(Vec<Member>),
+    /// The settings have changed.
+    Settings(Box<HostSettings>),
+    /// Time passes.
+    Tick,
+    /// The process is to stop.
+    Stop,
+}
+
+/// The actor.
+pub(crate) struct EntryActor;
+
+/// What the actor is started with.
+pub(crate) struct Parts {
+    pub(crate) broker: Broker,
+    pub(crate) discovery: Discovery,
+    pub(crate) datagrams: Datagrams,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) ready: Arc<AtomicBool>,
+    pub(crate) finished: watch::Sender<bool>,
+}
+
+/// State of the actor.
+pub(crate) struct State {
+    parts: Parts,
+    callers: HashMap<u64, Caller>,
+    stopping: bool,
+}
+
+struct Caller {
+    arrived: Uptime,
+    reply: oneshot::Sender<Reply>,
+}
+
+impl Actor for EntryActor {
+    type Msg = Message;
+    type State = State;
+    type Arguments = Parts;
+
+    async fn pre_start(
+        &self,
+        _myself: ActorRef<Message>,
+        parts: Parts,
+    ) -> Result<State, ActorProcessingErr> {
+        Ok(State { parts, callers: HashMap::new(), stopping: false })
+    }
+
+    async fn handle(
+        &self,
+        _myself: ActorRef<Message>,
+        message: Message,
+        state: &mut State,
+    ) -> Result<(), ActorProcessingErr> {
+        state.handle(uptime(), message);
+        Ok(())
+    }
+}
+
+impl State {
+    fn handle(&mut self, now: Uptime, message: Message) {
+        match message {
+            Message::Submit { token, submission, reply } => {
+                self.callers.insert(token, Caller { arrived: now, reply });
+                self.run(now, Event::Submit { token, submission: *submission });
+            }
+            Message::Gone(token) => {
+                self.callers.remove(&token);
+                self.run(now, Event::Gone { token });
+            }
+            Message::Cancel(job, reply) => {
+                let known = self.parts.broker.status(job).is_some();
+                self.run(now, Event::Cancel { job });
+                // A caller that has left needs no answer.
+                let _ = reply.send(known);
+            }
+            Message::Status(job, reply) => {
+                let _ = reply.send(self.parts.broker.status(job));
+            }
+            Message::Pending(route, reply) => {
+                let _ = reply.send(self.parts.broker.pending(&route));
+            }
+            Message::Datagram(from, datagram) => self.on_datagram(now, from, datagram),
+            Message::Members(members) => {
+                let new = self.parts.discovery.learn(now, members);
+                self.add_members(now, new);
+            }
+            Message::Settings(settings) => self.parts.discovery.configure(&settings),
+            Message::Tick => self.on_tick(now),
+            Message::Stop => {
+                self.stopping = true;
+                self.parts.ready.store(false, Ordering::Relaxed);
+                self.run(now, Event::Stop);
+            }
+        }
+    }
+
+    fn on_datagram(&mut self, now: Uptime, from: SocketAddrV4, datagram: Datagram) {
+        match datagram {
+            Datagram::Agent(frame) => {
+                self.parts.discovery.hear(now, from);
+                self.run(now, Event::Frame { from, frame });
+            }
+            Datagram::Hello(hello) => {
+                let new = self.parts.discovery.on_hello(now, hello);
+                self.add_members(now, new);
+            }
+            Datagram::Entry(_) => {
+                log::warn!(from:% = from; "an entry has sent an order to an entry")
+            }
+        }
+    }
+
+    /// Makes new members known to the core.
+    fn add_members(&mut self, now: Uptime, members: Vec<Member>) {
+        for member in members {
+            log::info!(member:% = member.address, role:? = member.role, zone = member.zone.as_str(); "a member is known");
+            if member.role == Role::Agent {
+                let Member { address, zone, .. } = member;
+                self.run(now, Event::Agent { address, zone });
+            }
+        }
+    }
+
+    fn on_tick(&mut self, now: Uptime) {
+        self.parts.discovery.tick(now);
+        let entries = self.parts.discovery.entries();
+        self.run(now, Event::Entries(entries));
+        self.run(now, Event::Tick);
+        let agents = self.parts.broker.open_agents(now);
+        self.parts.ready.store(agents > 0 && !self.stopping, Ordering::Relaxed);
+        let (jobs, waiting) = self.parts.broker.load();
+        self.parts.metrics.agents.set(agents as i64);
+        self.parts.metrics.jobs.set(jobs as i64);
+        self.parts.metrics.waiting.set(waiting as i64);
+    }
+
+    fn run(&mut self, now: Uptime, event: Event) {
+        for effect in self.parts.broker.handle(now, event) {
+            match effect {
+                Effect::Answer { token, reply } => {
+                    if let Some(caller) = self.callers.remove(&token) {
+                        let took = now.since(caller.arrived) as f64 / 1_000.0;
+                        self.parts.metrics.answer_time.observe(took);
+                        // A caller that has left needs no answer.
+                        let _ = caller.reply.send(reply);
+                    }
+                }
+                Effect::Send { to, datagram } => self.parts.datagrams.send(to, &datagram),
+                Effect::Finished => {
+                    self.parts.finished.send_replace(true);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/hostd/src/http.rs
@@ -0,0 +1,112 @@
+//! Serves HTTP on a listener.
+
+use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use eyre::{Context, Result};
+use http_body_util::Full;
+use hyper::{
+    Request, Response, StatusCode,
+    body::Incoming,
+    header::{CONNECTION, CONTENT_TYPE, HeaderValue},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::Serialize;
+use tokio::{net::TcpListener, time::sleep};
+
+/// Pause after a connection could not be accepted.
+const PAUSE: Duration = Duration::from_millis(50);
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
+/// Answer of a service.
+pub(crate) type Answer = Response<Full<Bytes>>;
+
+/// Limits of connections.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ConnectionLimits {
+    /// Connections that are open at a time.
+    pub(crate) connections: usize,
+    /// Time for the headers of a request to arrive.
+    pub(crate) header_time: Duration,
+    /// Bytes of all headers.
+    pub(crate) header_bytes: usize,
+}
+
+/// Listens on an address.
+pub(crate) fn listen(address: SocketAddr) -> Result<TcpListener> {
+    let open = || {
+        let socket = tokio::net::TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    open().with_context(|| format!("connections cannot be accepted at {address}"))
+}
+
+/// Serves connections for as long as the process runs.
+pub(crate) async fn serve<S, F>(listener: TcpListener, limits: ConnectionLimits, service: S)
+where
+    S: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Answer> + Send + 'static,
+{
+    let permits = Arc::new(tokio::sync::Semaphore::new(limits.connections));
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(err) => {
+                log::warn!(error:% = err; "a connection could not be accepted");
+                sleep(PAUSE).await;
+                continue;
+            }
+        };
+        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+            log::warn!(limit = limits.connections; "a connection is closed: too many are open");
+            continue;
+        };
+        if let Err(err) = stream.set_nodelay(true) {
+            log::debug!(error:% = err; "a connection may delay small answers");
+        }
+        let service = service.clone();
+        let handle = service_fn(move |request| {
+            let answer = service(request);
+            async move { Ok::<_, Infallible>(answer.await) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(limits.header_time)
+            .max_buf_size(limits.header_bytes.max(8_192))
+            .serve_connection(TokioIo::new(stream), handle);
+        tokio::spawn(async move {
+            if let Err(err) = connection.await {
+                log::debug!(error:% = err; "a connection has ended");
+            }
+            drop(permit);
+        });
+    }
+}
+
+/// An answer with a JSON body.
+pub(crate) fn json(status: StatusCode, body: Vec<u8>) -> Answer {
+    let mut answer = Response::new(Full::new(Bytes::from(body)));
+    *answer.status_mut() = status;
+    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    answer
+}
+
+/// An answer with a JSON body that says what is wrong.
+pub(crate) fn error(status: StatusCode, message: &str) -> Answer {
+    #[derive(Serialize)]
+    struct Body<'a> {
+        error: &'a str,
+    }
+    let body = serde_json::to_vec(&Body { error: message });
+    json(status, body.expect("a text can be encoded"))
+}
+
+/// Lets the connection end with this answer.
+pub(crate) fn close(answer: &mut Answer) {
+    answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+}
--- /dev/null
+++ b/hostd/src/main.rs
@@ -0,0 +1,48 @@
+//! Daemon of the primrosemux dispatcher for hosts of the users' platform.
+
+mod agent;
+mod callers;
+mod cli;
+mod clock;
+mod cmd;
+mod config;
+mod datagrams;
+mod discovery;
+mod entry;
+mod heartbeats;
+mod http;
+mod metrics;
+mod signals;
+mod tick;
+
+use std::process::ExitCode;
+
+use tokio::runtime::Builder;
+
+use crate::cli::{Arguments, Role};
+
+/// Lines that a process logs in a second at most; about 60 KB.
+const LOG_LINES: u32 = 250;
+
+fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    match run(&arguments) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("Error: {report:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(arguments: &Arguments) -> eyre::Result<()> {
+    logs::init_bounded(arguments.log_level, LOG_LINES)?;
+    // One thread suits hosts with a fraction of a core.
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(async {
+        match arguments.role {
+            Role::Entry(_) => cmd::entry::run(arguments).await,
+            Role::Agent(_) => cmd::agent::run(arguments).await,
+        }
+    })
+}
--- /dev/null
+++ b/hostd/src/metrics.rs
@@ -0,0 +1,137 @@
+//! Counters and histograms of a process.
+
+use std::sync::Arc;
+
+use eyre::Result;
+use hyper::{Response, StatusCode, header::CONTENT_TYPE};
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+use tokio::net::TcpListener;
+
+use crate::http::{Answer, ConnectionLimits, error, serve};
+
+/// Path of the metrics.
+const PATH: &str = "/metrics";
+/// Upper bound of the first bucket of times, in seconds.
+const FIRST_BUCKET: f64 = 0.005;
+/// Buckets of times; each is half as long again as the one before.
+const BUCKETS: u16 = 18;
+
+/// Metrics of a process.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    /// Answers to callers, by outcome.
+    pub(crate) answers: Family<Outcome, Counter>,
+    /// Time from the arrival of a job to its answer, in seconds.
+    pub(crate) answer_time: Histogram,
+    /// Jobs in progress.
+    pub(crate) jobs: Gauge,
+    /// Jobs that wait for room.
+    pub(crate) waiting: Gauge,
+    /// Agents with an endpoint.
+    pub(crate) agents: Gauge,
+    /// Version of the configuration in force.
+    pub(crate) version: Gauge,
+    /// Calls of the endpoint, by outcome.
+    pub(crate) calls: Family<Outcome, Counter>,
+    /// Time of a call of the endpoint, in seconds.
+    pub(crate) call_time: Histogram,
+    /// Runs that take room on the endpoint.
+    pub(crate) active: Gauge,
+    /// Whether the endpoint takes work.
+    pub(crate) open: Gauge,
+}
+
+/// Outcome of a request or call.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+pub(crate) struct Outcome {
+    outcome: &'static str,
+}
+
+impl Outcome {
+    /// A label with this value.
+    pub(crate) fn new(outcome: &'static str) -> Outcome {
+        Outcome { outcome }
+    }
+}
+
+impl Metrics {
+    /// Registers all metrics.
+    pub(crate) fn new() -> Metrics {
+        let times = || Histogram::new(exponential_buckets(FIRST_BUCKET, 1.5, BUCKETS));
+        let mut metrics = Metrics {
+            registry: Registry::with_prefix("primrosemux"),
+            answers: Family::default(),
+            answer_time: times(),
+            jobs: Gauge::default(),
+            waiting: Gauge::default(),
+            agents: Gauge::default(),
+            version: Gauge::default(),
+            calls: Family::default(),
+            call_time: times(),
+            active: Gauge::default(),
+            open: Gauge::default(),
+        };
+        let it = &mut metrics;
+        it.registry.register("answers", "Answers to callers", it.answers.clone());
+        it.registry.register(
+            "answer_seconds",
+            "Time to the answer of a job",
+            it.answer_time.clone(),
+        );
+        it.registry.register("jobs", "Jobs in progress", it.jobs.clone());
+        it.registry.register("jobs_waiting", "Jobs that wait for room", it.waiting.clone());
+        it.registry.register("agents", "Agents with an endpoint", it.agents.clone());
+        it.registry.register("config_version", "Configuration in force", it.version.clone());
+        it.registry.register("endpoint_calls", "Calls of the endpoint", it.calls.clone());
+        it.registry.register("endpoint_call_seconds", "Time of a call", it.call_time.clone());
+        it.registry.register("runs_active", "Runs on the endpoint", it.active.clone());
+        it.registry.register("endpoint_open", "Endpoint takes work", it.open.clone());
+        metrics
+    }
+
+    /// All metrics as text.
+    fn render(&self) -> String {
+        let mut text = String::new();
+        encode(&mut text, &self.registry).expect("text can always be written to a string");
+        text
+    }
+}
+
+/// Serves the metrics for as long as the process runs.
+pub(crate) async fn serve_metrics(
+    listener: TcpListener,
+    limits: ConnectionLimits,
+    metrics: Arc<Metrics>,
+) -> Result<()> {
+    serve(listener, limits, move |request| {
+        let metrics = Arc::clone(&metrics);
+        async move {
+            if request.uri().path() != PATH {
+                return error(StatusCode::NOT_FOUND, "only /metrics is served here");
+            }
+            text(metrics.render())
+        }
+    })
+    .await;
+    Ok(())
+}
+
+fn text(body: String) -> Answer {
+    let mut answer = Response::new(body.into());
+    let value = hyper::header::HeaderValue::from_static(
+        "application/openmetrics-text; version=1.0.0; charset=utf-8",
+    );
+    answer.headers_mut().insert(CONTENT_TYPE, value);
+    answer
+}
