Judge an entry by what it has heard, probe agents in time once heard, send starts again

Entries now echo the agent's time of the newest report. Cause 2: an agent found after a silence was probed next only 500 ms later, so it was silent again for 400 ms, and so on for ever. Ruled out: lost datagrams. Cause 3: one unanswered look closed an endpoint for 900 ms. Also: idle callers' connections are closed once the balancer has noticed a stop.

--- a/components/broker/src/agents.rs
+++ b/components/broker/src/agents.rs
@@ -4,7 +4,7 @@
 
 use mesh::{Channel, Command, Health, Notice, Report, Uptime};
 
-use crate::limits::{AGENT_SILENCE_MS, SUSPECT_MS};
+use crate::limits::{AGENT_SILENCE_MS, OVERDUE_MS, SUSPECT_MS};
 
 /// Agents by their addresses.
 pub(crate) type Agents = BTreeMap<SocketAddrV4, Agent>;
@@ -48,6 +48,7 @@
     /// Whether it may be given work for `service`.
     pub(crate) fn serves(&self, now: Uptime, service: &str) -> bool {
         now.since(self.heard) < SUSPECT_MS
+            && self.channel.overdue(now) < OVERDUE_MS
             && self.report.health != Health::Closed
             && self.report.endpoint.as_ref().is_some_and(|it| it.service == service)
     }
--- a/components/broker/src/broker.rs
+++ b/components/broker/src/broker.rs
@@ -18,8 +18,9 @@
     estimate::Estimates,
     job::{Job, Submission, TaskState},
     limits::{
-        FORGET_AGENT_MS, MIN_RETRY_AFTER_MS, PATIENCE_MS, PROBE_MS, REMEMBER_MS, RESTARTED_OVER_MS,
-        RUNS_OVER_MS, SEARCH_MS, STOP_LEAST_MS, STOP_LIMIT_MS, STOP_TAKING_MS, SUSPENDED_MS,
+        FORGET_AGENT_MS, IDLE_PROBE_MS, MIN_RETRY_AFTER_MS, PATIENCE_MS, PROBE_MS, REDISCOVERY_MS,
+        REMEMBER_MS, RESTARTED_OVER_MS, RUNS_OVER_MS, SEARCH_MS, STOP_LEAST_MS, STOP_LIMIT_MS,
+        STOP_TIMES, SUSPENDED_MS,
     },
     place::Candidates,
     queue::{JobKey, Queue},
@@ -144,6 +145,8 @@
     forget: VecDeque<(Uptime, JobId)>,
     /// Room or the queue has changed since jobs were last placed.
     changed: bool,
+    /// Last time at which an endpoint was known, or the start.
+    served: Uptime,
     last: Uptime,
     stopping: Option<Uptime>,
     finished: bool,
@@ -166,6 +169,7 @@
             answered: HashMap::new(),
             forget: VecDeque::new(),
             changed: false,
+            served: now,
             last: now,
             stopping: None,
             finished: false,
@@ -253,8 +257,9 @@
             return None;
         }
         let job = Job::new(now, submission, token, &self.estimates);
+        let chain = job.objective.saturating_sub(job.latest.since(now));
         if let Some(since) = self.stopping
-            && now.since(since) >= STOP_TAKING_MS
+            && now.since(since) + STOP_TIMES * chain >= STOP_LIMIT_MS
         {
             let reply = Reply::Refused { retry_after: MIN_RETRY_AFTER_MS };
             log::info!(job:% = id, request = job.submission.request.as_str(); "a job is refused: the entry stops");
@@ -287,6 +292,11 @@
             capacity: candidates.capacity(),
             entries: self.entries as u64,
         };
+        if backlog.capacity > 0 {
+            self.served = now;
+        } else if now.since(self.served) < REDISCOVERY_MS {
+            return;
+        }
         let fits = job.submission.steps.iter().all(|step| candidates.suit(step));
         let wait = backlog.wait();
         if fits && wait.is_some_and(|wait| now + wait <= job.latest) {
@@ -334,6 +344,7 @@
         if agent.lost {
             log::info!(agent:% = from; "an agent is heard");
             agent.lost = false;
+            agent.next_probe = agent.next_probe.min(now + PROBE_MS);
         }
         if agent.report.health != report.health {
             log::info!(
@@ -648,15 +659,17 @@
     /// Sends what is due to each agent.
     fn send_frames(&mut self, now: Uptime) {
         let waiting = !self.queue.is_empty();
+        let busy: HashSet<_> = self.jobs.values().flat_map(Job::placed).map(|it| it.0).collect();
         for (address, agent) in &mut self.agents {
             let probe = now >= agent.next_probe;
             if !probe && (agent.lost || !agent.channel.is_due(now)) {
                 continue;
             }
             if probe {
-                agent.next_probe = now + if agent.lost { SEARCH_MS } else { PROBE_MS };
+                agent.next_probe = now + probe_pause(agent.lost, busy.contains(address));
             }
-            let frame = agent.channel.frame(now, EntryState { probe, waiting });
+            let state = EntryState { probe, waiting, heard: agent.report.now };
+            let frame = agent.channel.frame(now, state);
             self.effects.push(Effect::Send { to: *address, datagram: Datagram::Entry(frame) });
         }
     }
@@ -673,6 +686,15 @@
     }
 }
 
+/// Time to the next probe of an agent, in ms.
+fn probe_pause(lost: bool, busy: bool) -> u64 {
+    match (lost, busy) {
+        (true, _) => SEARCH_MS,
+        (false, true) => PROBE_MS,
+        (false, false) => IDLE_PROBE_MS,
+    }
+}
+
 /// Agents that have as many tasks of a step as one may have.
 fn crowded(job: &Job, step: u16, spread: Option<u16>) -> Vec<SocketAddrV4> {
     let Some(most) = spread else { return Vec::new() };
--- a/components/guard/src/entries.rs
+++ b/components/guard/src/entries.rs
@@ -11,7 +11,10 @@
 #[derive(Debug)]
 pub(crate) struct Entry {
     pub(crate) channel: Channel<Notice, Command>,
+    /// Time of the last datagram from it.
     pub(crate) heard: Uptime,
+    /// Time of the last report that it is known to have heard.
+    pub(crate) echoed: Uptime,
     /// Its runs have been stopped since it went silent.
     pub(crate) silent: bool,
     /// Its jobs wait for room.
@@ -26,6 +29,7 @@
         Entry {
             channel: Channel::new(own),
             heard: now,
+            echoed: now,
             silent: false,
             waiting: false,
             probed: false,
--- a/components/guard/src/guard.rs
+++ b/components/guard/src/guard.rs
@@ -17,8 +17,8 @@
     entries::{Entries, Entry},
     health::Soundness,
     limits::{
-        CLEAR_MS, ENTRY_SILENCE_MS, FORGET_ENTRY_MS, MAX_ORDER_AGE_MS, MAX_RENUMBERED, NEWS_MS,
-        RENEW_MS, STALL_MS, SUSPENDED_MS, TOKEN_STEP,
+        CLEAR_MS, ENTRY_SILENCE_MS, FORGET_ENTRY_MS, MAX_ORDER_AGE_MS, MAX_RENUMBERED, MAX_STARTS,
+        MAX_UNANSWERED, NEWS_MS, RENEW_MS, STALL_MS, SUSPENDED_MS, TOKEN_STEP,
     },
     runs::{Phase, Run, RunSlot, Runs, Work},
 };
@@ -142,8 +142,8 @@
     next_call: u64,
     hold: Option<u64>,
     looked: Uptime,
-    /// The last look was not answered.
-    silent: bool,
+    /// Looks since the last one that was answered.
+    unanswered: u32,
     /// Stops that were not answered at the first attempt.
     doubtful: HashSet<RunSlot>,
     news: bool,
@@ -170,7 +170,7 @@
             next_call: 0,
             hold: None,
             looked: Uptime::default(),
-            silent: false,
+            unanswered: 0,
             doubtful: HashSet::new(),
             news: false,
             last: now,
@@ -280,9 +280,12 @@
         let state = frame.state;
         let accepted = entry.channel.accept(frame);
         entry.heard = now;
+        if accepted.known {
+            entry.echoed = entry.echoed.max(state.heard.min(now));
+        }
         entry.probed |= state.probe;
         entry.waiting = state.waiting;
-        if entry.silent {
+        if entry.silent && now.since(entry.echoed) < ENTRY_SILENCE_MS {
             log::info!(entry:% = from; "an entry is heard again");
             entry.silent = false;
         }
@@ -336,6 +339,7 @@
                 percent: 0,
                 progressed: now,
                 renumbered: 0,
+                starts: 0,
             });
         }
     }
@@ -461,7 +465,7 @@
         candidate.read_clock(now, look.clock);
         self.endpoint = Some(candidate);
         self.soundness = Soundness::new(now);
-        self.silent = false;
+        self.unanswered = 0;
         self.hold = None;
         self.looked = now;
         self.clear(look);
@@ -488,16 +492,16 @@
     fn on_hold(&mut self, now: Uptime, sent: Uptime, acknowledged: u64, answer: Answer) {
         match answer {
             Answer::Seen(look) => {
-                if self.silent {
+                if self.is_silent() {
                     log::info!("the endpoint answers again");
-                    self.silent = false;
                 }
+                self.unanswered = 0;
                 self.on_look(now, sent, acknowledged, &look);
             }
             Answer::Unsent | Answer::Unknown => {
-                if !self.silent {
-                    log::warn!(answer:? = answer; "the endpoint does not answer; no lease is renewed");
-                    self.silent = true;
+                self.unanswered += 1;
+                if self.unanswered == MAX_UNANSWERED {
+                    log::warn!(answer:? = answer; "the endpoint does not answer; it gets no work and no lease");
                     self.soundness.close(now);
                     self.news = true;
                 }
@@ -572,11 +576,11 @@
                     }
                     Some(_) if now.since(run.progressed) >= STALL_MS => stalled.push(slot),
                     Some(_) => {}
-                    None if sent > run.progressed + STOP_TIME_MS => gone.push((slot, End::Lost)),
+                    None if sent > run.progressed => gone.push((slot, End::Lost)),
                     None => {}
                 },
                 Phase::Stopping { answered: Some(at), end, .. } => {
-                    if percent.is_none() && sent > at + STOP_TIME_MS {
+                    if percent.is_none() && sent > at {
                         gone.push((slot, end));
                     }
                 }
@@ -603,7 +607,10 @@
             return;
         }
         match answer {
-            Answer::Accepted { .. } => run.phase = Phase::Running,
+            Answer::Accepted { .. } => {
+                run.phase = Phase::Running;
+                run.progressed = now;
+            }
             Answer::Rejected(Rejection::Old) if run.renumbered < MAX_RENUMBERED => {
                 self.runs.renumber(slot);
                 self.send_start(now, slot);
@@ -624,8 +631,15 @@
                 self.refuse(now, slot, Refusal::Endpoint);
             }
             Answer::Unknown | Answer::Seen(_) => {
-                log::warn!(run:% = run.key; "a start was not answered; the run is stopped");
-                self.stop_run(now, slot, End::Lost);
+                run.starts += 1;
+                let stops = run.starts >= MAX_STARTS || self.unanswered > 0;
+                log::warn!(run:% = run.key, starts = run.starts, stops = stops; "a start was not answered");
+                if stops {
+                    self.stop_run(now, slot, End::Lost);
+                } else {
+                    // A second copy of a run that is there changes nothing.
+                    self.send_start(now, slot);
+                }
             }
         }
     }
@@ -645,7 +659,7 @@
             Answer::Unsent | Answer::Unknown | Answer::Seen(_) | Answer::Rejected(_) => {
                 // Without renewal the lease ends the run, should no stop arrive.
                 self.doubtful.insert(slot);
-                if !self.silent {
+                if !self.is_silent() {
                     self.send_stop(slot);
                 }
             }
@@ -658,8 +672,8 @@
         let silent: Vec<_> = self
             .entries
             .iter()
-            .filter(|(_, entry)| !entry.silent && now.since(entry.heard) >= ENTRY_SILENCE_MS)
-            .map(|(address, entry)| (*address, now.since(entry.heard)))
+            .filter(|(_, entry)| !entry.silent && now.since(entry.echoed) >= ENTRY_SILENCE_MS)
+            .map(|(address, entry)| (*address, now.since(entry.echoed)))
             .collect();
         for (address, silence) in silent {
             log::warn!(entry:% = address, silence_ms = silence; "an entry is silent; its runs are stopped");
@@ -718,7 +732,7 @@
                 && let Phase::Stopping { asked, .. } = &mut run.phase
             {
                 *asked = now;
-                if !self.silent {
+                if !self.is_silent() {
                     self.send_stop(slot);
                 }
             }
@@ -728,7 +742,7 @@
     /// Takes the runs of an endpoint whose leases have all ended for lost.
     fn check_lapsed(&mut self, now: Uptime) {
         let Some(endpoint) = &self.endpoint else { return };
-        if !endpoint.lapsed(now) || !(endpoint.gone || self.silent) {
+        if !endpoint.lapsed(now) || !(endpoint.gone || self.is_silent()) {
             return;
         }
         if self.runs.any_active() {
@@ -794,7 +808,7 @@
 
     fn health(&self, now: Uptime) -> Health {
         let takes_work = self.endpoint.as_ref().is_some_and(Endpoint::takes_work);
-        if !takes_work || self.silent || self.stopping.is_some() {
+        if !takes_work || self.is_silent() || self.stopping.is_some() {
             return Health::Closed;
         }
         match self.soundness.health(now) {
@@ -803,15 +817,20 @@
         }
     }
 
-    /// Whether leases may be prolonged.
-    fn may_renew(&self) -> bool {
+    /// Whether the endpoint has stopped answering.
+    fn is_silent(&self) -> bool {
+        self.unanswered >= MAX_UNANSWERED
+    }
+
+    /// Whether runs may be started, each of which prolongs the lease of all.
+    fn may_start(&self) -> bool {
         let gone = self.endpoint.as_ref().is_none_or(|it| it.gone);
-        !gone && !self.silent && self.doubtful.is_empty()
+        !gone && !self.is_silent() && self.doubtful.is_empty()
     }
 
     /// Starts queued runs for which there is room.
     fn start_queued(&mut self, now: Uptime) {
-        if !self.may_renew() || self.stopping.is_some() {
+        if !self.may_start() || self.stopping.is_some() {
             return;
         }
         let queued: Vec<_> = self.runs.queued().collect();
@@ -853,13 +872,15 @@
     /// Looks at the endpoint as often as its runs need.
     fn look(&mut self, now: Uptime) {
         let busy = self.runs.any_active();
-        let renews = self.may_renew() && busy;
+        let renews = busy && self.may_start() && self.unanswered == 0;
+        let silent = self.is_silent();
+        let doubtful = self.unanswered > 0;
         let Some(endpoint) = &mut self.endpoint else { return };
         if self.hold.is_some() {
             return;
         }
         let unacknowledged = endpoint.acknowledged > endpoint.told;
-        let pause = if self.silent {
+        let pause = if silent {
             RETRY_LOOK_MS
         } else if !endpoint.cleared {
             CLEAR_MS
@@ -872,7 +893,7 @@
             return;
         }
         let lease = if renews { endpoint.grant(now) } else { None };
-        let wait = if busy && !self.silent && endpoint.cleared { RENEW_MS } else { 0 };
+        let wait = if busy && !doubtful && endpoint.cleared { RENEW_MS } else { 0 };
         let acknowledged = endpoint.acknowledged;
         self.looked = now;
         let kind = CallKind::Hold { lease, acknowledged, wait };
@@ -923,7 +944,7 @@
         let report = self.report(now);
         let mut all_told = true;
         for (address, entry) in &mut self.entries {
-            if entry.silent {
+            if now.since(entry.heard) >= ENTRY_SILENCE_MS {
                 continue;
             }
             let news = self.news && entry.waiting;
--- a/components/guard/src/health.rs
+++ b/components/guard/src/health.rs
@@ -56,9 +56,9 @@
     /// A run is done. Returns whether that opens the endpoint.
     pub(crate) fn done(&mut self, now: Uptime, took: u64, expected: u64) -> bool {
         self.failed.clear();
-        if expected > 0 {
+        if let Some(sample) = (took * 100).checked_div(expected) {
             let (least, most) = SLOWNESS_BOUNDS;
-            let sample = (took * 100 / expected).clamp(least, most);
+            let sample = sample.clamp(least, most);
             let weight = SLOWNESS_WEIGHT;
             self.slowness = (self.slowness * (100 - weight) + sample * weight) / 100;
             self.sampled = now;
--- a/components/guard/src/runs.rs
+++ b/components/guard/src/runs.rs
@@ -40,6 +40,8 @@
     pub(crate) percent: u32,
     pub(crate) progressed: Uptime,
     pub(crate) renumbered: u32,
+    /// Times that its start was sent with the present number.
+    pub(crate) starts: u32,
 }
 
 /// How far a run is.
--- a/components/mesh/src/channel.rs
+++ b/components/mesh/src/channel.rs
@@ -32,6 +32,7 @@
 struct Sent<O> {
     item: O,
     sent: Option<Uptime>,
+    first_sent: Uptime,
 }
 
 /// What a frame brought.
@@ -43,6 +44,8 @@
     pub restarted: bool,
     /// The frame was meant for this incarnation or came from one that knew none.
     pub current: bool,
+    /// The peer knows this incarnation.
+    pub known: bool,
 }
 
 impl<O: Clone, I> Channel<O, I> {
@@ -61,7 +64,7 @@
 
     /// Queues an item.
     pub fn push(&mut self, item: O) {
-        self.out.push_back(Sent { item, sent: None });
+        self.out.push_back(Sent { item, sent: None, first_sent: Uptime::default() });
     }
 
     /// Items that are not acknowledged yet.
@@ -74,9 +77,12 @@
         self.owes || self.start(now).is_some()
     }
 
-    /// Incarnation of the peer, 0 for unknown.
-    pub fn peer(&self) -> u64 {
-        self.peer
+    /// Time for which the oldest item that was sent has not been acknowledged, in ms.
+    pub fn overdue(&self, now: Uptime) -> u64 {
+        match self.out.front() {
+            Some(Sent { sent: Some(_), first_sent, .. }) => now.since(*first_sent),
+            Some(Sent { sent: None, .. }) | None => 0,
+        }
     }
 
     /// Next frame, with the items that are due.
@@ -85,7 +91,9 @@
         let start = self.start(now).unwrap_or(self.out.len());
         let mut items = Vec::new();
         for sent in self.out.iter_mut().skip(start).take(MAX_ITEMS) {
-            sent.sent = Some(now);
+            if sent.sent.replace(now).is_none() {
+                sent.first_sent = now;
+            }
             items.push(sent.item.clone());
         }
         Frame {
@@ -110,7 +118,7 @@
                 // The peer must learn of this incarnation before its items count.
                 self.owes = true;
             }
-            return Accepted { items: Vec::new(), restarted, current };
+            return Accepted { items: Vec::new(), restarted, current, known: false };
         }
         while self.first <= frame.acknowledged && self.out.pop_front().is_some() {
             self.first += 1;
@@ -124,7 +132,7 @@
                 fresh.push(item);
             }
         }
-        Accepted { items: fresh, restarted, current: true }
+        Accepted { items: fresh, restarted, current: true, known: true }
     }
 
     /// Position of the first item that is due.
--- a/components/mesh/src/message.rs
+++ b/components/mesh/src/message.rs
@@ -171,6 +171,10 @@
     pub probe: bool,
     /// Jobs wait for room, so that news of room are welcome.
     pub waiting: bool,
+    /// Time of the agent in the newest report that the entry has heard.
+    ///
+    /// An agent whose reports are lost must not count on an entry that it hears well.
+    pub heard: Uptime,
 }
 
 /// Datagram of a channel.
--- a/hostd/src/cmd.rs
+++ b/hostd/src/cmd.rs
@@ -47,9 +47,14 @@
 }
 
 /// Serves metrics beside the address for datagrams.
-fn start_metrics(settings: &HostSettings, port: u16, metrics: &Arc<Metrics>) -> Result<()> {
+fn start_metrics(
+    settings: &HostSettings,
+    port: u16,
+    closing: &watch::Receiver<bool>,
+    metrics: &Arc<Metrics>,
+) -> Result<()> {
     let listener = listen(SocketAddr::new((*settings.mesh.ip()).into(), port))?;
-    tokio::spawn(serve_metrics(listener, PAGE_LIMITS, Arc::clone(metrics)));
+    tokio::spawn(serve_metrics(listener, PAGE_LIMITS, closing.clone(), Arc::clone(metrics)));
     Ok(())
 }
 
--- a/hostd/src/cmd/agent.rs
+++ b/hostd/src/cmd/agent.rs
@@ -36,7 +36,8 @@
     let datagrams = Datagrams::bind(settings.mesh).await?;
     let heartbeats = listen(required(settings.heartbeats, "heartbeats", &settings)?)?;
     let metrics = Arc::new(Metrics::new());
-    start_metrics(&settings, arguments.metrics_port, &metrics)?;
+    let (_open, closing) = watch::channel(false);
+    start_metrics(&settings, arguments.metrics_port, &closing, &metrics)?;
     let store = Store::new(settings.store);
     let (finished, is_finished) = watch::channel(false);
     let options = Options { incarnation, token: unix_ms() };
@@ -64,7 +65,9 @@
     let to = actor.clone();
     tokio::spawn(tick::run(move || to.cast(Message::Tick).is_ok()));
     let service = Heartbeats::new(actor.clone());
-    tokio::spawn(serve(heartbeats, PAGE_LIMITS, move |request| service.clone().handle(request)));
+    tokio::spawn(serve(heartbeats, PAGE_LIMITS, closing, move |request| {
+        service.clone().handle(request)
+    }));
 
     let tell = |notice| {
         let message = match notice {
--- a/hostd/src/cmd/entry.rs
+++ b/hostd/src/cmd/entry.rs
@@ -14,7 +14,7 @@
 use mesh::Role;
 use platform::{Operator, READINESS_PATH, Store};
 use ractor::Actor;
-use tokio::sync::watch;
+use tokio::{sync::watch, time::sleep};
 
 use super::{Notice, PAGE_LIMITS, member, required, start_metrics, wait};
 use crate::{
@@ -31,6 +31,9 @@
     tick,
 };
 
+/// Time after which a stopping entry closes its callers' connections; by then the balancer
+/// has found it not ready twice and sends no new ones.
+const CLOSE_AFTER: Duration = Duration::from_millis(2_200);
 /// Connections of callers; each takes a descriptor and up to 16 KB.
 const MAX_CONNECTIONS: usize = 3_000;
 
@@ -48,7 +51,8 @@
     let callers = listen(required(settings.callers, "callers", &settings)?)?;
     let readiness = listen(required(settings.readiness, "readiness", &settings)?)?;
     let metrics = Arc::new(Metrics::new());
-    start_metrics(&settings, arguments.metrics_port, &metrics)?;
+    let (close, closing) = watch::channel(false);
+    start_metrics(&settings, arguments.metrics_port, &closing, &metrics)?;
     let store = Store::new(settings.store);
     let in_force = Arc::new(InForce::default());
     let ready = Arc::new(AtomicBool::new(false));
@@ -89,8 +93,10 @@
     };
     let service =
         Callers::new(actor.clone(), Arc::clone(&in_force), metrics, Arc::clone(&stopping));
-    tokio::spawn(serve(callers, limits, move |request| service.clone().handle(request)));
-    tokio::spawn(serve(readiness, PAGE_LIMITS, move |request| {
+    let handle = move |request| service.clone().handle(request);
+    tokio::spawn(serve(callers, limits, closing.clone(), handle));
+    let (_open, never) = watch::channel(false);
+    tokio::spawn(serve(readiness, PAGE_LIMITS, never, move |request| {
         let is_ready = ready.load(Ordering::Relaxed) && in_force.read().is_some();
         async move {
             match (request.uri().path(), is_ready) {
@@ -106,6 +112,11 @@
             Notice::Settings(settings) => Message::Settings(settings),
             Notice::Stop => {
                 stopping.store(true, Ordering::Relaxed);
+                let close = close.clone();
+                tokio::spawn(async move {
+                    sleep(CLOSE_AFTER).await;
+                    close.send_replace(true);
+                });
                 Message::Stop
             }
         };
--- a/hostd/src/http.rs
+++ b/hostd/src/http.rs
@@ -1,6 +1,8 @@
 //! Serves HTTP on a listener.
 
-use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible, future::pending, net::SocketAddr, pin::pin, sync::Arc, time::Duration,
+};
 
 use bytes::Bytes;
 use eyre::{Context, Result};
@@ -14,7 +16,7 @@
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::Serialize;
-use tokio::{net::TcpListener, time::sleep};
+use tokio::{net::TcpListener, sync::watch, time::sleep};
 
 /// Pause after a connection could not be accepted.
 const PAUSE: Duration = Duration::from_millis(50);
@@ -47,8 +49,14 @@
 }
 
 /// Serves connections for as long as the process runs.
-pub(crate) async fn serve<S, F>(listener: TcpListener, limits: ConnectionLimits, service: S)
-where
+///
+/// Once `closing` is set, connections end after the request that they are at.
+pub(crate) async fn serve<S, F>(
+    listener: TcpListener,
+    limits: ConnectionLimits,
+    closing: watch::Receiver<bool>,
+    service: S,
+) where
     S: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Answer> + Send + 'static,
 {
@@ -79,8 +87,17 @@
             .header_read_timeout(limits.header_time)
             .max_buf_size(limits.header_bytes.max(8_192))
             .serve_connection(TokioIo::new(stream), handle);
+        let mut closing = closing.clone();
         tokio::spawn(async move {
-            if let Err(err) = connection.await {
+            let mut connection = pin!(connection);
+            let ended = tokio::select! {
+                ended = connection.as_mut() => ended,
+                () = closed(&mut closing) => {
+                    connection.as_mut().graceful_shutdown();
+                    connection.await
+                }
+            };
+            if let Err(err) = ended {
                 log::debug!(error:% = err; "a connection has ended");
             }
             drop(permit);
@@ -88,6 +105,13 @@
     }
 }
 
+/// Waits until connections are to end; for ever if nobody will say so.
+async fn closed(closing: &mut watch::Receiver<bool>) {
+    if closing.wait_for(|it| *it).await.is_err() {
+        pending::<()>().await;
+    }
+}
+
 /// An answer with a JSON body.
 pub(crate) fn json(status: StatusCode, body: Vec<u8>) -> Answer {
     let mut answer = Response::new(Full::new(Bytes::from(body)));
--- a/hostd/src/metrics.rs
+++ b/hostd/src/metrics.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use eyre::Result;
 use hyper::{Response, StatusCode, header::CONTENT_TYPE};
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
@@ -14,7 +13,7 @@
     },
     registry::Registry,
 };
-use tokio::net::TcpListener;
+use tokio::{net::TcpListener, sync::watch};
 
 use crate::http::{Answer, ConnectionLimits, error, serve};
 
@@ -112,9 +111,10 @@
 pub(crate) async fn serve_metrics(
     listener: TcpListener,
     limits: ConnectionLimits,
+    closing: watch::Receiver<bool>,
     metrics: Arc<Metrics>,
-) -> Result<()> {
-    serve(listener, limits, move |request| {
+) {
+    serve(listener, limits, closing, move |request| {
         let metrics = Arc::clone(&metrics);
         async move {
             if request.uri().path() != PATH {
@@ -124,7 +124,6 @@
         }
     })
     .await;
-    Ok(())
 }
 
 fn text(body: String) -> Answer {
