--- a/components/broker/src/broker.rs
+++ b/components/broker/src/broker.rs
@@ -19,8 +19,8 @@
     job::{Job, Submission, TaskState},
     limits::{
         FORGET_AGENT_MS, IDLE_PROBE_MS, MIN_RETRY_AFTER_MS, PATIENCE_MS, PROBE_MS, REDISCOVERY_MS,
-        REMEMBER_MS, RESTARTED_OVER_MS, RUNS_OVER_MS, SEARCH_MS, STOP_LEAST_MS, STOP_LIMIT_MS,
-        STOP_TIMES, SUSPENDED_MS,
+        REMEMBER_MS, RESTARTED_OVER_MS, SEARCH_MS, STOP_LEAST_MS, STOP_LIMIT_MS, STOP_TIMES,
+        SUSPENDED_MS,
     },
     place::Candidates,
     queue::{JobKey, Queue},
@@ -35,6 +35,8 @@
     pub zone: String,
     /// Seed of the choices that are left to chance.
     pub seed: u64,
+    /// Time since an agent was last heard after which none of its runs can be left, in ms.
+    pub runs_over: u64,
 }
 
 /// What happens to an entry.
@@ -487,7 +489,7 @@
             .collect();
         for (address, heard) in silent {
             log::warn!(agent:% = address, silence_ms = now.since(heard); "an agent is silent; its runs are taken for lost");
-            self.lose_runs(now, address, heard + RUNS_OVER_MS);
+            self.lose_runs(now, address, heard + self.options.runs_over);
         }
         self.agents.retain(|_, it| now.since(it.heard.max(it.learnt)) < FORGET_AGENT_MS);
     }
--- /dev/null
+++ b/components/broker/tests/broker/admission.rs
@@ -0,0 +1,53 @@
+//! Jobs that can't be served in time are refused at once.
+
+use broker::{Event, Reply};
+
+use crate::fixture::{Fixture, step, submission};
+
+#[test]
+fn refuses_a_job_that_would_start_too_late_on_arrival() {
+    let mut fixture = Fixture::new(1);
+    let mut tokens = Vec::new();
+    for job in 1..=8 {
+        tokens.push(fixture.submit(submission(job, vec![step(1, 1_000)])));
+    }
+
+    let last = fixture.answer(tokens[7]);
+
+    assert!(matches!(last, Some(Reply::Refused { retry_after }) if retry_after >= 1_000));
+    assert_eq!(fixture.answer(tokens[0]), None);
+}
+
+#[test]
+fn counts_on_its_share_only_when_other_entries_use_the_endpoints_too() {
+    let admitted = |entries| {
+        let mut fixture = Fixture::new(4);
+        fixture.event(Event::Entries(entries));
+        let tokens: Vec<_> =
+            (1..=20).map(|job| fixture.submit(submission(job, vec![step(1, 1_000)]))).collect();
+        tokens.iter().filter(|token| fixture.answer(**token).is_none()).count()
+    };
+
+    assert!(admitted(3) < admitted(1));
+}
+
+#[test]
+fn refuses_a_task_that_no_endpoint_could_ever_run() {
+    let mut fixture = Fixture::new(2);
+
+    let token = fixture.submit(submission(1, vec![step(1, 5_000)]));
+
+    assert!(matches!(fixture.answer(token), Some(Reply::Refused { .. })));
+}
+
+#[test]
+fn lets_jobs_wait_for_endpoints_that_are_about_to_be_found() {
+    let mut fixture = Fixture::new(0);
+
+    let early = fixture.submit(submission(1, vec![step(1, 100)]));
+    assert_eq!(fixture.answer(early), None);
+    fixture.live(2_000);
+    let late = fixture.submit(submission(2, vec![step(1, 100)]));
+
+    assert!(matches!(fixture.answer(late), Some(Reply::Refused { .. })));
+}
--- /dev/null
+++ b/components/broker/tests/broker/agents.rs
@@ -0,0 +1,103 @@
+//! Agents that are silent, found again, or started anew.
+
+use broker::{AGENT_SILENCE_MS, PROBE_MS, RUNS_OVER_MS, Reply};
+use mesh::{Channel, Health};
+
+use crate::fixture::{Fixture, address, step, submission};
+
+/// Makes an agent silent or lets it answer again.
+fn set_answers(fixture: &mut Fixture, last: u8, answers: bool) {
+    fixture.agents.get_mut(&address(last)).expect("an agent").answers = answers;
+}
+
+#[test]
+fn probes_an_agent_that_is_found_again_as_often_as_before() {
+    let mut fixture = Fixture::new(1);
+    set_answers(&mut fixture, 1, false);
+    fixture.live(3_000);
+    set_answers(&mut fixture, 1, true);
+    fixture.live(510);
+    let before = fixture.agents[&address(1)].probes;
+
+    fixture.live(1_000);
+
+    let probes = fixture.agents[&address(1)].probes - before;
+    assert!(probes >= 7, "{probes} probes in a second");
+}
+
+#[test]
+fn gives_a_silent_agent_no_work() {
+    let mut fixture = Fixture::new(2);
+    set_answers(&mut fixture, 1, false);
+    fixture.live(AGENT_SILENCE_MS);
+
+    fixture.submit(submission(1, vec![step(4, 250)]));
+
+    assert!(fixture.runs().iter().all(|(at, _)| *at == address(2)));
+}
+
+#[test]
+fn gives_an_agent_that_does_not_acknowledge_an_order_no_more_work() {
+    let mut fixture = Fixture::new(2);
+    set_answers(&mut fixture, 1, false);
+    fixture.submit(submission(1, vec![step(2, 500)]));
+    fixture.live(110);
+
+    fixture.submit(submission(2, vec![step(1, 500)]));
+
+    assert_eq!(fixture.agents[&address(2)].runs.len(), 2);
+}
+
+#[test]
+fn runs_lost_tasks_again_only_when_no_run_can_be_left() {
+    let mut fixture = Fixture::new(2);
+    fixture.submit(submission(1, vec![step(4, 500)]));
+    set_answers(&mut fixture, 1, false);
+    let survivors = fixture.agents[&address(2)].runs.clone();
+    fixture.end(address(2), survivors[0].0, mesh::End::Done);
+    fixture.end(address(2), survivors[1].0, mesh::End::Done);
+
+    fixture.live(RUNS_OVER_MS - PROBE_MS - 40);
+    assert_eq!(fixture.agents[&address(2)].runs.len(), 0);
+    fixture.live(PROBE_MS + 80);
+
+    assert_eq!(fixture.agents[&address(2)].runs.len(), 2);
+}
+
+#[test]
+fn loses_the_runs_of_an_agent_that_was_started_anew() {
+    let mut fixture = Fixture::new(1);
+    fixture.submit(submission(1, vec![step(1, 100)]));
+    let agent = fixture.agents.get_mut(&address(1)).expect("an agent");
+    agent.channel = Channel::new(500);
+    agent.runs.clear();
+
+    fixture.live(700);
+
+    assert_eq!(fixture.runs().len(), 1);
+    assert_eq!(fixture.runs()[0].1.run, 2);
+}
+
+#[test]
+fn gives_up_at_once_a_job_whose_lost_task_cannot_run_again_in_time() {
+    let mut fixture = Fixture::new(1);
+    let hasty = broker::Submission { patience: 1_000, ..submission(1, vec![step(1, 100)]) };
+    let token = fixture.submit(hasty);
+
+    set_answers(&mut fixture, 1, false);
+    fixture.live(AGENT_SILENCE_MS + 20);
+
+    assert_eq!(fixture.answer(token), Some(Reply::GivenUp));
+}
+
+#[test]
+fn gives_an_endpoint_on_trial_one_task() {
+    let mut fixture = Fixture::new(2);
+    let agent = fixture.agents.get_mut(&address(1)).expect("an agent");
+    agent.report.health = Health::Trial;
+    fixture.live(200);
+
+    fixture.submit(submission(1, vec![step(4, 250)]));
+
+    assert!(fixture.agents[&address(1)].runs.len() <= 1);
+}
--- /dev/null
+++ b/components/broker/tests/broker/fixture.rs
@@ -0,0 +1,229 @@
+//! An entry with agents that the test plays.
+
+use std::{
+    collections::BTreeMap,
+    net::{Ipv4Addr, SocketAddrV4},
+    sync::Arc,
+};
+
+use broker::{Broker, Effect, Event, Options, RUNS_OVER_MS, Reply, Route, Step, Submission};
+use mesh::{
+    Channel, Command, Datagram, End, EndpointInfo, Health, JobId, Notice, Refusal, Report, RunKey,
+    Uptime,
+};
+
+/// Room of an endpoint, in thousandths of a core.
+pub(crate) const CAPACITY: u32 = 1_000;
+
+/// An entry under test.
+pub(crate) struct Fixture {
+    pub(crate) broker: Broker,
+    pub(crate) now: Uptime,
+    pub(crate) agents: BTreeMap<SocketAddrV4, Agent>,
+    pub(crate) answers: Vec<(u64, Reply)>,
+    pub(crate) finished: bool,
+    next_token: u64,
+}
+
+/// An agent that the test plays.
+pub(crate) struct Agent {
+    pub(crate) channel: Channel<Notice, Command>,
+    pub(crate) report: Report,
+    /// Whether it answers.
+    pub(crate) answers: bool,
+    /// Runs that it was told to start and not to stop.
+    pub(crate) runs: Vec<(RunKey, u32)>,
+    pub(crate) stopped: Vec<RunKey>,
+    /// Probes that it has got.
+    pub(crate) probes: usize,
+}
+
+pub(crate) fn address(last: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, last), 7_000)
+}
+
+pub(crate) fn route() -> Arc<Route> {
+    Arc::new(Route {
+        name: "tickets".to_owned(),
+        service: "desk".to_owned(),
+        attempts: 2,
+        stretch: 1.5,
+        target: 50,
+        ..Route::default()
+    })
+}
+
+/// A step of `count` tasks that declares 200 ms.
+pub(crate) fn step(count: u16, cpu: u32) -> Step {
+    Step { count, cpu, memory: 1, declared: 200, ..Step::default() }
+}
+
+pub(crate) fn submission(job: u64, steps: Vec<Step>) -> Submission {
+    Submission {
+        job: JobId(job),
+        request: "r".to_owned(),
+        route: route(),
+        spec: "work".to_owned(),
+        steps,
+        patience: 3_000,
+    }
+}
+
+impl Fixture {
+    /// An entry that has heard `count` agents with empty endpoints.
+    pub(crate) fn new(count: u8) -> Fixture {
+        let now = Uptime(10_000);
+        let options =
+            Options { incarnation: 7, zone: "north".to_owned(), seed: 1, runs_over: RUNS_OVER_MS };
+        let mut fixture = Fixture {
+            broker: Broker::new(now, options),
+            now,
+            agents: BTreeMap::new(),
+            answers: Vec::new(),
+            finished: false,
+            next_token: 0,
+        };
+        for last in 1..=count {
+            let agent = Agent {
+                channel: Channel::new(100 + u64::from(last)),
+                report: report(now, CAPACITY),
+                answers: true,
+                runs: Vec::new(),
+                stopped: Vec::new(),
+                probes: 0,
+            };
+            fixture.agents.insert(address(last), agent);
+            fixture.event(Event::Agent { address: address(last), zone: "north".to_owned() });
+        }
+        fixture.live(300);
+        fixture
+    }
+
+    /// Takes an event in; agents that answer do so at once.
+    pub(crate) fn event(&mut self, event: Event) {
+        let mut events = vec![event];
+        while let Some(event) = events.pop() {
+            for effect in self.broker.handle(self.now, event) {
+                match effect {
+                    Effect::Answer { token, reply } => self.answers.push((token, reply)),
+                    Effect::Finished => self.finished = true,
+                    Effect::Send { to, datagram: Datagram::Entry(frame) } => {
+                        let now = self.now;
+                        let agent = self.agents.get_mut(&to).expect("an agent of the test");
+                        let probed = frame.state.probe;
+                        agent.probes += usize::from(probed);
+                        if !agent.answers {
+                            continue;
+                        }
+                        for command in agent.channel.accept(frame).items {
+                            agent.take(command);
+                        }
+                        if probed || agent.channel.is_due(now) {
+                            let frame = agent.frame(now);
+                            events.push(Event::Frame { from: to, frame });
+                        }
+                    }
+                    Effect::Send { .. } => panic!("an entry sends orders only"),
+                }
+            }
+        }
+    }
+
+    /// Lets time pass.
+    pub(crate) fn live(&mut self, ms: u64) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.now = self.now + 10;
+            self.event(Event::Tick);
+        }
+    }
+
+    /// A caller sends a job; returns the number of its request.
+    pub(crate) fn submit(&mut self, submission: Submission) -> u64 {
+        self.next_token += 1;
+        let token = self.next_token;
+        self.event(Event::Submit { token, submission });
+        token
+    }
+
+    /// Runs that the agents have.
+    pub(crate) fn runs(&self) -> Vec<(SocketAddrV4, RunKey)> {
+        let runs = |(address, agent): (&SocketAddrV4, &Agent)| {
+            let address = *address;
+            agent.runs.iter().map(move |(key, _)| (address, *key)).collect::<Vec<_>>()
+        };
+        self.agents.iter().flat_map(runs).collect()
+    }
+
+    /// Ends a run and tells the entry.
+    pub(crate) fn end(&mut self, at: SocketAddrV4, key: RunKey, end: End) {
+        let notice = Notice::Ended { key, end, took: 200 };
+        self.notify(at, key, notice);
+    }
+
+    /// Refuses a run and tells the entry.
+    pub(crate) fn refuse(&mut self, at: SocketAddrV4, key: RunKey, refusal: Refusal) {
+        let notice = Notice::Refused { key, refusal };
+        self.notify(at, key, notice);
+    }
+
+    fn notify(&mut self, at: SocketAddrV4, key: RunKey, notice: Notice) {
+        let now = self.now;
+        let agent = self.agents.get_mut(&at).expect("an agent of the test");
+        agent.runs.retain(|(it, _)| *it != key);
+        agent.channel.push(notice);
+        let frame = agent.frame(now);
+        self.event(Event::Frame { from: at, frame });
+    }
+
+    /// Ends every run as done.
+    pub(crate) fn end_all(&mut self) {
+        for (at, key) in self.runs() {
+            self.end(at, key, End::Done);
+        }
+    }
+
+    /// Answer to a request.
+    pub(crate) fn answer(&self, token: u64) -> Option<Reply> {
+        self.answers.iter().find(|(it, _)| *it == token).map(|(_, reply)| *reply)
+    }
+}
+
+impl Agent {
+    fn take(&mut self, command: Command) {
+        match command {
+            Command::Start(order) => {
+                self.runs.extend(order.runs.iter().map(|key| (*key, order.cpu)));
+            }
+            Command::Stop(keys) => {
+                self.runs.retain(|(key, _)| !keys.contains(key));
+                self.stopped.extend(keys);
+            }
+        }
+    }
+
+    pub(crate) fn frame(&mut self, now: Uptime) -> mesh::Frame<Notice, Report> {
+        let used: u32 = self.runs.iter().map(|(_, cpu)| cpu).sum();
+        self.report.now = now;
+        self.report.cpu = CAPACITY.saturating_sub(used);
+        self.channel.frame(now, self.report.clone())
+    }
+}
+
+fn report(now: Uptime, cpu: u32) -> Report {
+    let info = EndpointInfo {
+        service: "desk".to_owned(),
+        cpu: CAPACITY,
+        memory: 1_000,
+        ..EndpointInfo::default()
+    };
+    Report {
+        now,
+        endpoint: Some(info),
+        health: Health::Open,
+        cpu,
+        memory: 1_000,
+        gpus: 0,
+        slowness: 100,
+    }
+}
--- /dev/null
+++ b/components/broker/tests/broker/jobs.rs
@@ -0,0 +1,151 @@
+//! Jobs are answered once, whole, and truly.
+
+use broker::{Event, Reply, Status, Step};
+use mesh::{End, JobId, Refusal};
+
+use crate::fixture::{Fixture, address, step, submission};
+
+#[test]
+fn answers_a_job_when_its_last_task_is_done() {
+    let mut fixture = Fixture::new(2);
+    let token = fixture.submit(submission(1, vec![step(3, 500)]));
+    let runs = fixture.runs();
+
+    fixture.end(runs[0].0, runs[0].1, End::Done);
+    fixture.end(runs[1].0, runs[1].1, End::Done);
+    assert_eq!(fixture.answer(token), None);
+    fixture.end(runs[2].0, runs[2].1, End::Done);
+
+    assert_eq!(fixture.answer(token), Some(Reply::Completed));
+}
+
+#[test]
+fn runs_a_step_after_those_that_it_follows() {
+    let mut fixture = Fixture::new(1);
+    let after = Step { after: vec![0], ..step(1, 100) };
+    let token = fixture.submit(submission(1, vec![step(2, 100), after]));
+
+    assert!(fixture.runs().iter().all(|(_, key)| key.step == 0));
+    fixture.end_all();
+    assert!(fixture.runs().iter().all(|(_, key)| key.step == 1));
+    fixture.end_all();
+
+    assert_eq!(fixture.answer(token), Some(Reply::Completed));
+}
+
+#[test]
+fn runs_a_failed_task_again_at_another_endpoint() {
+    let mut fixture = Fixture::new(2);
+    fixture.submit(submission(1, vec![step(1, 100)]));
+    let (first, key) = fixture.runs()[0];
+
+    fixture.end(first, key, End::Failed);
+
+    let (second, again) = fixture.runs()[0];
+    assert_ne!(first, second);
+    assert_eq!(again.run, 2);
+}
+
+#[test]
+fn fails_a_job_only_after_as_many_failures_as_its_queue_allows() {
+    let mut fixture = Fixture::new(3);
+    let token = fixture.submit(submission(1, vec![step(2, 100)]));
+
+    let (at, key) = fixture.runs()[0];
+    fixture.end(at, key, End::Lost);
+    let (at, key) = fixture.runs().into_iter().find(|(_, it)| it.run == 2).expect("a second run");
+    fixture.end(at, key, End::Failed);
+    assert_eq!(fixture.answer(token), None);
+    let (at, key) = fixture.runs().into_iter().find(|(_, it)| it.run == 3).expect("a third run");
+    fixture.end(at, key, End::Failed);
+
+    assert_eq!(fixture.answer(token), Some(Reply::Failed));
+    assert!(fixture.runs().is_empty(), "what is left of the job is stopped");
+}
+
+#[test]
+fn places_a_refused_run_again() {
+    let mut fixture = Fixture::new(2);
+    fixture.submit(submission(1, vec![step(1, 100)]));
+    let (at, key) = fixture.runs()[0];
+
+    fixture.refuse(at, key, Refusal::Stale);
+
+    assert_eq!(fixture.runs()[0].1.run, 2);
+}
+
+#[test]
+fn stops_the_runs_of_a_caller_that_has_left() {
+    let mut fixture = Fixture::new(2);
+    let token = fixture.submit(submission(1, vec![step(3, 500)]));
+
+    fixture.event(Event::Gone { token });
+
+    assert!(fixture.runs().is_empty());
+}
+
+#[test]
+fn answers_every_caller_that_sends_the_same_job() {
+    let mut fixture = Fixture::new(1);
+    let first = fixture.submit(submission(1, vec![step(1, 100)]));
+    let second = fixture.submit(submission(1, vec![step(1, 100)]));
+    assert_eq!(fixture.runs().len(), 1);
+
+    fixture.event(Event::Gone { token: first });
+    fixture.end_all();
+    let third = fixture.submit(submission(1, vec![step(1, 100)]));
+
+    assert_eq!(fixture.answer(second), Some(Reply::Completed));
+    assert_eq!(fixture.answer(third), Some(Reply::Completed));
+}
+
+#[test]
+fn says_not_run_only_if_nothing_has_run() {
+    let mut fixture = Fixture::new(1);
+    let untouched = fixture.submit(submission(1, vec![step(1, 2_000)]));
+    let started = fixture.submit(submission(2, vec![step(1, 100)]));
+
+    fixture.live(3_100);
+
+    assert!(matches!(fixture.answer(untouched), Some(Reply::Refused { .. })));
+    assert_eq!(fixture.answer(started), Some(Reply::GivenUp));
+}
+
+#[test]
+fn gives_up_what_was_in_progress_while_the_host_was_suspended() {
+    let mut fixture = Fixture::new(1);
+    let token = fixture.submit(submission(1, vec![step(1, 100)]));
+
+    fixture.now = fixture.now + 400;
+    fixture.event(Event::Tick);
+
+    assert_eq!(fixture.answer(token), Some(Reply::GivenUp));
+}
+
+#[test]
+fn knows_how_far_a_job_is() {
+    let mut fixture = Fixture::new(1);
+    fixture.submit(submission(1, vec![step(1, 100)]));
+
+    assert_eq!(fixture.broker.status(JobId(1)), Some(Status::Running));
+    fixture.end_all();
+    assert_eq!(fixture.broker.status(JobId(1)), Some(Status::Answered(Reply::Completed)));
+    assert_eq!(fixture.broker.status(JobId(2)), None);
+}
+
+#[test]
+fn keeps_to_the_label_and_the_spread_of_a_step() {
+    let mut fixture = Fixture::new(3);
+    for last in 1..=2 {
+        let agent = fixture.agents.get_mut(&address(last)).expect("an agent");
+        agent.report.endpoint.as_mut().expect("an endpoint").labels = vec!["b".to_owned()];
+    }
+    fixture.live(200);
+    let labelled = Step { label: Some("b".to_owned()), spread: Some(1), ..step(2, 100) };
+
+    fixture.submit(submission(1, vec![labelled]));
+
+    let mut at: Vec<_> = fixture.runs().iter().map(|(at, _)| *at).collect();
+    at.sort();
+    assert_eq!(at, vec![address(1), address(2)]);
+}
--- /dev/null
+++ b/components/broker/tests/broker/order.rs
@@ -0,0 +1,91 @@
+//! Who waits, and where work goes.
+
+use broker::{Step, Submission};
+
+use crate::fixture::{Fixture, address, route, step, submission};
+
+/// A job of one task whose objective is near or far.
+fn with_target(job: u64, cpu: u32, target: u64) -> Submission {
+    let route = broker::Route { target, ..route().as_ref().clone() };
+    Submission { route: route.into(), ..submission(job, vec![step(1, cpu)]) }
+}
+
+#[test]
+fn places_the_job_first_whose_latest_start_is_nearest() {
+    let mut fixture = Fixture::new(1);
+    fixture.submit(submission(1, vec![step(1, 1_000)]));
+    fixture.submit(with_target(2, 1_000, 5_000));
+    fixture.submit(with_target(3, 1_000, 800));
+
+    fixture.end_all();
+
+    assert_eq!(fixture.runs()[0].1.job.0, 3);
+}
+
+#[test]
+fn a_large_job_takes_room_as_it_becomes_free_and_is_not_passed_by_small_ones() {
+    let mut fixture = Fixture::new(1);
+    fixture.submit(submission(1, vec![step(4, 250)]));
+    let large = broker::Route { target: 2_000, ..route().as_ref().clone() };
+    let large = Submission { route: large.into(), ..submission(2, vec![step(8, 250)]) };
+    fixture.submit(large);
+    for job in 3..6 {
+        fixture.submit(with_target(job, 250, 4_000));
+    }
+
+    let (at, key) = fixture.runs()[0];
+    fixture.end(at, key, mesh::End::Done);
+
+    let newest = fixture.agents[&address(1)].runs.last().expect("a run").0;
+    assert_eq!(newest.job.0, 2);
+}
+
+#[test]
+fn prefers_an_endpoint_that_is_not_slow() {
+    let mut fixture = Fixture::new(2);
+    fixture.agents.get_mut(&address(1)).expect("an agent").report.slowness = 300;
+    fixture.live(200);
+
+    fixture.submit(submission(1, vec![step(4, 250)]));
+
+    assert_eq!(fixture.agents[&address(2)].runs.len(), 4);
+}
+
+#[test]
+fn spreads_a_job_over_endpoints_that_are_alike() {
+    let mut fixture = Fixture::new(4);
+
+    fixture.submit(submission(1, vec![step(8, 200)]));
+
+    assert!(fixture.agents.values().all(|agent| agent.runs.len() == 2));
+}
+
+#[test]
+fn prefers_the_rack_of_the_data() {
+    let mut fixture = Fixture::new(2);
+    let agent = fixture.agents.get_mut(&address(2)).expect("an agent");
+    agent.report.endpoint.as_mut().expect("an endpoint").labels = vec!["r1".to_owned()];
+    fixture.live(200);
+    let near = Step { rack: Some("r1".to_owned()), ..step(2, 200) };
+
+    fixture.submit(submission(1, vec![near]));
+
+    assert_eq!(fixture.agents[&address(2)].runs.len(), 2);
+}
+
+#[test]
+fn counts_orders_that_the_agent_has_not_seen_as_taken_room() {
+    let mut fixture = Fixture::new(2);
+    for agent in fixture.agents.values_mut() {
+        agent.answers = false;
+    }
+
+    for job in 1..=4 {
+        fixture.submit(submission(job, vec![step(1, 500)]));
+    }
+    let waiting = fixture.broker.load().1;
+
+    assert_eq!(waiting, 0);
+    fixture.submit(with_target(5, 500, 5_000));
+    assert_eq!(fixture.broker.load().1, 1);
+}
--- /dev/null
+++ b/components/broker/tests/broker/stopping.rs
@@ -0,0 +1,45 @@
+//! An entry that stops answers what it has taken.
+
+use broker::{Event, Reply};
+
+use crate::fixture::{Fixture, step, submission};
+
+#[test]
+fn an_entry_that_stops_still_takes_jobs_that_it_can_finish() {
+    let mut fixture = Fixture::new(1);
+    fixture.event(Event::Stop);
+    fixture.live(2_000);
+
+    let token = fixture.submit(submission(1, vec![step(1, 100)]));
+    fixture.end_all();
+
+    assert_eq!(fixture.answer(token), Some(Reply::Completed));
+}
+
+#[test]
+fn an_entry_that_is_about_to_end_refuses_jobs_at_once() {
+    let mut fixture = Fixture::new(1);
+    fixture.submit(submission(1, vec![step(1, 100)]));
+    fixture.event(Event::Stop);
+    for _ in 0..51 {
+        fixture.live(100);
+    }
+
+    let token = fixture.submit(submission(2, vec![step(1, 100)]));
+
+    assert!(matches!(fixture.answer(token), Some(Reply::Refused { .. })));
+}
+
+#[test]
+fn an_entry_ends_once_its_last_job_is_answered() {
+    let mut fixture = Fixture::new(1);
+    fixture.submit(submission(1, vec![step(1, 100)]));
+    fixture.event(Event::Stop);
+
+    fixture.live(2_800);
+    assert!(!fixture.finished);
+    fixture.end_all();
+    fixture.live(50);
+
+    assert!(fixture.finished);
+}
--- a/components/guard/src/endpoint.rs
+++ b/components/guard/src/endpoint.rs
@@ -4,7 +4,7 @@
 
 use mesh::{EndpointInfo, Uptime};
 
-use crate::limits::{CLOCK_RATE, LEASE_MS};
+use crate::limits::CLOCK_RATE;
 
 /// An endpoint that an agent works with.
 #[derive(Debug)]
@@ -66,9 +66,9 @@
         self.clock.map(|it| it.clock + now.since(it.at) * CLOCK_RATE / 1000)
     }
 
-    /// End of a lease that is given now, by the endpoint's clock.
-    pub(crate) fn grant(&mut self, now: Uptime) -> Option<u64> {
-        let until = self.clock.map(|it| it.clock + now.since(it.at))? + LEASE_MS;
+    /// End of a lease of `lease` ms that is given now, by the endpoint's clock.
+    pub(crate) fn grant(&mut self, now: Uptime, lease: u64) -> Option<u64> {
+        let until = self.clock.map(|it| it.clock + now.since(it.at))? + lease;
         self.leased = self.leased.max(until);
         Some(until)
     }
--- a/components/guard/src/guard.rs
+++ b/components/guard/src/guard.rs
@@ -17,8 +17,8 @@
     entries::{Entries, Entry},
     health::Soundness,
     limits::{
-        CLEAR_MS, ENTRY_SILENCE_MS, FORGET_ENTRY_MS, MAX_ORDER_AGE_MS, MAX_RENUMBERED, MAX_STARTS,
-        MAX_UNANSWERED, NEWS_MS, RENEW_MS, STALL_MS, SUSPENDED_MS, TOKEN_STEP,
+        CLEAR_MS, ENTRY_SILENCE_MS, FORGET_ENTRY_MS, MAX_RENUMBERED, MAX_STARTS, MAX_UNANSWERED,
+        NEWS_MS, RENEW_MS, STALL_MS, SUSPENDED_MS, TOKEN_STEP, Timing,
     },
     runs::{Phase, Run, RunSlot, Runs, Work},
 };
@@ -41,6 +41,8 @@
     pub incarnation: u64,
     /// First fencing token; should be higher than those of earlier incarnations.
     pub token: u64,
+    /// Time limits.
+    pub timing: Timing,
 }
 
 /// State that an endpoint announces.
@@ -273,6 +275,7 @@
 
     fn on_frame(&mut self, now: Uptime, from: SocketAddrV4, frame: Frame<Command, EntryState>) {
         let own = self.options.incarnation;
+        let silence = self.options.timing.entry_silence;
         let entry = self.entries.entry(from).or_insert_with(|| {
             log::info!(entry:% = from; "an entry has appeared");
             Entry::new(own, now)
@@ -285,7 +288,7 @@
         }
         entry.probed |= state.probe;
         entry.waiting = state.waiting;
-        if entry.silent && now.since(entry.echoed) < ENTRY_SILENCE_MS {
+        if entry.silent && now.since(entry.echoed) < silence {
             log::info!(entry:% = from; "an entry is heard again");
             entry.silent = false;
         }
@@ -307,7 +310,7 @@
 
     fn on_order(&mut self, now: Uptime, entry: SocketAddrV4, order: StartOrder) {
         let age = now.since(order.decided);
-        let refusal = if age > MAX_ORDER_AGE_MS {
+        let refusal = if age > self.options.timing.order_age {
             Some(Refusal::Stale)
         } else if self.health(now) == Health::Closed {
             Some(Refusal::Closed)
@@ -669,10 +672,11 @@
     fn on_tick(&mut self, now: Uptime) {
         self.soundness.tick(now);
         self.runs.forget(now);
+        let silence = self.options.timing.entry_silence;
         let silent: Vec<_> = self
             .entries
             .iter()
-            .filter(|(_, entry)| !entry.silent && now.since(entry.echoed) >= ENTRY_SILENCE_MS)
+            .filter(|(_, entry)| !entry.silent && now.since(entry.echoed) >= silence)
             .map(|(address, entry)| (*address, now.since(entry.echoed)))
             .collect();
         for (address, silence) in silent {
@@ -860,7 +864,8 @@
         let Some(run) = self.runs.get(slot) else { return };
         let key = RunKey { run: run.number, ..run.key };
         let spec = Arc::clone(&run.work.spec);
-        let lease = self.endpoint.as_mut().and_then(|it| it.grant(now));
+        let length = self.options.timing.lease;
+        let lease = self.endpoint.as_mut().and_then(|it| it.grant(now, length));
         match lease {
             Some(lease) => {
                 self.call_endpoint(Pending::Start(slot), CallKind::Start { key, spec, lease });
@@ -892,7 +897,7 @@
         if now.since(self.looked) < pause {
             return;
         }
-        let lease = if renews { endpoint.grant(now) } else { None };
+        let lease = if renews { endpoint.grant(now, self.options.timing.lease) } else { None };
         let wait = if busy && !doubtful && endpoint.cleared { RENEW_MS } else { 0 };
         let acknowledged = endpoint.acknowledged;
         self.looked = now;
--- a/components/guard/src/lib.rs
+++ b/components/guard/src/lib.rs
@@ -20,5 +20,6 @@
     guard::{Effect, Event, Guard, Heartbeat, HeartbeatState, Options},
     limits::{
         CALL_TIMEOUT_MS, ENTRY_SILENCE_MS, LEASE_MS, MAX_ORDER_AGE_MS, RENEW_MS, SUSPENDED_MS,
+        Timing,
     },
 };
--- a/components/guard/src/limits.rs
+++ b/components/guard/src/limits.rs
@@ -34,6 +34,23 @@
 pub(crate) const CLEAR_MS: u64 = 40;
 /// Time for which the number of an ended run is remembered, in ms; later than any resend.
 pub(crate) const REMEMBER_MS: u64 = 15_000;
+/// The limits that together end every run before its job comes again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Timing {
+    /// Length of leases, in ms.
+    pub lease: u64,
+    /// Silence after which an entry's runs are stopped, in ms.
+    pub entry_silence: u64,
+    /// Greatest age of what an order was decided on, in ms.
+    pub order_age: u64,
+}
+
+impl Default for Timing {
+    fn default() -> Timing {
+        Timing { lease: LEASE_MS, entry_silence: ENTRY_SILENCE_MS, order_age: MAX_ORDER_AGE_MS }
+    }
+}
+
 /// Step by which the fencing token rises when another holder has used a higher one.
 pub(crate) const TOKEN_STEP: u64 = 3_600_000;
 /// Starts that may be tried with higher run numbers when the endpoint knows a later run.
--- /dev/null
+++ b/components/guard/tests/guard/entries.rs
@@ -0,0 +1,88 @@
+//! Runs of entries that are silent, deaf or started anew.
+
+use guard::{Answer, ENTRY_SILENCE_MS, Look};
+use mesh::{Channel, End, Notice};
+
+use crate::fixture::{Fixture, is_stop, key, running};
+
+/// An agent with one run, confirmed by its endpoint.
+fn with_run() -> Fixture {
+    let mut fixture = Fixture::open();
+    fixture.order(vec![key(1)], 100);
+    fixture.accept_start();
+    fixture.answer_hold(running(&[(key(1), 1)]));
+    fixture
+}
+
+#[test]
+fn stops_the_runs_of_an_entry_that_is_silent() {
+    let mut fixture = with_run();
+
+    fixture.pass(ENTRY_SILENCE_MS - 20);
+    assert_eq!(fixture.waiting(is_stop), vec![]);
+    fixture.pass(40);
+
+    assert_eq!(fixture.waiting(is_stop).len(), 1);
+}
+
+#[test]
+fn stops_the_runs_of_an_entry_that_does_not_hear_its_reports() {
+    let mut fixture = with_run();
+    let heard = fixture.report.now;
+
+    for percent in 0..10 {
+        fixture.pass(50);
+        fixture.answer_hold(running(&[(key(1), percent * 5)]));
+        fixture.frame(heard);
+    }
+
+    assert_eq!(fixture.waiting(is_stop).len(), 1);
+}
+
+#[test]
+fn keeps_the_runs_of_an_entry_that_hears_its_reports() {
+    let mut fixture = with_run();
+
+    for percent in 0..20 {
+        fixture.live(50, &running(&[(key(1), percent * 5)]));
+    }
+
+    assert_eq!(fixture.waiting(is_stop), vec![]);
+}
+
+#[test]
+fn stops_the_runs_of_an_earlier_start_of_an_entry() {
+    let mut fixture = with_run();
+
+    fixture.entry = Channel::new(10);
+    fixture.probe();
+
+    assert_eq!(fixture.waiting(is_stop).len(), 1);
+}
+
+#[test]
+fn stops_again_what_did_not_stop() {
+    let mut fixture = with_run();
+    fixture.stop(vec![key(1)]);
+
+    fixture.answer(is_stop, Answer::Unknown);
+
+    assert_eq!(fixture.waiting(is_stop).len(), 1);
+}
+
+#[test]
+fn tells_how_a_stopped_run_ended_once_it_is_gone() {
+    let mut fixture = with_run();
+    fixture.stop(vec![key(1)]);
+    let clock = fixture.clock();
+    fixture.answer(is_stop, Answer::Accepted { clock });
+    assert_eq!(fixture.notices, vec![]);
+
+    fixture.pass(20);
+    fixture.answer_hold(Look::default());
+    fixture.pass(20);
+    fixture.answer_hold(Look::default());
+    fixture.probe();
+
+    assert!(matches!(fixture.notices[..], [Notice::Ended { end: End::Stopped, .. }]));
+}
--- /dev/null
+++ b/components/guard/tests/guard/fixture.rs
@@ -0,0 +1,224 @@
+//! An agent with one entry and an endpoint that the test plays.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+    sync::Arc,
+};
+
+use guard::{
+    Answer, Call, CallKind, Effect, EndedRun, EndpointEnd, Event, Guard, Heartbeat, HeartbeatState,
+    Look, Options, RunningRun, Timing,
+};
+use mesh::{
+    Channel, Command, Datagram, EndpointInfo, EntryState, JobId, Notice, Report, RunKey,
+    StartOrder, Uptime,
+};
+
+/// Room of the endpoint, in thousandths of a core.
+pub(crate) const CAPACITY: u32 = 1_000;
+/// First fencing token of the agent.
+pub(crate) const TOKEN: u64 = 50;
+/// Difference between the clock of the endpoint and that of the agent.
+const CLOCK: u64 = 90_000;
+
+/// An agent under test.
+pub(crate) struct Fixture {
+    pub(crate) guard: Guard,
+    pub(crate) now: Uptime,
+    pub(crate) entry: Channel<Command, Notice>,
+    pub(crate) report: Report,
+    pub(crate) notices: Vec<Notice>,
+    pub(crate) calls: Vec<(u64, Call)>,
+    pub(crate) finished: bool,
+}
+
+pub(crate) fn entry_address() -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 1), 7_000)
+}
+
+pub(crate) fn key(job: u64) -> RunKey {
+    RunKey { job: JobId(job), step: 0, index: 0, run: 1 }
+}
+
+pub(crate) fn heartbeat(instance: &str, state: HeartbeatState) -> Heartbeat {
+    let address: SocketAddr = "10.0.0.2:8000".parse().expect("an address");
+    let info = EndpointInfo {
+        service: "desk".to_owned(),
+        cpu: CAPACITY,
+        memory: 1_000,
+        ..EndpointInfo::default()
+    };
+    Heartbeat { instance: instance.into(), address, state, info }
+}
+
+pub(crate) fn order(runs: Vec<RunKey>, cpu: u32, decided: Uptime) -> StartOrder {
+    StartOrder {
+        runs,
+        spec: "work".to_owned(),
+        cpu,
+        memory: 1,
+        gpus: 0,
+        expected: 200,
+        patience: 60,
+        decided,
+    }
+}
+
+impl Fixture {
+    /// An agent without an endpoint.
+    pub(crate) fn new() -> Fixture {
+        let now = Uptime(10_000);
+        let options = Options { incarnation: 7, token: TOKEN, timing: Timing::default() };
+        let mut fixture = Fixture {
+            guard: Guard::new(now, options),
+            now,
+            entry: Channel::new(9),
+            report: Report::default(),
+            notices: Vec::new(),
+            calls: Vec::new(),
+            finished: false,
+        };
+        fixture.probe();
+        fixture.probe();
+        fixture
+    }
+
+    /// An agent whose endpoint is ready for work.
+    pub(crate) fn open() -> Fixture {
+        let mut fixture = Fixture::new();
+        fixture.event(Event::Heartbeat(heartbeat("i-1", HeartbeatState::Ready)));
+        fixture.answer_hold(Look::default());
+        fixture.calls.clear();
+        fixture
+    }
+
+    /// Takes an event in and sorts what comes of it.
+    pub(crate) fn event(&mut self, event: Event) {
+        for effect in self.guard.handle(self.now, event) {
+            match effect {
+                Effect::Call { id, call } => self.calls.push((id, call)),
+                Effect::Send { datagram: Datagram::Agent(frame), .. } => {
+                    self.report = frame.state.clone();
+                    self.notices.extend(self.entry.accept(frame).items);
+                }
+                Effect::Send { .. } => panic!("an agent sends reports only"),
+                Effect::Finished => self.finished = true,
+            }
+        }
+    }
+
+    /// Lets time pass without a sign of the entry.
+    pub(crate) fn pass(&mut self, ms: u64) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.now = self.now + 10;
+            self.event(Event::Tick);
+        }
+    }
+
+    /// Lets time pass while the entry probes and the endpoint shows `look`.
+    pub(crate) fn live(&mut self, ms: u64, look: &Look) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.pass(50);
+            self.answer_hold(look.clone());
+            self.probe();
+        }
+    }
+
+    /// The entry probes and says that it has heard the newest report.
+    pub(crate) fn probe(&mut self) {
+        self.frame(self.report.now);
+    }
+
+    /// A frame of the entry that has last heard a report of the time `heard`.
+    pub(crate) fn frame(&mut self, heard: Uptime) {
+        let state = EntryState { probe: true, waiting: false, heard };
+        let frame = self.entry.frame(self.now, state);
+        self.event(Event::Frame { from: entry_address(), frame });
+    }
+
+    /// The entry orders runs, decided on the newest report.
+    pub(crate) fn order(&mut self, runs: Vec<RunKey>, cpu: u32) {
+        self.entry.push(Command::Start(order(runs, cpu, self.now)));
+        self.probe();
+    }
+
+    /// The entry stops runs.
+    pub(crate) fn stop(&mut self, runs: Vec<RunKey>) {
+        self.entry.push(Command::Stop(runs));
+        self.probe();
+    }
+
+    /// Calls of a kind that wait for an answer.
+    pub(crate) fn waiting(&self, kind: fn(&CallKind) -> bool) -> Vec<(u64, Call)> {
+        self.calls.iter().filter(|(_, call)| kind(&call.kind)).cloned().collect()
+    }
+
+    /// Answers the oldest call of a kind.
+    pub(crate) fn answer(&mut self, kind: fn(&CallKind) -> bool, answer: Answer) -> Call {
+        let position = self.calls.iter().position(|(_, call)| kind(&call.kind));
+        let (id, call) = self.calls.remove(position.expect("a call of the kind"));
+        self.event(Event::Answered { id, answer });
+        call
+    }
+
+    /// Answers the look that is waiting, if there is one.
+    pub(crate) fn answer_hold(&mut self, look: Look) {
+        if self.calls.iter().any(|(_, call)| is_hold(&call.kind)) {
+            let look = Look { clock: self.clock(), ..look };
+            self.answer(is_hold, Answer::Seen(look));
+        }
+    }
+
+    /// Answers a start with success.
+    pub(crate) fn accept_start(&mut self) -> Call {
+        let clock = self.clock();
+        self.answer(is_start, Answer::Accepted { clock })
+    }
+
+    /// Clock of the endpoint.
+    pub(crate) fn clock(&self) -> u64 {
+        self.now.0 + CLOCK
+    }
+
+    /// Runs that the agent has ordered the endpoint to start.
+    pub(crate) fn started(&self) -> Vec<RunKey> {
+        let starts = self.waiting(is_start);
+        let key = |call: &Call| match &call.kind {
+            CallKind::Start { key, .. } => *key,
+            CallKind::Stop { .. } | CallKind::Hold { .. } => panic!("no start"),
+        };
+        starts.iter().map(|(_, call)| key(call)).collect()
+    }
+}
+
+pub(crate) fn is_start(kind: &CallKind) -> bool {
+    matches!(kind, CallKind::Start { .. })
+}
+
+pub(crate) fn is_stop(kind: &CallKind) -> bool {
+    matches!(kind, CallKind::Stop { .. })
+}
+
+pub(crate) fn is_hold(kind: &CallKind) -> bool {
+    matches!(kind, CallKind::Hold { .. })
+}
+
+/// A look at these runs.
+pub(crate) fn running(rows: &[(RunKey, u32)]) -> Look {
+    let running = rows.iter().map(|(key, percent)| RunningRun { key: *key, percent: *percent });
+    Look { running: running.collect(), ..Look::default() }
+}
+
+/// A look at ends, numbered from `first`.
+pub(crate) fn ended(first: u64, rows: &[(RunKey, EndpointEnd)]) -> Look {
+    let ended =
+        (first..).zip(rows).map(|(number, (key, how))| EndedRun { number, key: *key, how: *how });
+    Look { ended: ended.collect(), ..Look::default() }
+}
+
+/// Name of an instance.
+pub(crate) fn instance(name: &str) -> Arc<str> {
+    name.into()
+}
--- /dev/null
+++ b/components/guard/tests/guard/starts.rs
@@ -0,0 +1,113 @@
+//! Starts that are late, rejected or not answered.
+
+use guard::{Answer, CallKind, EndpointEnd, Event, Look, Rejection, SUSPENDED_MS};
+use mesh::{Command, End, Notice, Refusal, RunKey};
+
+use crate::fixture::{CAPACITY, Fixture, TOKEN, ended, is_start, is_stop, key, order, running};
+
+#[test]
+fn refuses_an_order_that_was_decided_long_ago() {
+    let mut fixture = Fixture::open();
+    let decided = fixture.now - 500;
+
+    fixture.entry.push(Command::Start(order(vec![key(1)], 100, decided)));
+    fixture.probe();
+
+    assert_eq!(fixture.started(), vec![]);
+    let refused = Notice::Refused { key: key(1), refusal: Refusal::Stale };
+    assert_eq!(fixture.notices, vec![refused]);
+}
+
+#[test]
+fn refuses_what_was_queued_while_the_host_was_suspended() {
+    let mut fixture = Fixture::open();
+    fixture.order(vec![key(1), key(2)], CAPACITY);
+
+    fixture.now = fixture.now + SUSPENDED_MS;
+    fixture.event(Event::Tick);
+    fixture.probe();
+
+    let refused = Notice::Refused { key: key(2), refusal: Refusal::Stale };
+    assert_eq!(fixture.notices, vec![refused]);
+}
+
+#[test]
+fn sends_a_start_without_an_answer_again_under_the_same_number() {
+    let mut fixture = Fixture::open();
+    fixture.order(vec![key(1)], 100);
+
+    fixture.answer(is_start, Answer::Unknown);
+
+    assert_eq!(fixture.started(), vec![key(1)]);
+    assert_eq!(fixture.waiting(is_stop), vec![]);
+}
+
+#[test]
+fn stops_a_run_whose_start_is_never_answered() {
+    let mut fixture = Fixture::open();
+    fixture.order(vec![key(1)], 100);
+
+    for _ in 0..3 {
+        fixture.answer(is_start, Answer::Unknown);
+    }
+    let clock = fixture.clock();
+    fixture.answer(is_stop, Answer::Accepted { clock });
+    fixture.now = fixture.now + 10;
+    fixture.answer_hold(Look::default());
+    fixture.now = fixture.now + 10;
+    fixture.answer_hold(Look::default());
+    fixture.probe();
+
+    assert!(matches!(fixture.notices[..], [Notice::Ended { end: End::Lost, .. }]));
+}
+
+#[test]
+fn numbers_a_run_after_those_of_earlier_submissions() {
+    let mut fixture = Fixture::open();
+    fixture.order(vec![key(1)], 100);
+
+    fixture.answer(is_start, Answer::Rejected(Rejection::Old));
+
+    assert_eq!(fixture.started(), vec![RunKey { run: 2, ..key(1) }]);
+    fixture.accept_start();
+    fixture.answer_hold(ended(1, &[(RunKey { run: 2, ..key(1) }, EndpointEnd::Done)]));
+    assert!(matches!(fixture.notices[..], [Notice::Ended { key: it, .. }] if it == key(1)));
+}
+
+#[test]
+fn raises_its_fencing_token_after_a_higher_one() {
+    let mut fixture = Fixture::open();
+    fixture.order(vec![key(1)], 100);
+
+    let first = fixture.answer(is_start, Answer::Rejected(Rejection::Fence));
+    let second = fixture.accept_start();
+
+    assert_eq!(first.token, TOKEN);
+    assert!(second.token > TOKEN);
+}
+
+#[test]
+fn gives_each_start_a_lease_that_ends_before_the_job_comes_again() {
+    let mut fixture = Fixture::open();
+    fixture.order(vec![key(1)], 100);
+
+    let call = fixture.accept_start();
+
+    let CallKind::Start { lease, .. } = call.kind else { panic!("no start") };
+    assert!(lease <= fixture.clock() + guard::LEASE_MS);
+}
+
+#[test]
+fn takes_a_run_that_is_neither_running_nor_ended_for_lost() {
+    let mut fixture = Fixture::open();
+    fixture.order(vec![key(1)], 100);
+    fixture.accept_start();
+    fixture.answer_hold(running(&[(key(1), 1)]));
+    fixture.now = fixture.now + 10;
+    fixture.answer_hold(Look::default());
+    fixture.now = fixture.now + 10;
+    fixture.answer_hold(Look::default());
+    fixture.probe();
+
+    assert!(matches!(fixture.notices[..], [Notice::Ended { end: End::Lost, .. }]));
+}
--- /dev/null
+++ b/components/mesh/tests/channel.rs
@@ -0,0 +1,114 @@
+//! Channels deliver items once and in order.
+
+use mesh::{Channel, Frame, RESEND_MS, Uptime};
+use proptest::prelude::*;
+
+type End = Channel<u32, u32>;
+
+/// Two ends that know each other.
+fn joined() -> (End, End) {
+    let (mut left, mut right) = (End::new(1), End::new(2));
+    let hello = left.frame(Uptime(0), ());
+    right.accept(hello);
+    let hello = right.frame(Uptime(0), ());
+    left.accept(hello);
+    (left, right)
+}
+
+#[test]
+fn delivers_in_order_what_arrives_out_of_order() {
+    let (mut left, mut right) = joined();
+    left.push(1);
+    let first = left.frame(Uptime(10), ());
+    left.push(2);
+    let second = left.frame(Uptime(11), ());
+
+    let early = right.accept(second.clone());
+    let late = right.accept(first);
+    let again = left.frame(Uptime(11 + RESEND_MS), ());
+    let resent = right.accept(again);
+
+    assert_eq!((early.items, late.items, resent.items), (vec![], vec![1], vec![2]));
+    assert_eq!(right.accept(second).items, vec![]);
+}
+
+#[test]
+fn forgets_what_a_restarted_peer_was_told() {
+    let (mut left, mut right) = joined();
+    left.push(1);
+    right.accept(left.frame(Uptime(10), ()));
+    let mut restarted = End::new(3);
+
+    let accepted = left.accept(restarted.frame(Uptime(20), ()));
+    left.push(2);
+    let told = restarted.accept(left.frame(Uptime(21), ()));
+
+    assert!(accepted.restarted);
+    assert_eq!(told.items, vec![2]);
+}
+
+#[test]
+fn ignores_items_meant_for_an_earlier_incarnation() {
+    let (mut left, _) = joined();
+    left.push(1);
+    let mut restarted = End::new(3);
+
+    let accepted = restarted.accept(left.frame(Uptime(10), ()));
+
+    assert!(!accepted.current && !accepted.known);
+    assert_eq!(accepted.items, vec![]);
+}
+
+#[test]
+fn tells_for_how_long_an_item_is_not_acknowledged() {
+    let (mut left, mut right) = joined();
+    left.push(1);
+    let lost = left.frame(Uptime(10), ());
+    let resent = left.frame(Uptime(10 + RESEND_MS), ());
+
+    assert_eq!(left.overdue(Uptime(110)), 100);
+    right.accept(lost);
+    right.accept(resent);
+    left.accept(right.frame(Uptime(110), ()));
+    assert_eq!(left.overdue(Uptime(110)), 0);
+}
+
+proptest! {
+    #[test]
+    fn delivers_each_item_once_whatever_is_lost_or_repeated(
+        fates in prop::collection::vec(0_u8..4, 1..200),
+    ) {
+        let (mut left, mut right) = joined();
+        let mut delivered = Vec::new();
+        let mut held: Vec<Frame<u32, ()>> = Vec::new();
+        let mut now = Uptime(0);
+        let mut pushed = 0;
+
+        for fate in fates {
+            now = now + 7;
+            pushed += 1;
+            left.push(pushed);
+            let frame = left.frame(now, ());
+            match fate {
+                0 => {}
+                1 => held.push(frame),
+                _ => {
+                    delivered.extend(right.accept(frame).items);
+                    if let Some(old) = held.pop() {
+                        delivered.extend(right.accept(old).items);
+                    }
+                }
+            }
+            if fate == 3 {
+                left.accept(right.frame(now, ()));
+            }
+        }
+        for _ in 0..400 {
+            now = now + RESEND_MS;
+            delivered.extend(right.accept(left.frame(now, ())).items);
+            left.accept(right.frame(now, ()));
+        }
+
+        prop_assert_eq!(delivered, (1..=pushed).collect::<Vec<_>>());
+    }
+}
--- /dev/null
+++ b/components/mesh/tests/members.rs
@@ -0,0 +1,72 @@
+//! Processes find each other and forget who has gone.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use mesh::{Member, Members, Role, Uptime};
+use rand::{SeedableRng, rngs::SmallRng};
+
+fn address(last: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, last), 7_000)
+}
+
+fn member(last: u8, role: Role) -> Member {
+    Member { address: address(last), role, zone: "north".to_owned() }
+}
+
+fn members(last: u8, seeds: &[u8]) -> Members {
+    let seeds = seeds.iter().map(|it| Ipv4Addr::new(10, 0, 0, *it)).collect();
+    Members::new(member(last, Role::Agent), seeds)
+}
+
+#[test]
+fn greets_a_seed_while_it_knows_nobody() {
+    let members = members(1, &[2]);
+    let mut rng = SmallRng::seed_from_u64(1);
+
+    assert_eq!(members.pick(Uptime(0), &mut rng), Some(address(2)));
+}
+
+#[test]
+fn never_greets_itself() {
+    let members = members(1, &[1]);
+    let mut rng = SmallRng::seed_from_u64(1);
+
+    assert_eq!(members.pick(Uptime(0), &mut rng), None);
+}
+
+#[test]
+fn learns_the_sender_of_a_greeting_and_whom_it_names() {
+    let mut first = members(1, &[]);
+    let mut second = members(2, &[]);
+    second.learn(Uptime(0), member(3, Role::Entry));
+    second.hear(Uptime(0), address(3));
+    let hello = second.hello(Uptime(1), true, &mut SmallRng::seed_from_u64(1));
+
+    let new = first.accept(Uptime(1), hello);
+
+    assert_eq!(new, vec![member(3, Role::Entry), member(2, Role::Agent)]);
+    assert_eq!(first.with_role(Role::Entry).count(), 1);
+}
+
+#[test]
+fn tells_others_only_of_members_that_live() {
+    let mut members = members(1, &[]);
+    members.learn(Uptime(0), member(2, Role::Agent));
+    members.learn(Uptime(0), member(3, Role::Agent));
+    members.hear(Uptime(9_000), address(3));
+
+    let hello = members.hello(Uptime(9_500), false, &mut SmallRng::seed_from_u64(1));
+
+    assert_eq!(hello.members, vec![member(3, Role::Agent)]);
+}
+
+#[test]
+fn forgets_a_member_that_has_been_silent_for_minutes() {
+    let mut members = members(1, &[]);
+    members.learn(Uptime(0), member(2, Role::Agent));
+
+    members.forget(Uptime(60_000));
+    assert!(members.contains(address(2)));
+    members.forget(Uptime(120_000));
+    assert!(!members.contains(address(2)));
+}
--- a/hostd/src/cmd/agent.rs
+++ b/hostd/src/cmd/agent.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use eyre::{Context, Result};
-use guard::{Guard, Options};
+use guard::{Guard, Options, Timing};
 use mesh::Role;
 use platform::{EndpointClient, Store};
 use ractor::Actor;
@@ -40,7 +40,7 @@
     start_metrics(&settings, arguments.metrics_port, &closing, &metrics)?;
     let store = Store::new(settings.store);
     let (finished, is_finished) = watch::channel(false);
-    let options = Options { incarnation, token: unix_ms() };
+    let options = Options { incarnation, token: unix_ms(), timing: Timing::default() };
     let parts = Parts {
         guard: Guard::new(now, options),
         discovery: Discovery::new(now, own.clone(), &settings, datagrams.clone(), rand::random()),
--- a/hostd/src/cmd/entry.rs
+++ b/hostd/src/cmd/entry.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use broker::{Broker, Limits, Options};
+use broker::{Broker, Limits, Options, RUNS_OVER_MS};
 use eyre::{Context, Result};
 use hyper::StatusCode;
 use mesh::Role;
@@ -58,7 +58,12 @@
     let ready = Arc::new(AtomicBool::new(false));
     let stopping = Arc::new(AtomicBool::new(false));
     let (finished, is_finished) = watch::channel(false);
-    let options = Options { incarnation, zone: settings.zone.clone(), seed: rand::random() };
+    let options = Options {
+        incarnation,
+        zone: settings.zone.clone(),
+        seed: rand::random(),
+        runs_over: RUNS_OVER_MS,
+    };
     let parts = Parts {
         broker: Broker::new(now, options),
         discovery: Discovery::new(now, own.clone(), &settings, datagrams.clone(), rand::random()),
