Refuse by the backlog of all entries, and offer room to one entry at a time

Entries of a zone with more callers had a larger share of the load than 1/N and refused too early; refusals now count what waits at the others, as agents report it. Room that becomes free is offered to one waiting entry, drawn by its share of the work.

--- a/components/broker/src/backlog.rs
+++ b/components/broker/src/backlog.rs
@@ -1,27 +1,28 @@
 //! Predicts how long a job waits for room.
 //!
-//! In a burst of all kinds every entry has a backlog, and each sees only its own. Entries
-//! get about equal shares of the load, so an entry counts on its share of the endpoints.
-//! A job that would start too late is refused on arrival, when its caller can still go
-//! elsewhere, and not after a wait.
+//! In a burst of all kinds every entry has a backlog, and entries are loaded unevenly, as a
+//! zone may have more callers or fewer entries than another. Agents therefore tell each
+//! entry how much work waits at the others. A job that would start too late is refused on
+//! arrival, when its caller can still go elsewhere, and not after a wait.
 
-/// Load that an entry can count on having room for.
+/// Work that waits for the same endpoints, in thousandths of a core times ms.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Backlog {
-    /// Thousandths of a core times ms that go first.
-    pub(crate) work: u64,
+    /// Work at this entry that goes first.
+    pub(crate) ahead: u64,
+    /// All work at this entry.
+    pub(crate) own: u64,
+    /// Work at other entries.
+    pub(crate) others: u64,
     /// Thousandths of a core of all endpoints.
     pub(crate) capacity: u64,
-    /// Entries that share the endpoints.
-    pub(crate) entries: u64,
 }
 
 impl Backlog {
     /// Time until the work that goes first has been started, in ms; none without endpoints.
     pub(crate) fn wait(&self) -> Option<u64> {
-        if self.capacity == 0 {
-            return None;
-        }
-        Some(self.work * self.entries.max(1) / self.capacity)
+        // The same part of the work goes first at other entries as at this one.
+        let others = self.others * self.ahead / self.own.max(self.ahead).max(1);
+        (self.ahead + others).checked_div(self.capacity)
     }
 }
--- a/components/broker/src/broker.rs
+++ b/components/broker/src/broker.rs
@@ -66,8 +66,6 @@
         /// Availability zone.
         zone: String,
     },
-    /// Number of entries that share the endpoints, this one included.
-    Entries(usize),
     /// A datagram of an agent.
     Frame {
         /// Agent.
@@ -145,7 +143,6 @@
     options: Options,
     rng: SmallRng,
     agents: Agents,
-    entries: usize,
     jobs: SlotMap<JobKey, Job>,
     by_id: HashMap<JobId, JobKey>,
     by_token: HashMap<u64, JobKey>,
@@ -170,7 +167,6 @@
             rng: SmallRng::seed_from_u64(options.seed),
             options,
             agents: Agents::new(),
-            entries: 1,
             jobs: SlotMap::with_key(),
             by_id: HashMap::new(),
             by_token: HashMap::new(),
@@ -196,7 +192,6 @@
             Event::Gone { token } => self.on_gone(now, token),
             Event::Cancel { job } => self.on_cancel(now, job),
             Event::Agent { address, zone } => self.on_agent(now, address, zone),
-            Event::Entries(count) => self.entries = count.max(1),
             Event::Frame { from, frame } => self.on_frame(now, from, frame),
             Event::Tick => self.on_tick(now),
             Event::Stop => self.on_stop(now),
@@ -299,10 +294,14 @@
         let ahead = ahead.filter_map(|it| self.jobs.get(it));
         let ahead = ahead.filter(|it| it.submission.route.service == service);
         let work: u64 = ahead.map(|it| it.waiting_work(&self.estimates)).sum();
+        let own = self.waiting_work();
+        let others = self.agents.values().filter(|it| !it.is_silent(now));
+        let others = others.map(|it| u64::from(it.report.waiting) * 1_000).max().unwrap_or(0);
         let backlog = Backlog {
-            work: work + job.waiting_work(&self.estimates) / 2,
+            ahead: work + job.waiting_work(&self.estimates) / 2,
+            own,
+            others,
             capacity: candidates.capacity(),
-            entries: self.entries as u64,
         };
         if backlog.capacity > 0 {
             self.served = now;
@@ -324,6 +323,12 @@
         self.answer(now, key, Reply::Refused { retry_after });
     }
 
+    /// Thousandths of a core times ms of all tasks that wait for room.
+    fn waiting_work(&self) -> u64 {
+        let waiting = self.queue.iter().filter_map(|key| self.jobs.get(key));
+        waiting.map(|job| job.waiting_work(&self.estimates)).sum()
+    }
+
     fn on_gone(&mut self, now: Uptime, token: u64) {
         let Some(key) = self.by_token.remove(&token) else { return };
         let Some(job) = self.jobs.get_mut(key) else { return };
@@ -656,17 +661,19 @@
 
     /// Sends what is due to each agent.
     fn send_frames(&mut self, now: Uptime) {
-        let waiting = !self.queue.is_empty();
+        let is_due =
+            |agent: &Agent| now >= agent.next_probe || !agent.lost && agent.channel.is_due(now);
+        if !self.agents.values().any(is_due) {
+            return;
+        }
+        let waiting = u32::try_from(self.waiting_work() / 1_000).unwrap_or(u32::MAX);
         let probes = self.agents.values().any(|agent| now >= agent.next_probe);
         let busy: HashSet<_> = match probes {
             true => self.jobs.values().flat_map(Job::placed).map(|it| it.0).collect(),
             false => HashSet::new(),
         };
-        for (address, agent) in &mut self.agents {
+        for (address, agent) in self.agents.iter_mut().filter(|(_, agent)| is_due(agent)) {
             let probe = now >= agent.next_probe;
-            if !probe && (agent.lost || !agent.channel.is_due(now)) {
-                continue;
-            }
             if probe {
                 agent.next_probe = now + probe_pause(agent.lost, busy.contains(address));
             }
--- a/components/broker/tests/broker/admission.rs
+++ b/components/broker/tests/broker/admission.rs
@@ -1,6 +1,6 @@
 //! Jobs that can't be served in time are refused at once.
 
-use broker::{Event, Reply};
+use broker::Reply;
 
 use crate::fixture::{Fixture, step, submission};
 
@@ -19,16 +19,19 @@
 }
 
 #[test]
-fn counts_on_its_share_only_when_other_entries_use_the_endpoints_too() {
-    let admitted = |entries| {
+fn counts_the_work_that_waits_at_other_entries() {
+    let admitted = |others| {
         let mut fixture = Fixture::new(4);
-        fixture.event(Event::Entries(entries));
+        for agent in fixture.agents.values_mut() {
+            agent.report.waiting = others;
+        }
+        fixture.live(200);
         let tokens: Vec<_> =
             (1..=20).map(|job| fixture.submit(submission(job, vec![step(1, 1_000)]))).collect();
         tokens.iter().filter(|token| fixture.answer(**token).is_none()).count()
     };
 
-    assert!(admitted(3) < admitted(1));
+    assert!(admitted(400) < admitted(0));
 }
 
 #[test]
--- a/components/broker/tests/broker/fixture.rs
+++ b/components/broker/tests/broker/fixture.rs
@@ -225,5 +225,6 @@
         memory: 1_000,
         gpus: 0,
         slowness: 100,
+        waiting: 0,
     }
 }
--- a/components/guard/src/entries.rs
+++ b/components/guard/src/entries.rs
@@ -17,8 +17,8 @@
     pub(crate) echoed: Uptime,
     /// Its runs have been stopped since it went silent.
     pub(crate) silent: bool,
-    /// Its jobs wait for room.
-    pub(crate) waiting: bool,
+    /// Its work that waits for room, in core-milliseconds.
+    pub(crate) waiting: u32,
     /// It asked for a report.
     pub(crate) probed: bool,
     pub(crate) reported: Uptime,
@@ -31,7 +31,7 @@
             heard: now,
             echoed: now,
             silent: false,
-            waiting: false,
+            waiting: 0,
             probed: false,
             reported: Uptime::default(),
         }
--- a/components/guard/src/guard.rs
+++ b/components/guard/src/guard.rs
@@ -29,6 +29,12 @@
 const RETRY_LOOK_MS: u64 = 60;
 /// Time that a stopped run may take to end, in ms; the endpoint's own limit is 50.
 const STOP_TIME_MS: u64 = 60;
+/// Time for which room is kept for the entry that it was offered to, in ms: a round trip
+/// between availability zones and a tick.
+const OFFER_MS: u64 = 6;
+/// Factor and step of the linear congruence by which offers are dealt (Knuth's MMIX).
+const TURN_FACTOR: u64 = 6_364_136_223_846_793_005;
+const TURN_STEP: u64 = 1_442_695_040_888_963_407;
 /// Time after which a stop is repeated whose effect has not been seen, in ms.
 const STOP_SEEN_MS: u64 = 240;
 /// Time after which a stopping agent stops what still runs, in ms; 6 s are given.
@@ -130,6 +136,13 @@
     Candidate,
 }
 
+/// Free room that is kept for an entry.
+#[derive(Debug)]
+struct Offer {
+    to: SocketAddrV4,
+    until: Uptime,
+}
+
 /// The agent's core.
 #[derive(Debug)]
 pub struct Guard {
@@ -151,6 +164,9 @@
     /// Stops that were not answered at the first attempt.
     doubtful: HashSet<RunSlot>,
     news: bool,
+    offer: Option<Offer>,
+    /// State of the sequence by which offers are dealt.
+    turn: u64,
     last: Uptime,
     stopping: Option<Uptime>,
     finished: bool,
@@ -177,6 +193,8 @@
             unanswered: 0,
             doubtful: HashSet::new(),
             news: false,
+            offer: None,
+            turn: 0,
             last: now,
             stopping: None,
             finished: false,
@@ -690,7 +708,7 @@
             log::warn!(entry:% = address, silence_ms = silence; "an entry is silent; its runs are stopped");
             if let Some(entry) = self.entries.get_mut(&address) {
                 entry.silent = true;
-                entry.waiting = false;
+                entry.waiting = 0;
             }
             self.stop_runs_of(now, address);
         }
@@ -951,18 +969,47 @@
             memory: free.memory,
             gpus: free.gpus,
             slowness: u32::try_from(self.soundness.slowness()).unwrap_or(u32::MAX),
+            waiting: 0,
+        }
+    }
+
+    /// Offers free room to one of several entries whose jobs wait for it.
+    ///
+    /// If all heard of it, all would order at once, and most would be refused.
+    fn offer_room(&mut self, now: Uptime) {
+        let waiting: Vec<_> = self.entries.iter().filter(|(_, it)| it.waiting > 0).collect();
+        if waiting.len() < 2 {
+            self.offer = None;
+            return;
+        }
+        if self.offer.as_ref().is_some_and(|it| now < it.until) {
+            return;
         }
+        let total: u64 = waiting.iter().map(|(_, it)| u64::from(it.waiting)).sum();
+        // Entries take turns, each as often as its share of the work that waits.
+        self.turn = self.turn.wrapping_mul(TURN_FACTOR).wrapping_add(TURN_STEP);
+        let mut drawn = (self.turn >> 33) % total;
+        let to = waiting.iter().find(|(_, it)| {
+            let hit = drawn < u64::from(it.waiting);
+            drawn = drawn.saturating_sub(it.waiting.into());
+            hit
+        });
+        self.offer = to.map(|(address, _)| Offer { to: **address, until: now + OFFER_MS });
+        self.news = true;
     }
 
     fn send_frames(&mut self, now: Uptime) {
+        self.offer_room(now);
         let mut report = None;
         let mut all_told = true;
         let mut entries = std::mem::take(&mut self.entries);
+        let all_waiting: u32 = entries.values().map(|it| it.waiting).sum();
+        let offered = self.offer.as_ref().map(|it| it.to);
         for (address, entry) in &mut entries {
             if now.since(entry.heard) >= ENTRY_SILENCE_MS {
                 continue;
             }
-            let news = self.news && entry.waiting;
+            let news = self.news && entry.waiting > 0 && offered.is_none_or(|it| it == *address);
             let told = now.since(entry.reported) >= NEWS_MS;
             all_told &= !news || told;
             if !(entry.probed || entry.channel.is_due(now) || news && told) {
@@ -971,7 +1018,12 @@
             entry.probed = false;
             entry.reported = now;
             let report = report.get_or_insert_with(|| self.report(now));
-            let frame = entry.channel.frame(now, report.clone());
+            let mut report = report.clone();
+            report.waiting = all_waiting - entry.waiting;
+            if offered.is_some_and(|it| it != *address) {
+                report.cpu = 0;
+            }
+            let frame = entry.channel.frame(now, report);
             self.effects.push(Effect::Send { to: *address, datagram: Datagram::Agent(frame) });
         }
         self.entries = entries;
--- a/components/guard/tests/guard/entries.rs
+++ b/components/guard/tests/guard/entries.rs
@@ -86,3 +86,43 @@
 
     assert!(matches!(fixture.notices[..], [Notice::Ended { end: End::Stopped, .. }]));
 }
+
+/// Sends a frame of another entry, at `last`, with work that waits; returns what it is told.
+fn waiting_entry(
+    fixture: &mut Fixture,
+    channel: &mut Channel<mesh::Command, Notice>,
+    last: u8,
+    waiting: u32,
+) -> Vec<u32> {
+    let from = std::net::SocketAddrV4::new(std::net::Ipv4Addr::new(10, 0, 1, last), 7_000);
+    let state = mesh::EntryState { probe: true, waiting, heard: fixture.now };
+    let frame = channel.frame(fixture.now, state);
+    let mut told = Vec::new();
+    for effect in fixture.guard.handle(fixture.now, guard::Event::Frame { from, frame }) {
+        if let guard::Effect::Send { to, datagram: mesh::Datagram::Agent(frame) } = effect
+            && to == from
+        {
+            told.push(frame.state.cpu);
+            channel.accept(fixture.now, frame);
+        }
+    }
+    told
+}
+
+#[test]
+fn offers_room_to_one_of_several_entries_whose_jobs_wait() {
+    let mut fixture = Fixture::open();
+    let (mut first, mut second) = (Channel::new(21), Channel::new(22));
+    for _ in 0..2 {
+        waiting_entry(&mut fixture, &mut first, 1, 50);
+        waiting_entry(&mut fixture, &mut second, 2, 50);
+    }
+
+    let told = [
+        waiting_entry(&mut fixture, &mut first, 1, 50),
+        waiting_entry(&mut fixture, &mut second, 2, 50),
+    ];
+
+    let offers = told.iter().filter(|it| it.iter().any(|cpu| *cpu > 0)).count();
+    assert_eq!(offers, 1, "{told:?}");
+}
--- a/components/guard/tests/guard/fixture.rs
+++ b/components/guard/tests/guard/fixture.rs
@@ -133,7 +133,7 @@
 
     /// A frame of the entry that has last heard a report of the time `heard`.
     pub(crate) fn frame(&mut self, heard: Uptime) {
-        let state = EntryState { probe: true, waiting: false, heard };
+        let state = EntryState { probe: true, waiting: 0, heard };
         let frame = self.entry.frame(self.now, state);
         self.event(Event::Frame { from: entry_address(), frame });
     }
--- a/components/mesh/src/message.rs
+++ b/components/mesh/src/message.rs
@@ -161,6 +161,8 @@
     pub gpus: u32,
     /// Run time of its tasks against the expected one, in percent.
     pub slowness: u32,
+    /// Work that waits for room at other entries than the receiver, in core-milliseconds.
+    pub waiting: u32,
 }
 
 /// State of an entry.
@@ -169,8 +171,8 @@
 pub struct EntryState {
     /// Asks for a report in return.
     pub probe: bool,
-    /// Jobs wait for room, so that news of room are welcome.
-    pub waiting: bool,
+    /// Work that waits for room, in core-milliseconds.
+    pub waiting: u32,
     /// Time of the agent in the newest report that the entry has heard.
     ///
     /// An agent whose reports are lost must not count on an entry that it hears well.
--- a/components/model/src/world.rs
+++ b/components/model/src/world.rs
@@ -234,7 +234,6 @@
             let address = address(Host::Agent(agent));
             self.run_entry(entry, EntryEvent::Agent { address, zone: String::new() });
         }
-        self.run_entry(entry, EntryEvent::Entries(self.entries.len()));
         self.push(self.now + TICK_MS, Event::Tick(Host::Entry(entry)));
     }
 
--- a/hostd/src/discovery.rs
+++ b/hostd/src/discovery.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use eyre::{Context, Result};
-use mesh::{Datagram, Hello, Member, Members, Role, Uptime};
+use mesh::{Datagram, Hello, Member, Members, Uptime};
 use platform::{HostSettings, Store};
 use rand::{SeedableRng, rngs::SmallRng};
 use tokio::time::sleep;
@@ -89,12 +89,6 @@
             self.datagrams.send(to, &Datagram::Hello(hello));
         }
     }
-
-    /// Number of entries, this process included if it is one.
-    pub(crate) fn entries(&self) -> usize {
-        let own = usize::from(self.members.own().role == Role::Entry);
-        self.members.with_role(Role::Entry).count() + own
-    }
 }
 
 /// Puts a process on record in the store, and reads who else is.
--- a/hostd/src/entry.rs
+++ b/hostd/src/entry.rs
@@ -164,8 +164,6 @@
 
     fn on_tick(&mut self, now: Uptime) {
         self.parts.discovery.tick(now);
-        let entries = self.parts.discovery.entries();
-        self.run(now, Event::Entries(entries));
         self.run(now, Event::Tick);
         let agents = self.parts.broker.open_agents(now);
         self.parts.ready.store(agents > 0 && !self.stopping, Ordering::Relaxed);
