Send starts and looks a second time when they are not answered soon

Cause: with 5 % of the calls lost, a lost start cost 80 ms and a lost look hid ends for 160 ms, more than the slack of short tasks. A copy after 20 ms changes nothing if the first arrived, as the endpoint knows runs by number.

--- a/components/guard/src/guard.rs
+++ b/components/guard/src/guard.rs
@@ -17,8 +17,8 @@
     entries::{Entries, Entry},
     health::Soundness,
     limits::{
-        CLEAR_MS, ENTRY_SILENCE_MS, FORGET_ENTRY_MS, MAX_RENUMBERED, MAX_STARTS, MAX_UNANSWERED,
-        NEWS_MS, RENEW_MS, STALL_MS, SUSPENDED_MS, TOKEN_STEP, Timing,
+        CLEAR_MS, ENTRY_SILENCE_MS, FORGET_ENTRY_MS, HEDGE_MS, MAX_RENUMBERED, MAX_STARTS, NEWS_MS,
+        RENEW_MS, SILENT_MS, STALL_MS, SUSPENDED_MS, TOKEN_STEP, Timing,
     },
     runs::{Phase, Run, RunSlot, Runs, Work},
 };
@@ -31,7 +31,7 @@
 const STOP_TIME_MS: u64 = 60;
 /// Time for which room is kept for the entry that it was offered to, in ms: a round trip
 /// between availability zones and a tick.
-const OFFER_MS: u64 = 6;
+const OFFER_MS: u64 = 3;
 /// Factor and step of the linear congruence by which offers are dealt (Knuth's MMIX).
 const TURN_FACTOR: u64 = 6_364_136_223_846_793_005;
 const TURN_STEP: u64 = 1_442_695_040_888_963_407;
@@ -127,15 +127,24 @@
 }
 
 /// What a call was made for.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 enum Pending {
     Start(RunSlot),
     Stop(RunSlot),
     Clear,
-    Hold { sent: Uptime, acknowledged: u64 },
+    Hold { instance: Arc<str>, sent: Uptime, acknowledged: u64 },
     Candidate,
 }
 
+/// The newest look, which is not answered yet.
+#[derive(Debug)]
+struct PendingLook {
+    id: u64,
+    sent: Uptime,
+    /// Time for which the endpoint may wait for an end, in ms.
+    wait: u64,
+}
+
 /// Free room that is kept for an entry.
 #[derive(Debug)]
 struct Offer {
@@ -157,10 +166,10 @@
     entries: Entries,
     pending: HashMap<u64, Pending>,
     next_call: u64,
-    hold: Option<u64>,
+    hold: Option<PendingLook>,
     looked: Uptime,
-    /// Looks since the last one that was answered.
-    unanswered: u32,
+    /// Since when looks have not been answered.
+    unanswered: Option<Uptime>,
     /// Stops that were not answered at the first attempt.
     doubtful: HashSet<RunSlot>,
     news: bool,
@@ -190,7 +199,7 @@
             next_call: 0,
             hold: None,
             looked: Uptime::default(),
-            unanswered: 0,
+            unanswered: None,
             doubtful: HashSet::new(),
             news: false,
             offer: None,
@@ -404,9 +413,14 @@
         let Some(pending) = self.pending.remove(&id) else { return };
         match pending {
             Pending::Candidate => self.on_candidate(now, answer),
-            Pending::Hold { sent, acknowledged } => {
-                if self.hold == Some(id) {
+            Pending::Hold { instance, sent, acknowledged } => {
+                let newest = self.hold.as_ref().is_some_and(|it| it.id == id);
+                if newest {
                     self.hold = None;
+                }
+                let current = self.endpoint.as_ref().is_some_and(|it| it.instance == instance);
+                // A look that was given up still shows ends, but proves no silence.
+                if current && (newest || matches!(answer, Answer::Seen(_))) {
                     self.on_hold(now, sent, acknowledged, answer);
                 }
             }
@@ -489,7 +503,7 @@
         candidate.read_clock(now, look.clock);
         self.endpoint = Some(candidate);
         self.soundness = Soundness::new(now);
-        self.unanswered = 0;
+        self.unanswered = None;
         self.hold = None;
         self.looked = now;
         self.clear(look);
@@ -516,19 +530,14 @@
     fn on_hold(&mut self, now: Uptime, sent: Uptime, acknowledged: u64, answer: Answer) {
         match answer {
             Answer::Seen(look) => {
-                if self.is_silent() {
+                if self.is_silent(now) {
                     log::info!("the endpoint answers again");
                 }
-                self.unanswered = 0;
+                self.unanswered = None;
                 self.on_look(now, sent, acknowledged, &look);
             }
             Answer::Unsent | Answer::Unknown => {
-                self.unanswered += 1;
-                if self.unanswered == MAX_UNANSWERED {
-                    log::warn!(answer:? = answer; "the endpoint does not answer; it gets no work and no lease");
-                    self.soundness.close(now);
-                    self.news = true;
-                }
+                self.on_silence(now, &answer);
             }
             Answer::Accepted { .. } | Answer::Rejected(_) => self.note_answer(now, &answer),
         }
@@ -656,7 +665,7 @@
             }
             Answer::Unknown | Answer::Seen(_) => {
                 run.starts += 1;
-                let stops = run.starts >= MAX_STARTS || self.unanswered > 0;
+                let stops = run.starts >= MAX_STARTS || self.unanswered.is_some();
                 log::warn!(run:% = run.key, starts = run.starts, stops = stops; "a start was not answered");
                 if stops {
                     self.stop_run(now, slot, End::Lost);
@@ -683,7 +692,7 @@
             Answer::Unknown | Answer::Seen(_) => {
                 // Without renewal the lease ends the run, should no stop arrive.
                 self.doubtful.insert(slot);
-                if !self.is_silent() {
+                if !self.is_silent(now) {
                     self.send_stop(slot);
                 }
             }
@@ -714,6 +723,7 @@
         }
         self.entries.retain(|_, entry| now.since(entry.heard) < FORGET_ENTRY_MS);
         self.refuse_impatient(now);
+        self.start_again(now);
         self.stop_again(now);
         self.check_lapsed(now);
         self.ask_candidate(now);
@@ -743,6 +753,24 @@
         }
     }
 
+    /// Sends starts a second time that were not answered soon.
+    ///
+    /// A second copy of a run that is there changes nothing, and one of the two may have
+    /// been lost.
+    fn start_again(&mut self, now: Uptime) {
+        let overdue = |run: &Run| {
+            run.phase == Phase::Starting && run.starts == 0 && now.since(run.started) >= HEDGE_MS
+        };
+        let slots: Vec<_> =
+            self.runs.iter().filter(|(_, run)| overdue(run)).map(|it| it.0).collect();
+        for slot in slots {
+            if let Some(run) = self.runs.get_mut(slot) {
+                run.starts += 1;
+            }
+            self.send_start(now, slot);
+        }
+    }
+
     /// Repeats stops whose effect has not been seen.
     fn stop_again(&mut self, now: Uptime) {
         let again: Vec<_> = self
@@ -763,7 +791,7 @@
                 && let Phase::Stopping { asked, .. } = &mut run.phase
             {
                 *asked = now;
-                if !self.is_silent() {
+                if !self.is_silent(now) {
                     self.send_stop(slot);
                 }
             }
@@ -773,7 +801,7 @@
     /// Takes the runs of an endpoint whose leases have all ended for lost.
     fn check_lapsed(&mut self, now: Uptime) {
         let Some(endpoint) = &self.endpoint else { return };
-        if !endpoint.lapsed(now) || !(endpoint.gone || self.is_silent()) {
+        if !endpoint.lapsed(now) || !(endpoint.gone || self.is_silent(now)) {
             return;
         }
         if self.runs.any_active() {
@@ -839,7 +867,7 @@
 
     fn health(&self, now: Uptime) -> Health {
         let takes_work = self.endpoint.as_ref().is_some_and(Endpoint::takes_work);
-        if !takes_work || self.is_silent() || self.stopping.is_some() {
+        if !takes_work || self.is_silent(now) || self.stopping.is_some() {
             return Health::Closed;
         }
         match self.soundness.health(now) {
@@ -848,20 +876,30 @@
         }
     }
 
+    /// A look has not been answered.
+    fn on_silence(&mut self, now: Uptime, answer: &Answer) {
+        let since = *self.unanswered.get_or_insert(now);
+        if now.since(since) >= SILENT_MS && self.soundness.health(now) != Health::Closed {
+            log::warn!(answer:? = answer; "the endpoint does not answer; it gets no work and no lease");
+            self.soundness.close(now);
+            self.news = true;
+        }
+    }
+
     /// Whether the endpoint has stopped answering.
-    fn is_silent(&self) -> bool {
-        self.unanswered >= MAX_UNANSWERED
+    fn is_silent(&self, now: Uptime) -> bool {
+        self.unanswered.is_some_and(|since| now.since(since) >= SILENT_MS)
     }
 
     /// Whether runs may be started, each of which prolongs the lease of all.
-    fn may_start(&self) -> bool {
+    fn may_start(&self, now: Uptime) -> bool {
         let gone = self.endpoint.as_ref().is_none_or(|it| it.gone);
-        !gone && !self.is_silent() && self.doubtful.is_empty()
+        !gone && !self.is_silent(now) && self.doubtful.is_empty()
     }
 
     /// Starts queued runs for which there is room.
     fn start_queued(&mut self, now: Uptime) {
-        if !self.may_start() || self.stopping.is_some() {
+        if !self.may_start(now) || self.stopping.is_some() {
             return;
         }
         let queued: Vec<_> = self.runs.queued().collect();
@@ -904,16 +942,20 @@
     /// Looks at the endpoint as often as its runs need.
     fn look(&mut self, now: Uptime) {
         let busy = self.runs.any_active();
-        let renews = busy && self.may_start() && self.unanswered == 0;
-        let silent = self.is_silent();
-        let doubtful = self.unanswered > 0;
+        let renews = busy && self.may_start(now) && self.unanswered.is_none();
+        let silent = self.is_silent(now);
+        let doubtful = self.unanswered.is_some();
         let Some(endpoint) = &mut self.endpoint else { return };
-        if self.hold.is_some() {
+        if let Some(hold) = &self.hold
+            && now.since(hold.sent) < hold.wait + HEDGE_MS
+        {
             return;
         }
         let unacknowledged = endpoint.acknowledged > endpoint.told;
         let pause = if silent {
             RETRY_LOOK_MS
+        } else if doubtful {
+            HEDGE_MS
         } else if !endpoint.cleared {
             CLEAR_MS
         } else if busy || unacknowledged {
@@ -927,9 +969,16 @@
         let lease = if renews { endpoint.grant(now, self.options.timing.lease) } else { None };
         let wait = if busy && !doubtful && endpoint.cleared { RENEW_MS } else { 0 };
         let acknowledged = endpoint.acknowledged;
+        let instance = Arc::clone(&endpoint.instance);
         self.looked = now;
         let kind = CallKind::Hold { lease, acknowledged, wait };
-        self.hold = self.call_endpoint(Pending::Hold { sent: now, acknowledged }, kind);
+        let overdue = self.hold.take().is_some();
+        if overdue {
+            self.on_silence(now, &Answer::Unknown);
+        }
+        let pending = Pending::Hold { instance, sent: now, acknowledged };
+        let id = self.call_endpoint(pending, kind);
+        self.hold = id.map(|id| PendingLook { id, sent: now, wait });
     }
 
     fn call_endpoint(&mut self, pending: Pending, kind: CallKind) -> Option<u64> {
--- a/components/guard/src/limits.rs
+++ b/components/guard/src/limits.rs
@@ -7,8 +7,8 @@
 
 /// Length of the leases of runs, in ms.
 pub const LEASE_MS: u64 = 500;
-/// Longest time between two renewals of the lease, in ms; six fit into a lease.
-pub const RENEW_MS: u64 = 80;
+/// Longest time between two renewals of the lease, in ms; ten fit into a lease.
+pub const RENEW_MS: u64 = 50;
 /// Time for an answer of the endpoint, in ms; it stands on the same host.
 pub const CALL_TIMEOUT_MS: u64 = 80;
 /// Time since the last report that an entry has heard after which its runs are stopped, in
@@ -16,8 +16,11 @@
 pub const ENTRY_SILENCE_MS: u64 = 420;
 /// Times that a start is sent until its run is stopped.
 pub(crate) const MAX_STARTS: u32 = 3;
-/// Looks without an answer after which an endpoint gets no more work.
-pub(crate) const MAX_UNANSWERED: u32 = 2;
+/// Time after which a start or a look without an answer is sent a second time, in ms; the
+/// endpoint stands on the same host and answers within a few.
+pub(crate) const HEDGE_MS: u64 = 20;
+/// Time without an answered look after which an endpoint gets no more work, in ms.
+pub(crate) const SILENT_MS: u64 = 150;
 /// Greatest age of what an order was decided on, in ms.
 pub const MAX_ORDER_AGE_MS: u64 = 450;
 /// Time between two ticks from which the host is taken to have been suspended, in ms.
--- a/components/guard/tests/guard/fixture.rs
+++ b/components/guard/tests/guard/fixture.rs
@@ -155,9 +155,9 @@
         self.calls.iter().filter(|(_, call)| kind(&call.kind)).cloned().collect()
     }
 
-    /// Answers the oldest call of a kind.
+    /// Answers the newest call of a kind; earlier looks may have been given up.
     pub(crate) fn answer(&mut self, kind: fn(&CallKind) -> bool, answer: Answer) -> Call {
-        let position = self.calls.iter().position(|(_, call)| kind(&call.kind));
+        let position = self.calls.iter().rposition(|(_, call)| kind(&call.kind));
         let (id, call) = self.calls.remove(position.expect("a call of the kind"));
         self.event(Event::Answered { id, answer });
         call
--- a/components/guard/tests/guard/lease.rs
+++ b/components/guard/tests/guard/lease.rs
@@ -48,6 +48,7 @@
     fixture.answer_hold(running(&[(key(1), 1)]));
 
     fixture.answer(is_hold, Answer::Unknown);
+    fixture.pass(20);
     fixture.probe();
     assert_eq!(renewed(&fixture), None);
     assert_eq!(fixture.report.health, mesh::Health::Open);
@@ -61,6 +62,7 @@
     let mut fixture = with_run();
     fixture.answer_hold(running(&[(key(1), 1)]));
     fixture.answer(is_hold, Answer::Unknown);
+    fixture.pass(20);
     fixture.answer(is_hold, Answer::Unknown);
 
     for _ in 0..(LEASE_MS / 50) {
@@ -73,3 +75,18 @@
 
     assert!(matches!(fixture.notices[..], [Notice::Ended { end: End::Lost, .. }]));
 }
+
+#[test]
+fn looks_at_an_endpoint_that_refuses_connections_at_intervals() {
+    let mut fixture = with_run();
+
+    for _ in 0..10 {
+        if !fixture.waiting(is_hold).is_empty() {
+            fixture.answer(is_hold, Answer::Unsent);
+        }
+    }
+
+    assert_eq!(fixture.waiting(is_hold), vec![]);
+    fixture.pass(30);
+    assert_eq!(fixture.waiting(is_hold).len(), 1);
+}
--- a/components/guard/tests/guard/starts.rs
+++ b/components/guard/tests/guard/starts.rs
@@ -111,3 +111,15 @@
 
     assert!(matches!(fixture.notices[..], [Notice::Ended { end: End::Lost, .. }]));
 }
+
+#[test]
+fn sends_a_start_a_second_time_that_is_not_answered_soon() {
+    let mut fixture = Fixture::open();
+    fixture.order(vec![key(1)], 100);
+
+    fixture.pass(30);
+
+    assert_eq!(fixture.started(), vec![key(1), key(1)]);
+    fixture.pass(30);
+    assert_eq!(fixture.started().len(), 2);
+}
