--- /dev/null
+++ b/hostd/tests/processes/deployment.rs
@@ -0,0 +1,219 @@
+//! A deployment of one entry and some agents on loopback addresses of its own.
+
+use std::{
+    net::{IpAddr, SocketAddr},
+    path::PathBuf,
+    process::{Child, Command, Output, Stdio},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request};
+use hyper_util::{client::legacy::Client, rt::TokioExecutor};
+use platform_standin::{Executor, Store};
+use tokio::time::{Instant, sleep};
+
+/// Time for a deployment to become ready, or a configuration to be in force.
+const READY: Duration = Duration::from_secs(20);
+const SERVICE: &str = "desk";
+const HOST: &str = "callers.example";
+
+/// Processes and stand-ins; ends them when it is dropped.
+pub(crate) struct Deployment {
+    pub(crate) store: Store,
+    pub(crate) executors: Vec<Executor>,
+    entry: Child,
+    agents: Vec<Child>,
+    settings: Vec<PathBuf>,
+    callers: SocketAddr,
+    folder: PathBuf,
+}
+
+/// A free port of loopback; the addresses of a deployment are used by no other.
+fn free_port() -> u16 {
+    let socket = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    socket.local_addr().expect("an address").port()
+}
+
+impl Deployment {
+    /// Starts a deployment on the addresses `127.{net}.*` and waits until it serves.
+    pub(crate) async fn start(net: &str, agents: usize) -> Deployment {
+        let address = |host: usize, port| -> SocketAddr {
+            let ip: IpAddr = format!("127.{net}.{host}").parse().expect("an address");
+            SocketAddr::new(ip, port)
+        };
+        let folder = std::env::temp_dir().join(format!("hostd-{}-{net}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let store = Store::default();
+        let store_address = store.serve(address(200, 0)).await.expect("a store");
+        let ports: Vec<u16> = (0..4).map(|_| free_port()).collect();
+        let seeds = address(1, ports[1]);
+        let mut settings = Vec::new();
+        for host in 0..=agents {
+            let ip = address(host + 1, 0).ip();
+            let path = folder.join(format!("{host}.toml"));
+            let text = format!(
+                "nodeName = \"host-{host}\"\nzone = \"z\"\nip = \"{ip}\"\n\
+                 internalPortRange = [{}, {}]\nseedNodes = [\"{seeds}\"]\n\
+                 [listenAddresses]\nfrontend = \"{ip}:{}\"\nreadiness = \"{ip}:{}\"\n\
+                 control = \"{ip}:{}\"\n[platform]\naddress = \"{store_address}\"\n",
+                ports[0], ports[0], ports[1], ports[2], ports[3],
+            );
+            std::fs::write(&path, text).expect("settings");
+            settings.push(path);
+        }
+        let mut executors = Vec::new();
+        for host in 1..=agents {
+            let executor = Executor::new(&format!("i-{host}"), SERVICE, 2_000);
+            let registry = address(host + 1, ports[3]);
+            executor.serve(address(host + 1, 0), registry).await.expect("an executor");
+            executors.push(executor);
+        }
+        let entry = start_process("entry", &settings[0]);
+        let agents = settings[1..].iter().map(|path| start_process("agent", path)).collect();
+        let callers = address(1, ports[1]);
+        let deployment = Deployment { store, executors, entry, agents, settings, callers, folder };
+        deployment.publish(1, &["/q/"]);
+        deployment.wait_for("/q/", 200).await;
+        deployment.wait_until_jobs_run().await;
+        deployment
+    }
+
+    /// Publishes a configuration with these queues.
+    pub(crate) fn publish(&self, version: u64, prefixes: &[&str]) {
+        let route = |prefix: &&str| {
+            format!(
+                "{{\"name\":\"{prefix}\",\"hostname\":\"{HOST}\",\"pathPrefix\":\"{prefix}\",\
+                 \"service\":\"{SERVICE}\",\"maxAttempts\":2,\"stretchFactor\":2.0,\
+                 \"targetLatencyMs\":5000}}"
+            )
+        };
+        let routes: Vec<_> = prefixes.iter().map(route).collect();
+        let text = format!(
+            "{{\"version\":{version},\"routes\":[{}],\"services\":[{{\"name\":\"{SERVICE}\"}}],\
+             \"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":65536,\
+             \"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}}}",
+            routes.join(",")
+        );
+        self.store.write("keyed.op", "config", text.as_bytes());
+    }
+
+    /// Waits until a GET of `path` is answered with `status`.
+    pub(crate) async fn wait_for(&self, path: &str, status: u16) {
+        let end = Instant::now() + READY;
+        while self.get(path).await.0 != status {
+            assert!(Instant::now() < end, "{path} was not answered with {status} in {READY:?}");
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Waits until every executor has been given work.
+    async fn wait_until_jobs_run(&self) {
+        let end = Instant::now() + READY;
+        let mut job = 0x1000;
+        while self.executors.iter().any(|it| it.starts().is_empty()) {
+            assert!(Instant::now() < end, "not every executor was given work in {READY:?}");
+            submit(self, job, 8, "1").await;
+            job += 1;
+        }
+        for executor in &self.executors {
+            executor.forget_starts();
+        }
+    }
+
+    pub(crate) async fn post(&self, path: &str, body: &str) -> (u16, String) {
+        self.request(Method::POST, path, body).await
+    }
+
+    pub(crate) async fn get(&self, path: &str) -> (u16, String) {
+        self.request(Method::GET, path, "").await
+    }
+
+    /// Status and body of an answer; status 0 without one.
+    async fn request(&self, method: Method, path: &str, body: &str) -> (u16, String) {
+        let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.callers))
+            .header("host", HOST)
+            .header("primrosemux-request-deadline", "15000")
+            .body(Full::new(Bytes::from(body.to_owned())))
+            .expect("a request");
+        let Ok(response) = client.request(request).await else { return (0, String::new()) };
+        let status = response.status().as_u16();
+        let body = response.into_body().collect().await.map(|it| it.to_bytes());
+        (status, String::from_utf8_lossy(&body.unwrap_or_default()).into_owned())
+    }
+
+    /// Sends the entry a signal by name.
+    pub(crate) fn signal_entry(&self, name: &str) {
+        let id = self.entry.id().to_string();
+        let sent = Command::new("kill").args(["-s", name, &id]).status().expect("a signal");
+        assert!(sent.success());
+    }
+
+    /// Waits for the entry to end; returns whether it ended without an error.
+    pub(crate) async fn entry_exits_well(&mut self) -> bool {
+        let end = Instant::now() + READY;
+        loop {
+            if let Some(status) = self.entry.try_wait().expect("a status") {
+                return status.success();
+            }
+            assert!(Instant::now() < end, "the entry has not ended in {READY:?}");
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    pub(crate) fn kill_agent(&mut self, agent: usize) {
+        self.agents[agent].kill().expect("the agent is killed");
+        self.agents[agent].wait().expect("the agent has ended");
+    }
+
+    pub(crate) fn start_agent(&mut self, agent: usize) {
+        self.agents[agent] = start_process("agent", &self.settings[agent + 1]);
+    }
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        for child in self.agents.iter_mut().chain([&mut self.entry]) {
+            // A process that has ended by itself cannot be killed.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Sends a job of `tasks` tasks that run for `work` ms each.
+pub(crate) async fn submit(
+    deployment: &Deployment,
+    job: u64,
+    tasks: usize,
+    work: &str,
+) -> (u16, String) {
+    let body = format!(
+        "{{\"spec\":\"{work}\",\"bestEffort\":true,\"steps\":[{{\"count\":{tasks},\"cpu\":400,\
+         \"memoryRequestMb\":1,\"estimatedDurationMs\":{work}}}]}}"
+    );
+    deployment.post(&format!("/q/{job:016x}"), &body).await
+}
+
+fn start_process(role: &str, settings: &PathBuf) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_primrosemux-hostd"))
+        .arg("--settings")
+        .arg(settings)
+        .args(["--log-level", "warn", role])
+        .stdout(Stdio::null())
+        .spawn()
+        .expect("the program starts")
+}
+
+/// Runs an agent whose settings file does not exist.
+pub(crate) fn run_without_settings() -> Output {
+    Command::new(env!("CARGO_BIN_EXE_primrosemux-hostd"))
+        .args(["--settings", "/nonexistent/settings.toml", "agent"])
+        .output()
+        .expect("the program runs")
+}
--- /dev/null
+++ b/hostd/tests/processes/main.rs
@@ -0,0 +1,103 @@
+//! The real programs, as processes on loopback, with stand-ins of the platform.
+
+mod deployment;
+
+use std::time::Duration;
+
+use crate::deployment::{Deployment, submit};
+
+const SHORT: &str = "40";
+const LONG: &str = "700";
+
+#[tokio::test(flavor = "multi_thread")]
+async fn serves_jobs_and_answers_each_once_it_has_ended() {
+    let deployment = Deployment::start("10.1", 2).await;
+
+    for job in 1..=20 {
+        let (status, body) = submit(&deployment, job, 3, SHORT).await;
+        assert_eq!((status, body.as_str()), (200, r#"{"state":"completed"}"#));
+    }
+
+    let starts: usize = deployment.executors.iter().map(|it| it.starts().len()).sum();
+    assert_eq!(starts, 60);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn refuses_what_is_not_served_and_finds_no_route_for_other_paths() {
+    let deployment = Deployment::start("10.2", 1).await;
+
+    let stored = r#"{"spec":"40","steps":[{"count":1,"cpu":100}]}"#;
+    let (status, _) = deployment.post("/q/00000000000000aa", stored).await;
+    assert_eq!(status, 503);
+    let (status, _) = deployment.post("/other/00000000000000aa", stored).await;
+    assert_eq!(status, 404);
+    let (status, body) = deployment.post("/q/00000000000000aa", "{").await;
+    assert_eq!(status, 400, "{body}");
+    let (status, body) = deployment.get("/q/").await;
+    assert_eq!((status, body.as_str()), (200, r#"{"pending":0}"#));
+    let (status, _) = deployment.get("/q/00000000000000aa").await;
+    assert_eq!(status, 410);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_is_asked_to_stop_answers_what_it_has_taken() {
+    let mut deployment = Deployment::start("10.3", 2).await;
+
+    let (answer, ()) = tokio::join!(submit(&deployment, 1, 4, LONG), async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        deployment.signal_entry("TERM");
+    });
+
+    assert_eq!(answer.0, 200);
+    assert!(deployment.entry_exits_well().await);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn tasks_of_a_killed_agent_run_again_elsewhere_and_never_twice_at_a_time() {
+    let mut deployment = Deployment::start("10.4", 2).await;
+
+    deployment.kill_agent(0);
+    deployment.start_agent(0);
+    let (status, _) = submit(&deployment, 1, 8, LONG).await;
+
+    assert_eq!(status, 200);
+    assert!(deployment.executors.iter().all(|it| !it.overlapped()));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_configuration_is_in_force_and_survives_an_outage_of_the_store() {
+    let deployment = Deployment::start("10.5", 1).await;
+
+    deployment.publish(2, &["/q/", "/new/"]);
+    deployment.wait_for("/new/", 200).await;
+    deployment.store.set_down(true);
+    assert_eq!(deployment.get("/new/").await.0, 200);
+    deployment.store.set_down(false);
+    deployment.publish(3, &["/q/"]);
+    deployment.store.forget_history();
+
+    deployment.wait_for("/new/", 404).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_executor_that_drains_is_given_no_more_work() {
+    let deployment = Deployment::start("10.6", 2).await;
+    deployment.executors[0].drain();
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let before = deployment.executors[0].starts().len();
+
+    for job in 1..=5 {
+        assert_eq!(submit(&deployment, job, 4, SHORT).await.0, 200);
+    }
+
+    assert_eq!(deployment.executors[0].starts().len(), before);
+}
+
+#[test]
+fn wrong_settings_stop_the_start_with_the_reason() {
+    let output = deployment::run_without_settings();
+
+    assert!(!output.status.success());
+    let error = String::from_utf8_lossy(&output.stderr);
+    assert!(error.contains("settings file") && error.contains("cannot be read"), "{error}");
+}
