--- a/components/broker/src/broker.rs
+++ b/components/broker/src/broker.rs
@@ -1,28 +1,23 @@
-//! The entry's core.
+//! The entry's core: its state, and how an event passes through it.
+
+mod jobs;
+mod placing;
+mod runs;
 
 use std::{
-    collections::{BTreeMap, HashMap, HashSet, VecDeque},
+    collections::{HashMap, VecDeque},
     net::SocketAddrV4,
-    sync::Arc,
 };
 
-use mesh::{
-    Command, Datagram, End, EntryState, Frame, JobId, Notice, Report, RunKey, StartOrder, Uptime,
-};
+use mesh::{Datagram, Frame, JobId, Notice, Report, Uptime};
 use rand::{SeedableRng, rngs::SmallRng};
 use slotmap::SlotMap;
 
 use crate::{
     agents::{Agent, Agents},
-    backlog::Backlog,
     estimate::Estimates,
-    job::{Job, Submission, TaskState},
-    limits::{
-        FORGET_AGENT_MS, IDLE_PROBE_MS, MIN_RETRY_AFTER_MS, PATIENCE_MS, PROBE_MS, REDISCOVERY_MS,
-        REMEMBER_MS, RESTARTED_OVER_MS, SEARCH_MS, STOP_LEAST_MS, STOP_LIMIT_MS, STOP_TIMES,
-        SUSPENDED_MS,
-    },
-    place::Candidates,
+    job::{Job, Submission},
+    limits::{PATIENCE_MS, STOP_LEAST_MS, STOP_LIMIT_MS, SUSPENDED_MS},
     queue::{JobKey, Queue},
 };
 
@@ -210,7 +205,11 @@
         if let Some(job) = self.by_id.get(&job).and_then(|key| self.jobs.get(*key)) {
             return Some(if job.not_run() { Status::Queued } else { Status::Running });
         }
-        self.answered.get(&job).map(|it| Status::Answered(it.reply))
+        match self.answered.get(&job)?.reply {
+            // The job was not taken, or comes again as a new one.
+            Reply::Refused { .. } | Reply::GivenUp => None,
+            reply => Some(Status::Answered(reply)),
+        }
     }
 
     /// Jobs of a queue of which no task has started.
@@ -246,243 +245,6 @@
         }
     }
 
-    fn on_submit(&mut self, now: Uptime, token: u64, submission: Submission) -> Option<JobKey> {
-        let id = submission.job;
-        if let Some(key) = self.by_id.get(&id).copied() {
-            log::info!(job:% = id, request = submission.request.as_str(); "a job in progress is sent again");
-            self.jobs.get_mut(key)?.tokens.push(token);
-            self.by_token.insert(token, key);
-            return None;
-        }
-        let earlier = self.answered.get(&id).copied();
-        if let Some(Answered { reply, .. }) = earlier
-            && matches!(reply, Reply::Completed | Reply::Failed)
-        {
-            log::info!(job:% = id, request = submission.request.as_str(), reply:? = reply; "an answered job is sent again");
-            self.effects.push(Effect::Answer { token, reply });
-            return None;
-        }
-        let runs = earlier.map_or(0, |it| it.runs);
-        let job = Job::new(now, submission, token, runs, &self.estimates);
-        let chain = job.objective.saturating_sub(job.latest.since(now));
-        if let Some(since) = self.stopping
-            && now.since(since) + STOP_TIMES * chain >= STOP_LIMIT_MS
-        {
-            let reply = Reply::Refused { retry_after: MIN_RETRY_AFTER_MS };
-            log::info!(job:% = id, request = job.submission.request.as_str(); "a job is refused: the entry stops");
-            self.effects.push(Effect::Answer { token, reply });
-            return None;
-        }
-        let latest = job.latest;
-        let key = self.jobs.insert(job);
-        self.by_id.insert(id, key);
-        self.by_token.insert(token, key);
-        self.queue.insert(now, latest, key);
-        self.changed = true;
-        Some(key)
-    }
-
-    /// Refuses a job that has just arrived if its wait would be too long.
-    fn admit(&mut self, now: Uptime, key: JobKey) {
-        let Some(job) = self.jobs.get(key) else { return };
-        if !job.waits() || !job.not_run() {
-            return;
-        }
-        let service = job.submission.route.service.clone();
-        let candidates = Candidates::new(&self.agents, now, &service, &self.options.zone);
-        let ahead = self.queue.before(job.latest).filter(|it| *it != key);
-        let ahead = ahead.filter_map(|it| self.jobs.get(it));
-        let ahead = ahead.filter(|it| it.submission.route.service == service);
-        let work: u64 = ahead.map(|it| it.waiting_work(&self.estimates)).sum();
-        let own = self.waiting_work();
-        let others = self.agents.values().filter(|it| !it.is_silent(now));
-        let others = others.map(|it| u64::from(it.report.waiting) * 1_000).max().unwrap_or(0);
-        let backlog = Backlog {
-            ahead: work + job.waiting_work(&self.estimates) / 2,
-            own,
-            others,
-            capacity: candidates.capacity(),
-        };
-        if backlog.capacity > 0 {
-            self.served = now;
-        } else if now.since(self.served) < REDISCOVERY_MS {
-            return;
-        }
-        let fits = job.submission.steps.iter().all(|step| candidates.suit(step));
-        let wait = backlog.wait();
-        if fits && wait.is_some_and(|wait| now + wait <= job.latest) {
-            return;
-        }
-        let retry_after = wait.unwrap_or(0).max(MIN_RETRY_AFTER_MS);
-        log::info!(
-            job:% = job.submission.job, request = job.submission.request.as_str(),
-            route = job.submission.route.name.as_str(), wait_ms:? = wait,
-            slack_ms = job.latest.since(now), capacity = backlog.capacity, fits = fits;
-            "a job is refused: it would not start in time"
-        );
-        self.answer(now, key, Reply::Refused { retry_after });
-    }
-
-    /// Thousandths of a core times ms of all tasks that wait for room.
-    fn waiting_work(&self) -> u64 {
-        let waiting = self.queue.iter().filter_map(|key| self.jobs.get(key));
-        waiting.map(|job| job.waiting_work(&self.estimates)).sum()
-    }
-
-    fn on_gone(&mut self, now: Uptime, token: u64) {
-        let Some(key) = self.by_token.remove(&token) else { return };
-        let Some(job) = self.jobs.get_mut(key) else { return };
-        job.tokens.retain(|it| *it != token);
-        if job.tokens.is_empty() {
-            log::info!(job:% = job.submission.job, waited_ms = now.since(job.arrived); "a job is cancelled: its caller has left");
-            self.answer(now, key, Reply::Cancelled);
-        }
-    }
-
-    fn on_cancel(&mut self, now: Uptime, job: JobId) {
-        if let Some(key) = self.by_id.get(&job).copied() {
-            log::info!(job:% = job; "a job is cancelled as asked");
-            self.answer(now, key, Reply::Cancelled);
-        }
-    }
-
-    fn on_agent(&mut self, now: Uptime, address: SocketAddrV4, zone: String) {
-        let own = self.options.incarnation;
-        self.agents.entry(address).or_insert_with(|| Agent::new(own, now, zone)).learnt = now;
-    }
-
-    fn on_frame(&mut self, now: Uptime, from: SocketAddrV4, frame: Frame<Notice, Report>) {
-        let Some(agent) = self.agents.get_mut(&from) else { return };
-        let report = frame.state.clone();
-        let accepted = agent.channel.accept(now, frame);
-        if !accepted.current {
-            return;
-        }
-        if agent.lost {
-            log::info!(agent:% = from; "an agent is heard");
-            agent.lost = false;
-            agent.next_probe = agent.next_probe.min(now + PROBE_MS);
-        }
-        if agent.report.health != report.health {
-            log::info!(
-                agent:% = from, before:? = agent.report.health, health:? = report.health,
-                slowness = report.slowness;
-                "an endpoint's health has changed"
-            );
-        }
-        agent.heard = now;
-        agent.report = report;
-        self.changed = true;
-        if accepted.restarted {
-            log::warn!(agent:% = from; "an agent was started anew; its runs are lost");
-            self.lose_runs(now, from, now + RESTARTED_OVER_MS);
-        }
-        for notice in accepted.items {
-            match notice {
-                Notice::Refused { key, refusal } => {
-                    log::info!(run:% = key, agent:% = from, refusal:? = refusal; "an agent refused a run");
-                    self.on_refused(now, from, key);
-                }
-                Notice::Ended { key, end, took } => self.on_ended(now, from, key, end, took),
-            }
-        }
-    }
-
-    /// The job and the position of the task that `agent` has as `key`.
-    fn placed_task(&self, agent: SocketAddrV4, key: RunKey) -> Option<(JobKey, usize)> {
-        let job_key = *self.by_id.get(&key.job)?;
-        let job = self.jobs.get(job_key)?;
-        let position = job.position(key)?;
-        let placed = TaskState::Placed { agent, key };
-        (job.tasks[position].state == placed).then_some((job_key, position))
-    }
-
-    fn on_refused(&mut self, now: Uptime, agent: SocketAddrV4, key: RunKey) {
-        if let Some((job, position)) = self.placed_task(agent, key) {
-            self.wait_again(now, job, position);
-        }
-    }
-
-    fn on_ended(&mut self, now: Uptime, agent: SocketAddrV4, key: RunKey, end: End, took: u32) {
-        let Some((job_key, position)) = self.placed_task(agent, key) else { return };
-        let job = &mut self.jobs[job_key];
-        job.ran = true;
-        let task = &mut job.tasks[position];
-        match end {
-            End::Done => {
-                task.state = TaskState::Done;
-                let step = &job.submission.steps[usize::from(key.step)];
-                let slowness = self.agents.get(&agent).map_or(100, |it| it.report.slowness.max(1));
-                let sound = u64::from(took) * 100 / u64::from(slowness);
-                let sound = u32::try_from(sound).unwrap_or(u32::MAX);
-                self.estimates.learn(&job.submission.route.name, step.declared, sound);
-                if job.is_done() {
-                    self.answer(now, job_key, Reply::Completed);
-                } else if job.submission.steps.len() > 1 {
-                    job.unblock();
-                    if job.waits() {
-                        self.queue.insert(now, job.latest, job_key);
-                        self.changed = true;
-                    }
-                }
-            }
-            End::Failed => {
-                task.failed += 1;
-                task.avoid.push(agent);
-                let failed = task.failed;
-                log::info!(run:% = key, agent:% = agent, failed = failed; "a run failed");
-                if failed >= job.submission.route.attempts {
-                    self.answer(now, job_key, Reply::Failed);
-                } else {
-                    self.wait_again(now, job_key, position);
-                }
-            }
-            End::Stalled => {
-                task.avoid.push(agent);
-                self.wait_again(now, job_key, position);
-            }
-            End::Stopped | End::Lost => self.wait_again(now, job_key, position),
-        }
-    }
-
-    /// Puts a task back in the queue.
-    fn wait_again(&mut self, now: Uptime, key: JobKey, position: usize) {
-        let Some(job) = self.jobs.get_mut(key) else { return };
-        job.tasks[position].state = TaskState::Waiting;
-        self.queue.insert(now, job.latest, key);
-        self.changed = true;
-    }
-
-    /// Takes the runs of an agent for lost; none of them is left after `over`.
-    ///
-    /// The agent is told to stop them, as an order on its way may still start one.
-    fn lose_runs(&mut self, now: Uptime, lost: SocketAddrV4, over: Uptime) {
-        let mut hopeless = Vec::new();
-        let mut keys = Vec::new();
-        for (key, job) in &mut self.jobs {
-            for task in &mut job.tasks {
-                if let TaskState::Placed { agent, key: run } = task.state
-                    && agent == lost
-                {
-                    keys.push(run);
-                    task.state = TaskState::Lost { over };
-                    job.ran = true;
-                    if over >= job.deadline {
-                        hopeless.push(key);
-                    }
-                }
-            }
-        }
-        if let Some(agent) = self.agents.get_mut(&lost)
-            && !keys.is_empty()
-        {
-            agent.channel.push(Command::Stop(keys));
-        }
-        for key in hopeless {
-            self.give_up(now, key, "agent lost");
-        }
-    }
-
     fn on_tick(&mut self, now: Uptime) {
         self.queue.age(now);
         self.check_agents(now);
@@ -503,186 +265,11 @@
         }
     }
 
-    fn check_agents(&mut self, now: Uptime) {
-        let silent: Vec<_> = self
-            .agents
-            .iter_mut()
-            .filter(|(_, agent)| !agent.lost && agent.is_silent(now))
-            .map(|(address, agent)| {
-                agent.lost = true;
-                (*address, agent.heard)
-            })
-            .collect();
-        for (address, heard) in silent {
-            log::warn!(agent:% = address, silence_ms = now.since(heard); "an agent is silent; its runs are taken for lost");
-            self.lose_runs(now, address, heard + self.options.runs_over);
-        }
-        self.agents.retain(|_, it| now.since(it.heard.max(it.learnt)) < FORGET_AGENT_MS);
-    }
-
-    fn check_jobs(&mut self, now: Uptime) {
-        let mut back = Vec::new();
-        let mut over = Vec::new();
-        for (key, job) in &mut self.jobs {
-            if now >= job.deadline || job.not_run() && now >= job.useful_until() {
-                over.push(key);
-                continue;
-            }
-            for task in &mut job.tasks {
-                if matches!(task.state, TaskState::Lost { over } if now >= over) {
-                    task.state = TaskState::Waiting;
-                    back.push((key, job.latest));
-                }
-            }
-        }
-        for (key, latest) in back {
-            self.queue.insert(now, latest, key);
-            self.changed = true;
-        }
-        for key in over {
-            self.give_up(now, key, "out of time");
-        }
-    }
-
     fn on_stop(&mut self, now: Uptime) {
         log::info!(jobs = self.jobs.len(); "the entry stops after its jobs");
         self.stopping = Some(now);
     }
 
-    /// Ends a job without a result; the answer says whether any of it may have run.
-    fn give_up(&mut self, now: Uptime, key: JobKey, why: &str) {
-        let Some(job) = self.jobs.get(key) else { return };
-        let not_run = job.not_run();
-        log::warn!(
-            job:% = job.submission.job, request = job.submission.request.as_str(),
-            waited_ms = now.since(job.arrived), objective_ms = job.objective,
-            not_run = not_run, why = why;
-            "a job is given up"
-        );
-        let reply = if not_run {
-            Reply::Refused { retry_after: MIN_RETRY_AFTER_MS }
-        } else {
-            Reply::GivenUp
-        };
-        self.answer(now, key, reply);
-    }
-
-    /// Answers a job, and stops what is left of it.
-    fn answer(&mut self, now: Uptime, key: JobKey, reply: Reply) {
-        let Some(job) = self.jobs.remove(key) else { return };
-        let id = job.submission.job;
-        self.queue.remove(job.latest, key);
-        self.by_id.remove(&id);
-        let mut stops: BTreeMap<SocketAddrV4, Vec<RunKey>> = BTreeMap::new();
-        for (agent, run) in job.placed() {
-            stops.entry(agent).or_default().push(run);
-        }
-        for (agent, keys) in stops {
-            if let Some(agent) = self.agents.get_mut(&agent) {
-                agent.channel.push(Command::Stop(keys));
-            }
-        }
-        log::info!(
-            job:% = id, request = job.submission.request.as_str(),
-            route = job.submission.route.name.as_str(), reply:? = reply,
-            took_ms = now.since(job.arrived), objective_ms = job.objective;
-            "a job is answered"
-        );
-        for token in job.tokens {
-            self.by_token.remove(&token);
-            self.effects.push(Effect::Answer { token, reply });
-        }
-        let runs = job.tasks.iter().map(|it| it.runs).max().unwrap_or(0);
-        self.answered.insert(id, Answered { reply, runs });
-        self.forget.push_back((now + REMEMBER_MS, id));
-        self.changed = true;
-    }
-
-    /// Places waiting tasks, job by job.
-    fn place(&mut self, now: Uptime) {
-        if !std::mem::take(&mut self.changed) || self.queue.is_empty() {
-            return;
-        }
-        let mut candidates: HashMap<String, Candidates<'_>> = HashMap::new();
-        let mut full: HashSet<String> = HashSet::new();
-        let mut placed = Vec::new();
-        let mut orders = Vec::new();
-        for key in self.queue.iter() {
-            let Some(job) = self.jobs.get_mut(key) else { continue };
-            let route = Arc::clone(&job.submission.route);
-            if full.contains(&route.service) {
-                continue;
-            }
-            let candidates = candidates.entry(route.service.clone()).or_insert_with(|| {
-                Candidates::new(&self.agents, now, &route.service, &self.options.zone)
-            });
-            let (all, mut new) = place_job(job, key, candidates, &mut self.rng);
-            orders.append(&mut new);
-            if all {
-                placed.push((job.latest, key));
-            } else {
-                full.insert(route.service.clone());
-            }
-        }
-        for (latest, key) in placed {
-            self.queue.remove(latest, key);
-        }
-        for order in orders {
-            self.send_order(now, order);
-        }
-    }
-
-    /// Gives an agent the order to start tasks.
-    fn send_order(&mut self, now: Uptime, order: Order) {
-        let Order { agent: address, job, step, runs } = order;
-        let (Some(agent), Some(job)) = (self.agents.get_mut(&address), self.jobs.get(job)) else {
-            return;
-        };
-        let route = &job.submission.route;
-        let it = &job.submission.steps[usize::from(step)];
-        log::info!(
-            job:% = job.submission.job, request = job.submission.request.as_str(),
-            route = route.name.as_str(), step = step, tasks = runs.len(), agent:% = address,
-            report_age_ms = now.since(agent.heard), free_cpu = agent.report.cpu,
-            slowness = agent.report.slowness, slack_ms = job.latest.since(now);
-            "tasks are placed"
-        );
-        agent.channel.push(Command::Start(StartOrder {
-            runs,
-            spec: job.submission.spec.clone(),
-            cpu: it.cpu,
-            memory: it.memory,
-            gpus: it.gpus,
-            expected: self.estimates.expected(&route.name, it.declared),
-            patience: PATIENCE_MS as u32,
-            decided: agent.report.now,
-        }));
-    }
-
-    /// Sends what is due to each agent.
-    fn send_frames(&mut self, now: Uptime) {
-        let is_due =
-            |agent: &Agent| now >= agent.next_probe || !agent.lost && agent.channel.is_due(now);
-        if !self.agents.values().any(is_due) {
-            return;
-        }
-        let waiting = u32::try_from(self.waiting_work() / 1_000).unwrap_or(u32::MAX);
-        let probes = self.agents.values().any(|agent| now >= agent.next_probe);
-        let busy: HashSet<_> = match probes {
-            true => self.jobs.values().flat_map(Job::placed).map(|it| it.0).collect(),
-            false => HashSet::new(),
-        };
-        for (address, agent) in self.agents.iter_mut().filter(|(_, agent)| is_due(agent)) {
-            let probe = now >= agent.next_probe;
-            if probe {
-                agent.next_probe = now + probe_pause(agent.lost, busy.contains(address));
-            }
-            let state = EntryState { probe, waiting, heard: agent.report.now };
-            let frame = agent.channel.frame(now, state);
-            self.effects.push(Effect::Send { to: *address, datagram: Datagram::Entry(frame) });
-        }
-    }
-
     fn check_finished(&mut self, now: Uptime) {
         let Some(since) = self.stopping else { return };
         let stopped = now.since(since);
@@ -694,64 +281,3 @@
         }
     }
 }
-
-/// Tasks of a step that an agent is to start.
-struct Order {
-    agent: SocketAddrV4,
-    job: JobKey,
-    step: u16,
-    runs: Vec<RunKey>,
-}
-
-/// Places the tasks of a job for which there is room; tells whether all are placed.
-fn place_job(
-    job: &mut Job,
-    key: JobKey,
-    candidates: &mut Candidates<'_>,
-    rng: &mut SmallRng,
-) -> (bool, Vec<Order>) {
-    let mut orders: BTreeMap<(SocketAddrV4, u16), Vec<RunKey>> = BTreeMap::new();
-    let mut all = true;
-    for position in 0..job.tasks.len() {
-        let task = &job.tasks[position];
-        if task.state != TaskState::Waiting {
-            continue;
-        }
-        let step = &job.submission.steps[usize::from(task.step)];
-        let crowded = crowded(job, task.step, step.spread);
-        let Some(agent) = candidates.take(step, task, &crowded, rng) else {
-            all = false;
-            // Tasks of a step are alike, but their exceptions differ.
-            if task.avoid.is_empty() { break } else { continue }
-        };
-        let task = &mut job.tasks[position];
-        task.runs += 1;
-        let run =
-            RunKey { job: job.submission.job, step: task.step, index: task.index, run: task.runs };
-        task.state = TaskState::Placed { agent, key: run };
-        orders.entry((agent, task.step)).or_default().push(run);
-    }
-    let order = |((agent, step), runs)| Order { agent, job: key, step, runs };
-    (all, orders.into_iter().map(order).collect())
-}
-
-/// Time to the next probe of an agent, in ms.
-fn probe_pause(lost: bool, busy: bool) -> u64 {
-    match (lost, busy) {
-        (true, _) => SEARCH_MS,
-        (false, true) => PROBE_MS,
-        (false, false) => IDLE_PROBE_MS,
-    }
-}
-
-/// Agents that have as many tasks of a step as one may have.
-fn crowded(job: &Job, step: u16, spread: Option<u16>) -> Vec<SocketAddrV4> {
-    let Some(most) = spread else { return Vec::new() };
-    let mut counts: HashMap<SocketAddrV4, u16> = HashMap::new();
-    for task in job.tasks.iter().filter(|it| it.step == step) {
-        if let TaskState::Placed { agent, .. } = task.state {
-            *counts.entry(agent).or_default() += 1;
-        }
-    }
-    counts.into_iter().filter(|(_, count)| *count >= most).map(|(agent, _)| agent).collect()
-}
--- /dev/null
+++ b/components/broker/src/broker/jobs.rs
@@ -0,0 +1,194 @@
+//! Jobs from their arrival to their answer.
+
+use std::{collections::BTreeMap, net::SocketAddrV4};
+
+use mesh::{Command, JobId, RunKey, Uptime};
+
+use super::{Answered, Broker, Effect, Reply};
+use crate::{
+    backlog::Backlog,
+    job::{Job, Submission, TaskState},
+    limits::{MIN_RETRY_AFTER_MS, REDISCOVERY_MS, REMEMBER_MS, STOP_LIMIT_MS, STOP_TIMES},
+    place::Candidates,
+    queue::JobKey,
+};
+
+impl Broker {
+    pub(super) fn on_submit(
+        &mut self,
+        now: Uptime,
+        token: u64,
+        submission: Submission,
+    ) -> Option<JobKey> {
+        let id = submission.job;
+        if let Some(key) = self.by_id.get(&id).copied() {
+            log::info!(job:% = id, request = submission.request.as_str(); "a job in progress is sent again");
+            self.jobs.get_mut(key)?.tokens.push(token);
+            self.by_token.insert(token, key);
+            return None;
+        }
+        let earlier = self.answered.get(&id).copied();
+        if let Some(Answered { reply, .. }) = earlier
+            && matches!(reply, Reply::Completed | Reply::Failed)
+        {
+            log::info!(job:% = id, request = submission.request.as_str(), reply:? = reply; "an answered job is sent again");
+            self.effects.push(Effect::Answer { token, reply });
+            return None;
+        }
+        let runs = earlier.map_or(0, |it| it.runs);
+        let job = Job::new(now, submission, token, runs, &self.estimates);
+        let chain = job.objective.saturating_sub(job.latest.since(now));
+        if let Some(since) = self.stopping
+            && now.since(since) + STOP_TIMES * chain >= STOP_LIMIT_MS
+        {
+            let reply = Reply::Refused { retry_after: MIN_RETRY_AFTER_MS };
+            log::info!(job:% = id, request = job.submission.request.as_str(); "a job is refused: the entry stops");
+            self.effects.push(Effect::Answer { token, reply });
+            return None;
+        }
+        let latest = job.latest;
+        let key = self.jobs.insert(job);
+        self.by_id.insert(id, key);
+        self.by_token.insert(token, key);
+        self.queue.insert(now, latest, key);
+        self.changed = true;
+        Some(key)
+    }
+
+    /// Refuses a job that has just arrived if its wait would be too long.
+    pub(super) fn admit(&mut self, now: Uptime, key: JobKey) {
+        let Some(job) = self.jobs.get(key) else { return };
+        if !job.waits() || !job.not_run() {
+            return;
+        }
+        let service = job.submission.route.service.clone();
+        let candidates = Candidates::new(&self.agents, now, &service, &self.options.zone);
+        let ahead = self.queue.before(job.latest).filter(|it| *it != key);
+        let ahead = ahead.filter_map(|it| self.jobs.get(it));
+        let ahead = ahead.filter(|it| it.submission.route.service == service);
+        let work: u64 = ahead.map(|it| it.waiting_work(&self.estimates)).sum();
+        let own = self.waiting_work();
+        let others = self.agents.values().filter(|it| !it.is_silent(now));
+        let others = others.map(|it| u64::from(it.report.waiting) * 1_000).max().unwrap_or(0);
+        let backlog = Backlog {
+            ahead: work + job.waiting_work(&self.estimates) / 2,
+            own,
+            others,
+            capacity: candidates.capacity(),
+        };
+        if backlog.capacity > 0 {
+            self.served = now;
+        } else if now.since(self.served) < REDISCOVERY_MS {
+            return;
+        }
+        let fits = job.submission.steps.iter().all(|step| candidates.suit(step));
+        let wait = backlog.wait();
+        if fits && wait.is_some_and(|wait| now + wait <= job.latest) {
+            return;
+        }
+        let retry_after = wait.unwrap_or(0).max(MIN_RETRY_AFTER_MS);
+        log::info!(
+            job:% = job.submission.job, request = job.submission.request.as_str(),
+            route = job.submission.route.name.as_str(), wait_ms:? = wait,
+            slack_ms = job.latest.since(now), capacity = backlog.capacity, fits = fits;
+            "a job is refused: it would not start in time"
+        );
+        self.answer(now, key, Reply::Refused { retry_after });
+    }
+
+    /// Thousandths of a core times ms of all tasks that wait for room.
+    pub(super) fn waiting_work(&self) -> u64 {
+        let waiting = self.queue.iter().filter_map(|key| self.jobs.get(key));
+        waiting.map(|job| job.waiting_work(&self.estimates)).sum()
+    }
+
+    pub(super) fn on_gone(&mut self, now: Uptime, token: u64) {
+        let Some(key) = self.by_token.remove(&token) else { return };
+        let Some(job) = self.jobs.get_mut(key) else { return };
+        job.tokens.retain(|it| *it != token);
+        if job.tokens.is_empty() {
+            log::info!(job:% = job.submission.job, waited_ms = now.since(job.arrived); "a job is cancelled: its caller has left");
+            self.answer(now, key, Reply::Cancelled);
+        }
+    }
+
+    pub(super) fn on_cancel(&mut self, now: Uptime, job: JobId) {
+        if let Some(key) = self.by_id.get(&job).copied() {
+            log::info!(job:% = job; "a job is cancelled as asked");
+            self.answer(now, key, Reply::Cancelled);
+        }
+    }
+
+    pub(super) fn check_jobs(&mut self, now: Uptime) {
+        let mut back = Vec::new();
+        let mut over = Vec::new();
+        for (key, job) in &mut self.jobs {
+            if now >= job.deadline || job.not_run() && now >= job.useful_until() {
+                over.push(key);
+                continue;
+            }
+            for task in &mut job.tasks {
+                if matches!(task.state, TaskState::Lost { over } if now >= over) {
+                    task.state = TaskState::Waiting;
+                    back.push((key, job.latest));
+                }
+            }
+        }
+        for (key, latest) in back {
+            self.queue.insert(now, latest, key);
+            self.changed = true;
+        }
+        for key in over {
+            self.give_up(now, key, "out of time");
+        }
+    }
+
+    /// Ends a job without a result; the answer says whether any of it may have run.
+    pub(super) fn give_up(&mut self, now: Uptime, key: JobKey, why: &str) {
+        let Some(job) = self.jobs.get(key) else { return };
+        let not_run = job.not_run();
+        log::warn!(
+            job:% = job.submission.job, request = job.submission.request.as_str(),
+            waited_ms = now.since(job.arrived), objective_ms = job.objective,
+            not_run = not_run, why = why;
+            "a job is given up"
+        );
+        let reply = if not_run {
+            Reply::Refused { retry_after: MIN_RETRY_AFTER_MS }
+        } else {
+            Reply::GivenUp
+        };
+        self.answer(now, key, reply);
+    }
+
+    /// Answers a job, and stops what is left of it.
+    pub(super) fn answer(&mut self, now: Uptime, key: JobKey, reply: Reply) {
+        let Some(job) = self.jobs.remove(key) else { return };
+        let id = job.submission.job;
+        self.queue.remove(job.latest, key);
+        self.by_id.remove(&id);
+        let mut stops: BTreeMap<SocketAddrV4, Vec<RunKey>> = BTreeMap::new();
+        for (agent, run) in job.placed() {
+            stops.entry(agent).or_default().push(run);
+        }
+        for (agent, keys) in stops {
+            if let Some(agent) = self.agents.get_mut(&agent) {
+                agent.channel.push(Command::Stop(keys));
+            }
+        }
+        log::info!(
+            job:% = id, request = job.submission.request.as_str(),
+            route = job.submission.route.name.as_str(), reply:? = reply,
+            took_ms = now.since(job.arrived), objective_ms = job.objective;
+            "a job is answered"
+        );
+        for token in job.tokens {
+            self.by_token.remove(&token);
+            self.effects.push(Effect::Answer { token, reply });
+        }
+        let runs = job.tasks.iter().map(|it| it.runs).max().unwrap_or(0);
+        self.answered.insert(id, Answered { reply, runs });
+        self.forget.push_back((now + REMEMBER_MS, id));
+        self.changed = true;
+    }
+}
--- /dev/null
+++ b/components/broker/src/broker/placing.rs
@@ -0,0 +1,133 @@
+//! Placement of waiting tasks.
+
+use std::{
+    collections::{BTreeMap, HashMap, HashSet},
+    net::SocketAddrV4,
+    sync::Arc,
+};
+
+use mesh::{Command, RunKey, StartOrder, Uptime};
+use rand::rngs::SmallRng;
+
+use super::Broker;
+use crate::{
+    job::{Job, TaskState},
+    limits::PATIENCE_MS,
+    place::Candidates,
+    queue::JobKey,
+};
+
+impl Broker {
+    /// Places waiting tasks, job by job.
+    pub(super) fn place(&mut self, now: Uptime) {
+        if !std::mem::take(&mut self.changed) || self.queue.is_empty() {
+            return;
+        }
+        let mut candidates: HashMap<String, Candidates<'_>> = HashMap::new();
+        let mut full: HashSet<String> = HashSet::new();
+        let mut placed = Vec::new();
+        let mut orders = Vec::new();
+        for key in self.queue.iter() {
+            let Some(job) = self.jobs.get_mut(key) else { continue };
+            let route = Arc::clone(&job.submission.route);
+            if full.contains(&route.service) {
+                continue;
+            }
+            let candidates = candidates.entry(route.service.clone()).or_insert_with(|| {
+                Candidates::new(&self.agents, now, &route.service, &self.options.zone)
+            });
+            let (all, mut new) = place_job(job, key, candidates, &mut self.rng);
+            orders.append(&mut new);
+            if all {
+                placed.push((job.latest, key));
+            } else {
+                full.insert(route.service.clone());
+            }
+        }
+        for (latest, key) in placed {
+            self.queue.remove(latest, key);
+        }
+        for order in orders {
+            self.send_order(now, order);
+        }
+    }
+
+    /// Gives an agent the order to start tasks.
+    fn send_order(&mut self, now: Uptime, order: Order) {
+        let Order { agent: address, job, step, runs } = order;
+        let (Some(agent), Some(job)) = (self.agents.get_mut(&address), self.jobs.get(job)) else {
+            return;
+        };
+        let route = &job.submission.route;
+        let it = &job.submission.steps[usize::from(step)];
+        log::info!(
+            job:% = job.submission.job, request = job.submission.request.as_str(),
+            route = route.name.as_str(), step = step, tasks = runs.len(), agent:% = address,
+            report_age_ms = now.since(agent.heard), free_cpu = agent.report.cpu,
+            slowness = agent.report.slowness, slack_ms = job.latest.since(now);
+            "tasks are placed"
+        );
+        agent.channel.push(Command::Start(StartOrder {
+            runs,
+            spec: job.submission.spec.clone(),
+            cpu: it.cpu,
+            memory: it.memory,
+            gpus: it.gpus,
+            expected: self.estimates.expected(&route.name, it.declared),
+            patience: PATIENCE_MS as u32,
+            decided: agent.report.now,
+        }));
+    }
+}
+
+/// Tasks of a step that an agent is to start.
+struct Order {
+    agent: SocketAddrV4,
+    job: JobKey,
+    step: u16,
+    runs: Vec<RunKey>,
+}
+
+/// Places the tasks of a job for which there is room; tells whether all are placed.
+fn place_job(
+    job: &mut Job,
+    key: JobKey,
+    candidates: &mut Candidates<'_>,
+    rng: &mut SmallRng,
+) -> (bool, Vec<Order>) {
+    let mut orders: BTreeMap<(SocketAddrV4, u16), Vec<RunKey>> = BTreeMap::new();
+    let mut all = true;
+    for position in 0..job.tasks.len() {
+        let task = &job.tasks[position];
+        if task.state != TaskState::Waiting {
+            continue;
+        }
+        let step = &job.submission.steps[usize::from(task.step)];
+        let crowded = crowded(job, task.step, step.spread);
+        let Some(agent) = candidates.take(step, task, &crowded, rng) else {
+            all = false;
+            // Tasks of a step are alike, but their exceptions differ.
+            if task.avoid.is_empty() { break } else { continue }
+        };
+        let task = &mut job.tasks[position];
+        task.runs += 1;
+        let run =
+            RunKey { job: job.submission.job, step: task.step, index: task.index, run: task.runs };
+        task.state = TaskState::Placed { agent, key: run };
+        orders.entry((agent, task.step)).or_default().push(run);
+    }
+    let order = |((agent, step), runs)| Order { agent, job: key, step, runs };
+    (all, orders.into_iter().map(order).collect())
+}
+
+/// Agents that have as many tasks of a step as one may have.
+fn crowded(job: &Job, step: u16, spread: Option<u16>) -> Vec<SocketAddrV4> {
+    let Some(most) = spread else { return Vec::new() };
+    let mut counts: HashMap<SocketAddrV4, u16> = HashMap::new();
+    for task in job.tasks.iter().filter(|it| it.step == step) {
+        if let TaskState::Placed { agent, .. } = task.state {
+            *counts.entry(agent).or_default() += 1;
+        }
+    }
+    counts.into_iter().filter(|(_, count)| *count >= most).map(|(agent, _)| agent).collect()
+}
--- /dev/null
+++ b/components/broker/src/broker/runs.rs
@@ -0,0 +1,214 @@
+//! Runs that agents have, and what becomes of them.
+
+use std::{collections::HashSet, net::SocketAddrV4};
+
+use mesh::{Command, Datagram, End, EntryState, Frame, Notice, Report, RunKey, Uptime};
+
+use super::{Broker, Effect, Reply};
+use crate::{
+    agents::Agent,
+    job::{Job, TaskState},
+    limits::{FORGET_AGENT_MS, IDLE_PROBE_MS, PROBE_MS, RESTARTED_OVER_MS, SEARCH_MS},
+    queue::JobKey,
+};
+
+impl Broker {
+    pub(super) fn on_agent(&mut self, now: Uptime, address: SocketAddrV4, zone: String) {
+        let own = self.options.incarnation;
+        self.agents.entry(address).or_insert_with(|| Agent::new(own, now, zone)).learnt = now;
+    }
+
+    pub(super) fn on_frame(
+        &mut self,
+        now: Uptime,
+        from: SocketAddrV4,
+        frame: Frame<Notice, Report>,
+    ) {
+        let Some(agent) = self.agents.get_mut(&from) else { return };
+        let report = frame.state.clone();
+        let accepted = agent.channel.accept(now, frame);
+        if !accepted.current {
+            return;
+        }
+        if agent.lost {
+            log::info!(agent:% = from; "an agent is heard");
+            agent.lost = false;
+            agent.next_probe = agent.next_probe.min(now + PROBE_MS);
+        }
+        if agent.report.health != report.health {
+            log::info!(
+                agent:% = from, before:? = agent.report.health, health:? = report.health,
+                slowness = report.slowness;
+                "an endpoint's health has changed"
+            );
+        }
+        agent.heard = now;
+        agent.report = report;
+        self.changed = true;
+        if accepted.restarted {
+            log::warn!(agent:% = from; "an agent was started anew; its runs are lost");
+            self.lose_runs(now, from, now + RESTARTED_OVER_MS);
+        }
+        for notice in accepted.items {
+            match notice {
+                Notice::Refused { key, refusal } => {
+                    log::info!(run:% = key, agent:% = from, refusal:? = refusal; "an agent refused a run");
+                    self.on_refused(now, from, key);
+                }
+                Notice::Ended { key, end, took } => self.on_ended(now, from, key, end, took),
+            }
+        }
+    }
+
+    /// The job and the position of the task that `agent` has as `key`.
+    pub(super) fn placed_task(&self, agent: SocketAddrV4, key: RunKey) -> Option<(JobKey, usize)> {
+        let job_key = *self.by_id.get(&key.job)?;
+        let job = self.jobs.get(job_key)?;
+        let position = job.position(key)?;
+        let placed = TaskState::Placed { agent, key };
+        (job.tasks[position].state == placed).then_some((job_key, position))
+    }
+
+    pub(super) fn on_refused(&mut self, now: Uptime, agent: SocketAddrV4, key: RunKey) {
+        if let Some((job, position)) = self.placed_task(agent, key) {
+            self.wait_again(now, job, position);
+        }
+    }
+
+    pub(super) fn on_ended(
+        &mut self,
+        now: Uptime,
+        agent: SocketAddrV4,
+        key: RunKey,
+        end: End,
+        took: u32,
+    ) {
+        let Some((job_key, position)) = self.placed_task(agent, key) else { return };
+        let job = &mut self.jobs[job_key];
+        job.ran = true;
+        let task = &mut job.tasks[position];
+        match end {
+            End::Done => {
+                task.state = TaskState::Done;
+                let step = &job.submission.steps[usize::from(key.step)];
+                let slowness = self.agents.get(&agent).map_or(100, |it| it.report.slowness.max(1));
+                let sound = u64::from(took) * 100 / u64::from(slowness);
+                let sound = u32::try_from(sound).unwrap_or(u32::MAX);
+                self.estimates.learn(&job.submission.route.name, step.declared, sound);
+                if job.is_done() {
+                    self.answer(now, job_key, Reply::Completed);
+                } else if job.submission.steps.len() > 1 {
+                    job.unblock();
+                    if job.waits() {
+                        self.queue.insert(now, job.latest, job_key);
+                        self.changed = true;
+                    }
+                }
+            }
+            End::Failed => {
+                task.failed += 1;
+                task.avoid.push(agent);
+                let failed = task.failed;
+                log::info!(run:% = key, agent:% = agent, failed = failed; "a run failed");
+                if failed >= job.submission.route.attempts {
+                    self.answer(now, job_key, Reply::Failed);
+                } else {
+                    self.wait_again(now, job_key, position);
+                }
+            }
+            End::Stalled => {
+                task.avoid.push(agent);
+                self.wait_again(now, job_key, position);
+            }
+            End::Stopped | End::Lost => self.wait_again(now, job_key, position),
+        }
+    }
+
+    /// Puts a task back in the queue.
+    pub(super) fn wait_again(&mut self, now: Uptime, key: JobKey, position: usize) {
+        let Some(job) = self.jobs.get_mut(key) else { return };
+        job.tasks[position].state = TaskState::Waiting;
+        self.queue.insert(now, job.latest, key);
+        self.changed = true;
+    }
+
+    /// Takes the runs of an agent for lost; none of them is left after `over`.
+    ///
+    /// The agent is told to stop them, as an order on its way may still start one.
+    pub(super) fn lose_runs(&mut self, now: Uptime, lost: SocketAddrV4, over: Uptime) {
+        let mut hopeless = Vec::new();
+        let mut keys = Vec::new();
+        for (key, job) in &mut self.jobs {
+            for task in &mut job.tasks {
+                if let TaskState::Placed { agent, key: run } = task.state
+                    && agent == lost
+                {
+                    keys.push(run);
+                    task.state = TaskState::Lost { over };
+                    job.ran = true;
+                    if over >= job.deadline {
+                        hopeless.push(key);
+                    }
+                }
+            }
+        }
+        if let Some(agent) = self.agents.get_mut(&lost)
+            && !keys.is_empty()
+        {
+            agent.channel.push(Command::Stop(keys));
+        }
+        for key in hopeless {
+            self.give_up(now, key, "agent lost");
+        }
+    }
+
+    pub(super) fn check_agents(&mut self, now: Uptime) {
+        let silent: Vec<_> = self
+            .agents
+            .iter_mut()
+            .filter(|(_, agent)| !agent.lost && agent.is_silent(now))
+            .map(|(address, agent)| {
+                agent.lost = true;
+                (*address, agent.heard)
+            })
+            .collect();
+        for (address, heard) in silent {
+            log::warn!(agent:% = address, silence_ms = now.since(heard); "an agent is silent; its runs are taken for lost");
+            self.lose_runs(now, address, heard + self.options.runs_over);
+        }
+        self.agents.retain(|_, it| now.since(it.heard.max(it.learnt)) < FORGET_AGENT_MS);
+    }
+
+    /// Sends what is due to each agent.
+    pub(super) fn send_frames(&mut self, now: Uptime) {
+        let is_due =
+            |agent: &Agent| now >= agent.next_probe || !agent.lost && agent.channel.is_due(now);
+        if !self.agents.values().any(is_due) {
+            return;
+        }
+        let waiting = u32::try_from(self.waiting_work() / 1_000).unwrap_or(u32::MAX);
+        let probes = self.agents.values().any(|agent| now >= agent.next_probe);
+        let busy: HashSet<_> = match probes {
+            true => self.jobs.values().flat_map(Job::placed).map(|it| it.0).collect(),
+            false => HashSet::new(),
+        };
+        for (address, agent) in self.agents.iter_mut().filter(|(_, agent)| is_due(agent)) {
+            let probe = now >= agent.next_probe;
+            if probe {
+                agent.next_probe = now + probe_pause(agent.lost, busy.contains(address));
+            }
+            let state = EntryState { probe, waiting, heard: agent.report.now };
+            let frame = agent.channel.frame(now, state);
+            self.effects.push(Effect::Send { to: *address, datagram: Datagram::Entry(frame) });
+        }
+    }
+}
+
+/// Time to the next probe of an agent, in ms.
+fn probe_pause(lost: bool, busy: bool) -> u64 {
+    match (lost, busy) {
+        (true, _) => SEARCH_MS,
+        (false, true) => PROBE_MS,
+        (false, false) => IDLE_PROBE_MS,
+    }
+}
--- a/components/broker/tests/broker/jobs.rs
+++ b/components/broker/tests/broker/jobs.rs
@@ -148,6 +148,15 @@
     assert_eq!(fixture.broker.status(JobId(2)), None);
 }
 
+#[test]
+fn knows_nothing_of_a_job_that_it_refused() {
+    let mut fixture = Fixture::new(1);
+    let token = fixture.submit(submission(1, vec![step(1, 5_000)]));
+
+    assert!(matches!(fixture.answer(token), Some(Reply::Refused { .. })));
+    assert_eq!(fixture.broker.status(JobId(1)), None);
+}
+
 #[test]
 fn keeps_to_the_label_and_the_spread_of_a_step() {
     let mut fixture = Fixture::new(3);
--- /dev/null
+++ b/components/guard/src/guard/answers.rs
@@ -0,0 +1,203 @@
+//! Answers of the endpoint to starts and stops.
+
+use std::sync::Arc;
+
+use mesh::{End, Refusal, RunKey, Uptime};
+
+use super::{Guard, Pending, STOP_SEEN_MS, STOP_TIME_MS};
+use crate::{
+    call::{Answer, CallKind, Rejection},
+    limits::{HEDGE_MS, MAX_RENUMBERED, MAX_STARTS, TOKEN_STEP},
+    runs::{Phase, Run, RunSlot},
+};
+
+impl Guard {
+    pub(super) fn on_answer(&mut self, now: Uptime, id: u64, answer: Answer) {
+        let Some(pending) = self.pending.remove(&id) else { return };
+        match pending {
+            Pending::Candidate => self.on_candidate(now, answer),
+            Pending::Hold { instance, sent, acknowledged } => {
+                let newest = self.hold.as_ref().is_some_and(|it| it.id == id);
+                if newest {
+                    self.hold = None;
+                }
+                let current = self.endpoint.as_ref().is_some_and(|it| it.instance == instance);
+                // A look that was given up still shows ends, but proves no silence.
+                if current && (newest || matches!(answer, Answer::Seen(_))) {
+                    self.on_hold(now, sent, acknowledged, answer);
+                }
+            }
+            Pending::Start(slot) => self.on_started(now, slot, answer),
+            Pending::Stop(slot) => self.on_stopped(now, slot, answer),
+            Pending::Clear => self.note_answer(now, &answer),
+        }
+    }
+
+    /// Draws from any answer what it says of the endpoint as a whole.
+    pub(super) fn note_answer(&mut self, now: Uptime, answer: &Answer) {
+        match answer {
+            Answer::Accepted { clock } => {
+                if let Some(endpoint) = &mut self.endpoint {
+                    endpoint.read_clock(now, *clock);
+                }
+            }
+            Answer::Rejected(Rejection::Fence) => {
+                // Doubling reaches any token of another holder within a few calls.
+                self.token = (self.token + TOKEN_STEP).max(self.token.saturating_mul(2));
+                log::warn!(token = self.token; "a higher fencing token was used before; this one is raised");
+            }
+            Answer::Rejected(Rejection::Instance) => {
+                if let Some(endpoint) = self.endpoint.take() {
+                    log::info!(instance = &*endpoint.instance; "another instance has the endpoint's address");
+                    self.ended.insert(endpoint.instance);
+                    self.lose_runs(now);
+                }
+            }
+            Answer::Rejected(
+                Rejection::Old
+                | Rejection::Late
+                | Rejection::Room
+                | Rejection::Unhealthy
+                | Rejection::Invalid,
+            )
+            | Answer::Seen(_)
+            | Answer::Unsent
+            | Answer::Unknown => {}
+        }
+    }
+
+    pub(super) fn on_started(&mut self, now: Uptime, slot: RunSlot, answer: Answer) {
+        self.note_answer(now, &answer);
+        let Some(run) = self.runs.get_mut(slot) else { return };
+        if run.phase != Phase::Starting {
+            return;
+        }
+        match answer {
+            Answer::Accepted { .. } => {
+                run.phase = Phase::Running;
+                run.progressed = now;
+            }
+            Answer::Rejected(Rejection::Old) if run.renumbered < MAX_RENUMBERED => {
+                self.runs.renumber(slot);
+                self.send_start(now, slot);
+            }
+            Answer::Rejected(Rejection::Fence) => self.send_start(now, slot),
+            Answer::Rejected(Rejection::Unhealthy) | Answer::Unsent => {
+                self.soundness.close(now);
+                self.refuse(now, slot, Refusal::Endpoint);
+            }
+            Answer::Rejected(
+                Rejection::Old
+                | Rejection::Late
+                | Rejection::Room
+                | Rejection::Instance
+                | Rejection::Invalid,
+            ) => {
+                log::warn!(run:% = run.key, answer:? = answer; "the endpoint did not start a run");
+                self.refuse(now, slot, Refusal::Endpoint);
+            }
+            Answer::Unknown | Answer::Seen(_) => {
+                run.starts += 1;
+                let stops = run.starts >= MAX_STARTS || self.unanswered.is_some();
+                log::warn!(run:% = run.key, starts = run.starts, stops = stops; "a start was not answered");
+                if stops {
+                    self.stop_run(now, slot, End::Lost);
+                } else {
+                    // A second copy of a run that is there changes nothing.
+                    self.send_start(now, slot);
+                }
+            }
+        }
+    }
+
+    pub(super) fn on_stopped(&mut self, now: Uptime, slot: RunSlot, answer: Answer) {
+        self.note_answer(now, &answer);
+        let Some(run) = self.runs.get_mut(slot) else {
+            self.doubtful.remove(&slot);
+            return;
+        };
+        let Phase::Stopping { asked, end, .. } = run.phase else { return };
+        match answer {
+            Answer::Accepted { .. } => {
+                run.phase = Phase::Stopping { asked, answered: Some(now), end };
+                self.doubtful.remove(&slot);
+            }
+            Answer::Unknown | Answer::Seen(_) => {
+                // Without renewal the lease ends the run, should no stop arrive.
+                self.doubtful.insert(slot);
+                if !self.is_silent(now) {
+                    self.send_stop(slot);
+                }
+            }
+            Answer::Unsent | Answer::Rejected(_) => {
+                run.phase = Phase::Stopping { asked: now, answered: None, end };
+                self.doubtful.insert(slot);
+            }
+        }
+    }
+
+    pub(super) fn send_start(&mut self, now: Uptime, slot: RunSlot) {
+        let Some(run) = self.runs.get(slot) else { return };
+        let key = RunKey { run: run.number, ..run.key };
+        let spec = Arc::clone(&run.work.spec);
+        let length = self.options.timing.lease;
+        let lease = self.endpoint.as_mut().and_then(|it| it.grant(now, length));
+        match lease {
+            Some(lease) => {
+                self.call_endpoint(Pending::Start(slot), CallKind::Start { key, spec, lease });
+            }
+            None => self.refuse(now, slot, Refusal::Closed),
+        }
+    }
+
+    pub(super) fn send_stop(&mut self, slot: RunSlot) {
+        let Some(run) = self.runs.get(slot) else { return };
+        let key = RunKey { run: run.number, ..run.key };
+        self.call_endpoint(Pending::Stop(slot), CallKind::Stop { key });
+    }
+
+    /// Sends starts a second time that were not answered soon.
+    ///
+    /// A second copy of a run that is there changes nothing, and one of the two may have
+    /// been lost.
+    pub(super) fn start_again(&mut self, now: Uptime) {
+        let overdue = |run: &Run| {
+            run.phase == Phase::Starting && run.starts == 0 && now.since(run.started) >= HEDGE_MS
+        };
+        let slots: Vec<_> =
+            self.runs.iter().filter(|(_, run)| overdue(run)).map(|it| it.0).collect();
+        for slot in slots {
+            if let Some(run) = self.runs.get_mut(slot) {
+                run.starts += 1;
+            }
+            self.send_start(now, slot);
+        }
+    }
+
+    /// Repeats stops whose effect has not been seen.
+    pub(super) fn stop_again(&mut self, now: Uptime) {
+        let again: Vec<_> = self
+            .runs
+            .iter()
+            .filter_map(|(slot, run)| match run.phase {
+                Phase::Stopping { asked, answered, .. } => {
+                    let doubtful = self.doubtful.contains(&slot);
+                    let pause = if doubtful { STOP_TIME_MS } else { STOP_SEEN_MS };
+                    let last = answered.unwrap_or(asked);
+                    (now.since(last) >= pause).then_some(slot)
+                }
+                Phase::Queued { .. } | Phase::Starting | Phase::Running => None,
+            })
+            .collect();
+        for slot in again {
+            if let Some(run) = self.runs.get_mut(slot)
+                && let Phase::Stopping { asked, .. } = &mut run.phase
+            {
+                *asked = now;
+                if !self.is_silent(now) {
+                    self.send_stop(slot);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/guard/src/guard/orders.rs
@@ -0,0 +1,254 @@
+//! Orders of entries, and what entries are told.
+
+use std::{net::SocketAddrV4, sync::Arc};
+
+use mesh::{
+    Command, Datagram, End, EntryState, Frame, Health, Notice, Refusal, Report, RunKey, StartOrder,
+    Uptime,
+};
+
+use super::{Effect, Guard, OFFER_MS, Offer, TURN_FACTOR, TURN_STEP};
+use crate::{
+    entries::Entry,
+    limits::{ENTRY_SILENCE_MS, NEWS_MS},
+    runs::{Phase, Run, RunSlot, Work},
+};
+
+impl Guard {
+    pub(super) fn on_frame(
+        &mut self,
+        now: Uptime,
+        from: SocketAddrV4,
+        frame: Frame<Command, EntryState>,
+    ) {
+        let own = self.options.incarnation;
+        let silence = self.options.timing.entry_silence;
+        let entry = self.entries.entry(from).or_insert_with(|| {
+            log::info!(entry:% = from; "an entry has appeared");
+            Entry::new(own, now)
+        });
+        let state = frame.state;
+        let accepted = entry.channel.accept(now, frame);
+        entry.heard = now;
+        if accepted.known {
+            entry.echoed = entry.echoed.max(state.heard.min(now));
+        }
+        entry.probed |= state.probe;
+        entry.waiting = state.waiting;
+        if entry.silent && now.since(entry.echoed) < silence {
+            log::info!(entry:% = from; "an entry is heard again");
+            entry.silent = false;
+        }
+        if accepted.restarted {
+            log::info!(entry:% = from; "an entry was started anew; its earlier runs are stopped");
+            self.stop_runs_of(now, from);
+        }
+        for command in accepted.items {
+            match command {
+                Command::Start(order) => self.on_order(now, from, order),
+                Command::Stop(keys) => {
+                    for key in keys {
+                        self.on_stop_order(now, from, key);
+                    }
+                }
+            }
+        }
+    }
+
+    pub(super) fn on_order(&mut self, now: Uptime, entry: SocketAddrV4, order: StartOrder) {
+        let age = now.since(order.decided);
+        let refusal = if age > self.options.timing.order_age {
+            Some(Refusal::Stale)
+        } else if self.health(now) == Health::Closed {
+            Some(Refusal::Closed)
+        } else {
+            None
+        };
+        if let Some(refusal) = refusal {
+            for key in order.runs {
+                self.tell_refused(entry, key, refusal, age);
+            }
+            return;
+        }
+        let work = Arc::new(Work {
+            spec: order.spec.into(),
+            cpu: order.cpu,
+            memory: order.memory,
+            gpus: order.gpus,
+            expected: order.expected,
+        });
+        let until = now + u64::from(order.patience);
+        for key in order.runs {
+            self.runs.queue(Run {
+                entry,
+                key,
+                number: key.run,
+                work: Arc::clone(&work),
+                phase: Phase::Queued { until },
+                started: now,
+                percent: 0,
+                progressed: now,
+                renumbered: 0,
+                starts: 0,
+            });
+        }
+    }
+
+    pub(super) fn on_stop_order(&mut self, now: Uptime, entry: SocketAddrV4, key: RunKey) {
+        if let Some(slot) = self.runs.by_key(entry, key) {
+            self.stop_run(now, slot, End::Stopped);
+        }
+    }
+
+    /// Stops a run, or refuses it if it has not started.
+    pub(super) fn stop_run(&mut self, now: Uptime, slot: RunSlot, end: End) {
+        let Some(run) = self.runs.get_mut(slot) else { return };
+        match run.phase {
+            Phase::Queued { .. } => self.refuse(now, slot, Refusal::Stopped),
+            Phase::Stopping { .. } => {}
+            Phase::Starting | Phase::Running => {
+                run.phase = Phase::Stopping { asked: now, answered: None, end };
+                self.send_stop(slot);
+            }
+        }
+    }
+
+    pub(super) fn stop_runs_of(&mut self, now: Uptime, entry: SocketAddrV4) {
+        let slots: Vec<_> =
+            self.runs.iter().filter(|(_, run)| run.entry == entry).map(|it| it.0).collect();
+        for slot in slots {
+            self.stop_run(now, slot, End::Stopped);
+        }
+    }
+
+    /// Refuses queued runs for which there was no room in time.
+    pub(super) fn refuse_impatient(&mut self, now: Uptime) {
+        let closed = self.health(now) == Health::Closed;
+        let queued: Vec<_> = self.runs.queued().collect();
+        for slot in queued {
+            let Some(Phase::Queued { until }) = self.runs.get(slot).map(|it| it.phase) else {
+                continue;
+            };
+            if closed {
+                self.refuse(now, slot, Refusal::Closed);
+            } else if until <= now {
+                self.refuse(now, slot, Refusal::Room);
+            }
+        }
+    }
+
+    pub(super) fn refuse(&mut self, now: Uptime, slot: RunSlot, refusal: Refusal) {
+        if let Some(run) = self.runs.remove(now, slot) {
+            self.news = true;
+            self.tell_refused(run.entry, run.key, refusal, now.since(run.started));
+        }
+    }
+
+    pub(super) fn tell_refused(
+        &mut self,
+        entry: SocketAddrV4,
+        key: RunKey,
+        refusal: Refusal,
+        age: u64,
+    ) {
+        log::info!(run:% = key, entry:% = entry, refusal:? = refusal, age_ms = age; "a run is refused");
+        if let Some(entry) = self.entries.get_mut(&entry) {
+            entry.channel.push(Notice::Refused { key, refusal });
+        }
+    }
+
+    pub(super) fn end_run(&mut self, now: Uptime, slot: RunSlot, end: End) {
+        self.doubtful.remove(&slot);
+        let Some(run) = self.runs.remove(now, slot) else { return };
+        self.news = true;
+        let took = now.since(run.started);
+        log::info!(
+            run:% = run.key, entry:% = run.entry, end:? = end, took_ms = took,
+            expected_ms = run.work.expected, percent = run.percent;
+            "a run has ended"
+        );
+        if let Some(entry) = self.entries.get_mut(&run.entry) {
+            let took = u32::try_from(took).unwrap_or(u32::MAX);
+            entry.channel.push(Notice::Ended { key: run.key, end, took });
+        }
+    }
+
+    pub(super) fn report(&self, now: Uptime) -> Report {
+        let info = self.endpoint.as_ref().map(|it| it.info.clone());
+        let mut free = info.as_ref().map(|it| self.runs.free(it)).unwrap_or_default();
+        for slot in self.runs.queued() {
+            if let Some(run) = self.runs.get(slot) {
+                free.cpu = free.cpu.saturating_sub(run.work.cpu);
+                free.memory = free.memory.saturating_sub(run.work.memory);
+                free.gpus = free.gpus.saturating_sub(run.work.gpus);
+            }
+        }
+        Report {
+            now,
+            endpoint: info,
+            health: self.health(now),
+            cpu: free.cpu,
+            memory: free.memory,
+            gpus: free.gpus,
+            slowness: u32::try_from(self.soundness.slowness()).unwrap_or(u32::MAX),
+            waiting: 0,
+        }
+    }
+
+    /// Offers free room to one of several entries whose jobs wait for it.
+    ///
+    /// If all heard of it, all would order at once, and most would be refused.
+    pub(super) fn offer_room(&mut self, now: Uptime) {
+        let waiting: Vec<_> = self.entries.iter().filter(|(_, it)| it.waiting > 0).collect();
+        if waiting.len() < 2 {
+            self.offer = None;
+            return;
+        }
+        if self.offer.as_ref().is_some_and(|it| now < it.until) {
+            return;
+        }
+        let total: u64 = waiting.iter().map(|(_, it)| u64::from(it.waiting)).sum();
+        // Entries take turns, each as often as its share of the work that waits.
+        self.turn = self.turn.wrapping_mul(TURN_FACTOR).wrapping_add(TURN_STEP);
+        let mut drawn = (self.turn >> 33) % total;
+        let to = waiting.iter().find(|(_, it)| {
+            let hit = drawn < u64::from(it.waiting);
+            drawn = drawn.saturating_sub(it.waiting.into());
+            hit
+        });
+        self.offer = to.map(|(address, _)| Offer { to: **address, until: now + OFFER_MS });
+        self.news = true;
+    }
+
+    pub(super) fn send_frames(&mut self, now: Uptime) {
+        self.offer_room(now);
+        let mut report = None;
+        let mut all_told = true;
+        let mut entries = std::mem::take(&mut self.entries);
+        let all_waiting: u32 = entries.values().map(|it| it.waiting).sum();
+        let offered = self.offer.as_ref().map(|it| it.to);
+        for (address, entry) in &mut entries {
+            if now.since(entry.heard) >= ENTRY_SILENCE_MS {
+                continue;
+            }
+            let news = self.news && entry.waiting > 0 && offered.is_none_or(|it| it == *address);
+            let told = now.since(entry.reported) >= NEWS_MS;
+            all_told &= !news || told;
+            if !(entry.probed || entry.channel.is_due(now) || news && told) {
+                continue;
+            }
+            entry.probed = false;
+            entry.reported = now;
+            let report = report.get_or_insert_with(|| self.report(now));
+            let mut report = report.clone();
+            report.waiting = all_waiting - entry.waiting;
+            if offered.is_some_and(|it| it != *address) {
+                report.cpu = 0;
+            }
+            let frame = entry.channel.frame(now, report);
+            self.effects.push(Effect::Send { to: *address, datagram: Datagram::Agent(frame) });
+        }
+        self.entries = entries;
+        self.news &= !all_told;
+    }
+}
