Find other processes while the store refuses writes, and take late seeds at once

Its first settings named no seeds, and the file was read again only after 2 s. Ruled out: configuration (in force in 15 ms), endpoints (known in 200 ms).

--- a/hostd/src/cmd.rs
+++ b/hostd/src/cmd.rs
@@ -10,7 +10,7 @@
 use platform::HostSettings;
 use tokio::{
     sync::watch,
-    time::{MissedTickBehavior, interval, sleep},
+    time::{Instant, sleep},
 };
 
 use crate::{
@@ -21,6 +21,10 @@
 
 /// Time between two looks at the settings file, which may change without a signal.
 const SETTINGS_LOOK: Duration = Duration::from_secs(2);
+/// The same for a process that has just been started: its first settings may name no seeds.
+const EAGER_SETTINGS_LOOK: Duration = Duration::from_millis(150);
+/// Time after its start for which a process is eager; seeds come within 3 s.
+const EAGER_TIME: Duration = Duration::from_secs(5);
 /// Time for the last answers and log lines to be written.
 const LINGER: Duration = Duration::from_millis(60);
 /// Connections for metrics and readiness.
@@ -66,9 +70,10 @@
     mut finished: watch::Receiver<bool>,
     mut tell: impl FnMut(Notice),
 ) {
-    let mut looks = interval(SETTINGS_LOOK);
-    looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let started = Instant::now();
     loop {
+        let eager = started.elapsed() < EAGER_TIME;
+        let pause = if eager { EAGER_SETTINGS_LOOK } else { SETTINGS_LOOK };
         tokio::select! {
             asked = signals.next() => match asked {
                 Asked::Stop => {
@@ -77,7 +82,7 @@
                 }
                 Asked::Reload => reload(path, &mut settings, &mut tell),
             },
-            _ = looks.tick() => reload(path, &mut settings, &mut tell),
+            () = sleep(pause) => reload(path, &mut settings, &mut tell),
             _ = finished.wait_for(|it| *it) => break,
         }
     }
--- a/hostd/src/cmd/agent.rs
+++ b/hostd/src/cmd/agent.rs
@@ -15,7 +15,7 @@
     cli::Arguments,
     clock::{unix_ms, uptime},
     datagrams::Datagrams,
-    discovery::{Discovery, register},
+    discovery::{Discovery, announce, look_up},
     heartbeats::Heartbeats,
     http::{listen, serve},
     metrics::Metrics,
@@ -31,7 +31,7 @@
     let now = uptime();
     let own = member(&settings, Role::Agent);
     let incarnation = rand::random();
-    log::info!(host = settings.name.as_str(), zone = settings.zone.as_str(), address:% = own.address, incarnation = incarnation; "an agent starts");
+    log::info!(host = settings.name.as_str(), zone = settings.zone.as_str(), address:% = own.address, seeds = settings.seeds.len(), incarnation = incarnation; "an agent starts");
 
     let datagrams = Datagrams::bind(settings.mesh).await?;
     let heartbeats = listen(required(settings.heartbeats, "heartbeats", &settings)?)?;
@@ -54,11 +54,8 @@
         .context("the actor of the agent cannot be started")?;
 
     let to = actor.clone();
-    tokio::spawn(async move {
-        let members = register(store, own).await;
-        // The actor is gone only when the process ends.
-        let _ = to.cast(Message::Members(members));
-    });
+    tokio::spawn(announce(store.clone(), own));
+    tokio::spawn(look_up(store, move |members| to.cast(Message::Members(members)).is_ok()));
     let to = actor.clone();
     let receive = move |from, datagram| to.cast(Message::Datagram(from, datagram)).is_ok();
     tokio::spawn(datagrams.receive(receive));
--- a/hostd/src/cmd/entry.rs
+++ b/hostd/src/cmd/entry.rs
@@ -23,7 +23,7 @@
     clock::uptime,
     config::{InForce, follow},
     datagrams::Datagrams,
-    discovery::{Discovery, register},
+    discovery::{Discovery, announce, look_up},
     entry::{EntryActor, Message, Parts},
     http::{ConnectionLimits, error, json, listen, serve},
     metrics::Metrics,
@@ -45,7 +45,7 @@
     let now = uptime();
     let own = member(&settings, Role::Entry);
     let incarnation = rand::random();
-    log::info!(host = settings.name.as_str(), zone = settings.zone.as_str(), address:% = own.address, incarnation = incarnation; "an entry starts");
+    log::info!(host = settings.name.as_str(), zone = settings.zone.as_str(), address:% = own.address, seeds = settings.seeds.len(), incarnation = incarnation; "an entry starts");
 
     let datagrams = Datagrams::bind(settings.mesh).await?;
     let callers = listen(required(settings.callers, "callers", &settings)?)?;
@@ -79,11 +79,8 @@
     let operator = Operator::new(store.clone());
     tokio::spawn(follow(operator, Arc::clone(&in_force), Arc::clone(&metrics)));
     let to = actor.clone();
-    tokio::spawn(async move {
-        let members = register(store, own).await;
-        // The actor is gone only when the process ends.
-        let _ = to.cast(Message::Members(members));
-    });
+    tokio::spawn(announce(store.clone(), own));
+    tokio::spawn(look_up(store, move |members| to.cast(Message::Members(members)).is_ok()));
     let to = actor.clone();
     let receive = move |from, datagram| to.cast(Message::Datagram(from, datagram)).is_ok();
     tokio::spawn(datagrams.receive(receive));
--- a/hostd/src/discovery.rs
+++ b/hostd/src/discovery.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use eyre::{Context, Result};
 use mesh::{Datagram, Hello, Member, Members, Uptime};
 use platform::{HostSettings, Store};
 use rand::{SeedableRng, rngs::SmallRng};
@@ -20,6 +19,10 @@
 const EAGER_TIME_MS: u64 = 3_000;
 /// Pause after the store has failed.
 const PAUSE: Duration = Duration::from_millis(400);
+/// Time to the second look at the members on record; each further one comes twice as late.
+const EAGER_LOOK: Duration = Duration::from_millis(300);
+/// Longest time between two looks at the members on record.
+const CALM_LOOK: Duration = Duration::from_secs(10);
 /// Longest pause after the store has failed.
 const MAX_PAUSE: Duration = Duration::from_secs(5);
 
@@ -91,28 +94,44 @@
     }
 }
 
-/// Puts a process on record in the store, and reads who else is.
-pub(crate) async fn register(store: Store, own: Member) -> Vec<Member> {
+/// Puts a process on record in the store, however often that takes.
+pub(crate) async fn announce(store: Store, own: Member) {
+    let value = match postcard::to_stdvec(&own) {
+        Ok(value) => value,
+        Err(err) => {
+            log::error!(error:% = err; "the member cannot be encoded");
+            return;
+        }
+    };
     let mut pause = PAUSE;
+    while let Err(err) = store.append(TOPIC, &own.address.to_string(), &value).await {
+        log::warn!(error:% = err; "the process cannot be put on record in the store");
+        sleep(pause).await;
+        pause = (pause * 2).min(MAX_PAUSE);
+    }
+    log::info!("the process is on record in the store");
+}
+
+/// Reads who is on record in the store, again and again, and passes it on to `tell`.
+///
+/// Does not wait for this process to be on record: the store may refuse writes and allow
+/// reads. Ends when `tell` returns false.
+pub(crate) async fn look_up(store: Store, mut tell: impl FnMut(Vec<Member>) -> bool) {
+    let mut pause = EAGER_LOOK;
     loop {
-        match try_register(&store, &own).await {
-            Ok(members) => {
-                log::info!(members = members.len(); "the process is on record in the store");
-                return members;
+        match store.newest(TOPIC).await {
+            Ok((records, _)) => {
+                let decode = |value: &Vec<u8>| postcard::from_bytes(value).ok();
+                if !tell(records.iter().filter_map(|it| decode(&it.value)).collect()) {
+                    return;
+                }
+                sleep(pause).await;
+                pause = (pause * 2).min(CALM_LOOK);
             }
             Err(err) => {
-                log::warn!(error:% = format!("{err:#}"); "the process cannot be put on record in the store");
-                sleep(pause).await;
-                pause = (pause * 2).min(MAX_PAUSE);
+                log::warn!(error:% = err; "the members on record in the store cannot be read");
+                sleep(PAUSE).await;
             }
         }
     }
 }
-
-async fn try_register(store: &Store, own: &Member) -> Result<Vec<Member>> {
-    let value = postcard::to_stdvec(own).context("the member cannot be encoded")?;
-    store.append(TOPIC, &own.address.to_string(), &value).await.context("the record")?;
-    let (records, _) = store.newest(TOPIC).await.context("the list")?;
-    let decode = |value: &Vec<u8>| postcard::from_bytes(value).ok();
-    Ok(records.iter().filter_map(|it| decode(&it.value)).collect())
-}
--- a/hostd/tests/processes/deployment.rs
+++ b/hostd/tests/processes/deployment.rs
@@ -109,7 +109,7 @@
     }
 
     /// Waits until every executor has been given work.
-    async fn wait_until_jobs_run(&self) {
+    pub(crate) async fn wait_until_jobs_run(&self) {
         let end = Instant::now() + READY;
         let mut job = 0x1000;
         while self.executors.iter().any(|it| it.starts().is_empty()) {
@@ -165,6 +165,33 @@
         }
     }
 
+    /// Kills all processes and starts them anew with a seed that nobody listens at.
+    pub(crate) fn replace_all_without_seeds(&mut self) {
+        for child in self.agents.iter_mut().chain([&mut self.entry]) {
+            child.kill().expect("the process is killed");
+            child.wait().expect("the process has ended");
+        }
+        for path in &self.settings {
+            let text = std::fs::read_to_string(path).expect("settings");
+            let seed = text.lines().find(|line| line.starts_with("seedNodes")).expect("seeds");
+            let text = text.replace(seed, "seedNodes = [\"127.99.99.99:1\"]");
+            std::fs::write(path, text).expect("settings");
+        }
+        self.entry = start_process("entry", &self.settings[0]);
+        for agent in 0..self.agents.len() {
+            self.start_agent(agent);
+        }
+    }
+
+    /// Names the entry as the seed of all processes, without a signal.
+    pub(crate) fn name_seeds(&self) {
+        for path in &self.settings {
+            let text = std::fs::read_to_string(path).expect("settings");
+            let text = text.replace("127.99.99.99:1", &self.callers.to_string());
+            std::fs::write(path, text).expect("settings");
+        }
+    }
+
     pub(crate) fn kill_agent(&mut self, agent: usize) {
         self.agents[agent].kill().expect("the agent is killed");
         self.agents[agent].wait().expect("the agent has ended");
--- a/hostd/tests/processes/main.rs
+++ b/hostd/tests/processes/main.rs
@@ -79,6 +79,30 @@
     deployment.wait_for("/new/", 404).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn new_processes_find_each_other_while_the_store_refuses_writes_and_no_seed_lives() {
+    let mut deployment = Deployment::start("10.7", 2).await;
+    deployment.store.set_refuses_writes(true);
+
+    deployment.replace_all_without_seeds();
+    deployment.wait_for("/q/", 200).await;
+
+    deployment.wait_until_jobs_run().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn new_processes_find_each_other_by_seeds_that_are_named_after_their_start() {
+    let mut deployment = Deployment::start("10.8", 1).await;
+    deployment.store.forget_all("keyed.hosts");
+    deployment.store.set_refuses_writes(true);
+    deployment.replace_all_without_seeds();
+
+    deployment.name_seeds();
+    deployment.wait_for("/q/", 200).await;
+
+    deployment.wait_until_jobs_run().await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_executor_that_drains_is_given_no_more_work() {
     let deployment = Deployment::start("10.6", 2).await;
