Read settings again at the start that are being written, and keep wire words in platform/

A process test failed once under load (not every executor was given work): a settings file was rewritten while a process started, which then ended. The process tests take what the platform writes from platform/standin.

--- a/hostd/src/cmd.rs
+++ b/hostd/src/cmd.rs
@@ -23,6 +23,8 @@
 const SETTINGS_LOOK: Duration = Duration::from_secs(2);
 /// The same for a process that has just been started: its first settings may name no seeds.
 const EAGER_SETTINGS_LOOK: Duration = Duration::from_millis(150);
+/// Times that the settings are read until the start fails.
+const FIRST_READS: usize = 4;
 /// Time after its start for which a process is eager; seeds come within 3 s.
 const EAGER_TIME: Duration = Duration::from_secs(5);
 /// Time for the last answers and log lines to be written.
@@ -31,6 +33,21 @@
 const PAGE_LIMITS: ConnectionLimits =
     ConnectionLimits { connections: 64, header_time: Duration::from_secs(2), header_bytes: 8_192 };
 
+/// Reads the settings at the start of a process.
+///
+/// The platform may be writing the file just then, so a file that is not accepted is read
+/// again a few times before the start fails.
+async fn first_settings(path: &Path) -> Result<HostSettings> {
+    for _ in 1..FIRST_READS {
+        match platform::load_settings(path) {
+            Ok(settings) => return Ok(settings),
+            Err(err) => log::warn!(error:% = format!("{err:#}"); "the settings are read again"),
+        }
+        sleep(EAGER_SETTINGS_LOOK).await;
+    }
+    platform::load_settings(path)
+}
+
 /// This process as a member.
 fn member(settings: &HostSettings, role: Role) -> Member {
     Member { address: settings.mesh, role, zone: settings.zone.clone() }
--- a/hostd/src/cmd/agent.rs
+++ b/hostd/src/cmd/agent.rs
@@ -9,7 +9,7 @@
 use ractor::Actor;
 use tokio::sync::watch;
 
-use super::{Notice, PAGE_LIMITS, member, required, start_metrics, wait};
+use super::{Notice, PAGE_LIMITS, first_settings, member, required, start_metrics, wait};
 use crate::{
     agent::{AgentActor, Message, Parts},
     cli::Arguments,
@@ -27,7 +27,7 @@
 pub(crate) async fn run(arguments: &Arguments) -> Result<()> {
     let signals = Signals::new()?;
     let path = arguments.settings_path()?;
-    let settings = platform::load_settings(&path)?;
+    let settings = first_settings(&path).await?;
     let now = uptime();
     let own = member(&settings, Role::Agent);
     let incarnation = rand::random();
--- a/hostd/src/cmd/entry.rs
+++ b/hostd/src/cmd/entry.rs
@@ -16,7 +16,7 @@
 use ractor::Actor;
 use tokio::{sync::watch, time::sleep};
 
-use super::{Notice, PAGE_LIMITS, member, required, start_metrics, wait};
+use super::{Notice, PAGE_LIMITS, first_settings, member, required, start_metrics, wait};
 use crate::{
     callers::Callers,
     cli::Arguments,
@@ -41,7 +41,7 @@
 pub(crate) async fn run(arguments: &Arguments) -> Result<()> {
     let signals = Signals::new()?;
     let path = arguments.settings_path()?;
-    let settings = platform::load_settings(&path)?;
+    let settings = first_settings(&path).await?;
     let now = uptime();
     let own = member(&settings, Role::Entry);
     let incarnation = rand::random();
--- a/hostd/tests/processes/deployment.rs
+++ b/hostd/tests/processes/deployment.rs
@@ -11,7 +11,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{Method, Request};
 use hyper_util::{client::legacy::Client, rt::TokioExecutor};
-use platform_standin::{Executor, Store};
+use platform_standin::{Executor, HostFile, Store, config_text, job_text};
 use tokio::time::{Instant, sleep};
 
 /// Time for a deployment to become ready, or a configuration to be in force.
@@ -25,15 +25,16 @@
     pub(crate) executors: Vec<Executor>,
     entry: Child,
     agents: Vec<Child>,
+    hosts: Vec<HostFile>,
     settings: Vec<PathBuf>,
     callers: SocketAddr,
     folder: PathBuf,
 }
 
-/// A free port of loopback; the addresses of a deployment are used by no other.
-fn free_port() -> u16 {
-    let socket = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
-    socket.local_addr().expect("an address").port()
+/// Free ports of loopback that differ; the addresses of a deployment are used by no other.
+fn free_ports() -> [u16; 4] {
+    let sockets = [(); 4].map(|()| std::net::TcpListener::bind("127.0.0.1:0").expect("a port"));
+    sockets.map(|socket| socket.local_addr().expect("an address").port())
 }
 
 impl Deployment {
@@ -47,33 +48,32 @@
         std::fs::create_dir_all(&folder).expect("a folder");
         let store = Store::default();
         let store_address = store.serve(address(200, 0)).await.expect("a store");
-        let ports: Vec<u16> = (0..4).map(|_| free_port()).collect();
-        let seeds = address(1, ports[1]);
-        let mut settings = Vec::new();
-        for host in 0..=agents {
-            let ip = address(host + 1, 0).ip();
-            let path = folder.join(format!("{host}.toml"));
-            let text = format!(
-                "nodeName = \"host-{host}\"\nzone = \"z\"\nip = \"{ip}\"\n\
-                 internalPortRange = [{}, {}]\nseedNodes = [\"{seeds}\"]\n\
-                 [listenAddresses]\nfrontend = \"{ip}:{}\"\nreadiness = \"{ip}:{}\"\n\
-                 control = \"{ip}:{}\"\n[platform]\naddress = \"{store_address}\"\n",
-                ports[0], ports[0], ports[1], ports[2], ports[3],
-            );
-            std::fs::write(&path, text).expect("settings");
-            settings.push(path);
-        }
+        let [mesh_port, caller_port, readiness_port, heartbeat_port] = free_ports();
+        let host = |number: usize| HostFile {
+            name: format!("host-{number}"),
+            ip: address(number + 1, 0).ip(),
+            mesh_port,
+            caller_port,
+            readiness_port,
+            heartbeat_port,
+            store: store_address,
+        };
+        let hosts: Vec<_> = (0..=agents).map(host).collect();
+        let settings: Vec<_> =
+            (0..=agents).map(|number| folder.join(format!("{number}.toml"))).collect();
+        let callers = address(1, caller_port);
+        write_settings(&hosts, &settings, callers);
         let mut executors = Vec::new();
         for host in 1..=agents {
             let executor = Executor::new(&format!("i-{host}"), SERVICE, 2_000);
-            let registry = address(host + 1, ports[3]);
+            let registry = address(host + 1, heartbeat_port);
             executor.serve(address(host + 1, 0), registry).await.expect("an executor");
             executors.push(executor);
         }
         let entry = start_process("entry", &settings[0]);
         let agents = settings[1..].iter().map(|path| start_process("agent", path)).collect();
-        let callers = address(1, ports[1]);
-        let deployment = Deployment { store, executors, entry, agents, settings, callers, folder };
+        let deployment =
+            Deployment { store, executors, entry, agents, hosts, settings, callers, folder };
         deployment.publish(1, &["/q/"]);
         deployment.wait_for("/q/", 200).await;
         deployment.wait_until_jobs_run().await;
@@ -82,21 +82,7 @@
 
     /// Publishes a configuration with these queues.
     pub(crate) fn publish(&self, version: u64, prefixes: &[&str]) {
-        let route = |prefix: &&str| {
-            format!(
-                "{{\"name\":\"{prefix}\",\"hostname\":\"{HOST}\",\"pathPrefix\":\"{prefix}\",\
-                 \"service\":\"{SERVICE}\",\"maxAttempts\":2,\"stretchFactor\":2.0,\
-                 \"targetLatencyMs\":5000}}"
-            )
-        };
-        let routes: Vec<_> = prefixes.iter().map(route).collect();
-        let text = format!(
-            "{{\"version\":{version},\"routes\":[{}],\"services\":[{{\"name\":\"{SERVICE}\"}}],\
-             \"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":65536,\
-             \"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}}}",
-            routes.join(",")
-        );
-        self.store.write("keyed.op", "config", text.as_bytes());
+        self.store.publish(&config_text(version, HOST, SERVICE, prefixes));
     }
 
     /// Waits until a GET of `path` is answered with `status`.
@@ -171,12 +157,8 @@
             child.kill().expect("the process is killed");
             child.wait().expect("the process has ended");
         }
-        for path in &self.settings {
-            let text = std::fs::read_to_string(path).expect("settings");
-            let seed = text.lines().find(|line| line.starts_with("seedNodes")).expect("seeds");
-            let text = text.replace(seed, "seedNodes = [\"127.99.99.99:1\"]");
-            std::fs::write(path, text).expect("settings");
-        }
+        let nobody = "127.99.99.99:1".parse().expect("an address");
+        write_settings(&self.hosts, &self.settings, nobody);
         self.entry = start_process("entry", &self.settings[0]);
         for agent in 0..self.agents.len() {
             self.start_agent(agent);
@@ -185,11 +167,24 @@
 
     /// Names the entry as the seed of all processes, without a signal.
     pub(crate) fn name_seeds(&self) {
+        write_settings(&self.hosts, &self.settings, self.callers);
+    }
+
+    /// Starts all processes anew with empty settings, which are filled soon after.
+    pub(crate) async fn restart_while_settings_are_written(&mut self) {
+        for child in self.agents.iter_mut().chain([&mut self.entry]) {
+            child.kill().expect("the process is killed");
+            child.wait().expect("the process has ended");
+        }
         for path in &self.settings {
-            let text = std::fs::read_to_string(path).expect("settings");
-            let text = text.replace("127.99.99.99:1", &self.callers.to_string());
-            std::fs::write(path, text).expect("settings");
+            std::fs::write(path, "").expect("settings");
         }
+        self.entry = start_process("entry", &self.settings[0]);
+        for agent in 0..self.agents.len() {
+            self.start_agent(agent);
+        }
+        sleep(Duration::from_millis(100)).await;
+        write_settings(&self.hosts, &self.settings, self.callers);
     }
 
     pub(crate) fn kill_agent(&mut self, agent: usize) {
@@ -220,13 +215,17 @@
     tasks: usize,
     work: &str,
 ) -> (u16, String) {
-    let body = format!(
-        "{{\"spec\":\"{work}\",\"bestEffort\":true,\"steps\":[{{\"count\":{tasks},\"cpu\":400,\
-         \"memoryRequestMb\":1,\"estimatedDurationMs\":{work}}}]}}"
-    );
+    let body = job_text(tasks, work);
     deployment.post(&format!("/q/{job:016x}"), &body).await
 }
 
+/// Writes the settings of all hosts, with one seed.
+fn write_settings(hosts: &[HostFile], paths: &[PathBuf], seed: SocketAddr) {
+    for (host, path) in hosts.iter().zip(paths) {
+        std::fs::write(path, host.text(seed)).expect("settings");
+    }
+}
+
 fn start_process(role: &str, settings: &PathBuf) -> Child {
     Command::new(env!("CARGO_BIN_EXE_primrosemux-hostd"))
         .arg("--settings")
--- a/hostd/tests/processes/main.rs
+++ b/hostd/tests/processes/main.rs
@@ -93,7 +93,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn new_processes_find_each_other_by_seeds_that_are_named_after_their_start() {
     let mut deployment = Deployment::start("10.8", 1).await;
-    deployment.store.forget_all("keyed.hosts");
+    deployment.store.forget_hosts();
     deployment.store.set_refuses_writes(true);
     deployment.replace_all_without_seeds();
 
@@ -117,6 +117,16 @@
     assert_eq!(deployment.executors[0].starts().len(), before);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn settings_that_are_being_written_at_the_start_are_read_again() {
+    let mut deployment = Deployment::start("10.9", 1).await;
+
+    deployment.restart_while_settings_are_written().await;
+
+    deployment.wait_for("/q/", 200).await;
+    deployment.wait_until_jobs_run().await;
+}
+
 #[test]
 fn wrong_settings_stop_the_start_with_the_reason() {
     let output = deployment::run_without_settings();
