--- a/components/broker/src/broker/runs.rs
+++ b/components/broker/src/broker/runs.rs
@@ -15,7 +15,11 @@
 impl Broker {
     pub(super) fn on_agent(&mut self, now: Uptime, address: SocketAddrV4, zone: String) {
         let own = self.options.incarnation;
-        self.agents.entry(address).or_insert_with(|| Agent::new(own, now, zone)).learnt = now;
+        let agent = self.agents.entry(address).or_insert_with(|| Agent::new(own, now, zone));
+        agent.learnt = now;
+        if agent.lost {
+            agent.next_probe = now;
+        }
     }
 
     pub(super) fn on_frame(
--- a/components/broker/src/limits.rs
+++ b/components/broker/src/limits.rs
@@ -7,7 +7,7 @@
 /// Time between two probes of an agent without runs of this entry, in ms.
 pub(crate) const IDLE_PROBE_MS: u64 = 130;
 /// Time between two probes of an agent that does not answer, in ms.
-pub(crate) const SEARCH_MS: u64 = 500;
+pub(crate) const SEARCH_MS: u64 = 250;
 /// Silence after which an agent is given no more work, in ms.
 pub(crate) const SUSPECT_MS: u64 = 300;
 /// Time without acknowledgement of an order after which an agent is given no more work, in
--- a/components/broker/tests/broker/agents.rs
+++ b/components/broker/tests/broker/agents.rs
@@ -1,6 +1,6 @@
 //! Agents that are silent, found again, or started anew.
 
-use broker::{AGENT_SILENCE_MS, PROBE_MS, RUNS_OVER_MS, Reply};
+use broker::{AGENT_SILENCE_MS, Event, PROBE_MS, RUNS_OVER_MS, Reply};
 use mesh::{Channel, Health};
 
 use crate::fixture::{Fixture, address, step, submission};
@@ -25,6 +25,19 @@
     assert!(probes >= 7, "{probes} probes in a second");
 }
 
+#[test]
+fn probes_an_agent_at_once_that_makes_itself_known() {
+    let mut fixture = Fixture::new(1);
+    set_answers(&mut fixture, 1, false);
+    fixture.live(3_000);
+    set_answers(&mut fixture, 1, true);
+    let before = fixture.agents[&address(1)].probes;
+
+    fixture.event(Event::Agent { address: address(1), zone: "north".to_owned() });
+
+    assert_eq!(fixture.agents[&address(1)].probes, before + 1);
+}
+
 #[test]
 fn gives_a_silent_agent_no_work() {
     let mut fixture = Fixture::new(2);
--- a/hostd/src/discovery.rs
+++ b/hostd/src/discovery.rs
@@ -69,9 +69,17 @@
         new
     }
 
-    /// Learns of members from the store; returns those that were unknown.
+    /// Learns of members from the store, and greets those that were unknown and work with
+    /// this process; returns all that were unknown.
     pub(crate) fn learn(&mut self, now: Uptime, members: Vec<Member>) -> Vec<Member> {
-        members.into_iter().filter(|it| self.members.learn(now, it.clone())).collect()
+        let new: Vec<_> =
+            members.into_iter().filter(|it| self.members.learn(now, it.clone())).collect();
+        let role = self.members.own().role;
+        for member in new.iter().filter(|it| it.role != role) {
+            let hello = self.members.hello(now, false, &mut self.rng);
+            self.datagrams.send(member.address, &Datagram::Hello(hello));
+        }
+        new
     }
 
     /// Takes note of a sign of life.
--- a/hostd/src/entry.rs
+++ b/hostd/src/entry.rs
@@ -142,8 +142,13 @@
                 self.run(now, Event::Frame { from, frame });
             }
             Datagram::Hello(hello) => {
+                let from = hello.from.clone();
                 let new = self.parts.discovery.on_hello(now, hello);
                 self.add_members(now, new);
+                if from.role == Role::Agent {
+                    let Member { address, zone, .. } = from;
+                    self.run(now, Event::Agent { address, zone });
+                }
             }
             Datagram::Entry(_) => {
                 log::warn!(from:% = from; "an entry has sent an order to an entry")
