Name the prefix of keyed topics in the adapter only, and tell the core of agents in one place

hostd named a topic with the platform's prefix, and a process test a header of the platform in lower case; the test of names looked for three whole topics and missed both. On the wire nothing changes.

--- a/components/guard/src/limits.rs
+++ b/components/guard/src/limits.rs
@@ -2,8 +2,8 @@
 //!
 //! A caller that gets no answer sends its job again 1300 ms later, and by then no run of the
 //! first submission may be left. [`ENTRY_SILENCE_MS`], one unanswered stop
-//! ([`CALL_TIMEOUT_MS`]) and [`LEASE_MS`] with its drift add up to less; docs/DESIGN.md has
-//! the sum.
+//! ([`CALL_TIMEOUT_MS`]) and [`LEASE_MS`] with its drift add up to less; docs/DESIGN-HOSTS.md
+//! has the sum.
 
 /// Length of the leases of runs, in ms.
 pub const LEASE_MS: u64 = 500;
@@ -37,6 +37,7 @@
 pub(crate) const CLEAR_MS: u64 = 40;
 /// Time for which the number of an ended run is remembered, in ms; later than any resend.
 pub(crate) const REMEMBER_MS: u64 = 15_000;
+
 /// The limits that together end every run before its job comes again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Timing {
--- a/hostd/src/discovery.rs
+++ b/hostd/src/discovery.rs
@@ -1,6 +1,6 @@
 //! Finds other processes through the store and through each other.
 
-use std::time::Duration;
+use std::{net::SocketAddrV4, time::Duration};
 
 use mesh::{Datagram, Hello, Member, Members, Uptime};
 use platform::{HostSettings, Store};
@@ -10,7 +10,7 @@
 use crate::datagrams::Datagrams;
 
 /// Topic with a record for each process that was started.
-const TOPIC: &str = "keyed.hosts";
+const TOPIC: &str = "hosts";
 /// Time between two greetings while few members are known, in ms.
 const EAGER_MS: u64 = 150;
 /// Time between two greetings, in ms.
@@ -83,7 +83,7 @@
     }
 
     /// Takes note of a sign of life.
-    pub(crate) fn hear(&mut self, now: Uptime, address: std::net::SocketAddrV4) {
+    pub(crate) fn hear(&mut self, now: Uptime, address: SocketAddrV4) {
         self.members.hear(now, address);
     }
 
--- a/hostd/src/entry.rs
+++ b/hostd/src/entry.rs
@@ -145,10 +145,7 @@
                 let from = hello.from.clone();
                 let new = self.parts.discovery.on_hello(now, hello);
                 self.add_members(now, new);
-                if from.role == Role::Agent {
-                    let Member { address, zone, .. } = from;
-                    self.run(now, Event::Agent { address, zone });
-                }
+                self.note_agent(now, from);
             }
             Datagram::Entry(_) => {
                 log::warn!(from:% = from; "an entry has sent an order to an entry")
@@ -160,10 +157,15 @@
     fn add_members(&mut self, now: Uptime, members: Vec<Member>) {
         for member in members {
             log::info!(member:% = member.address, role:? = member.role, zone = member.zone.as_str(); "a member is known");
-            if member.role == Role::Agent {
-                let Member { address, zone, .. } = member;
-                self.run(now, Event::Agent { address, zone });
-            }
+            self.note_agent(now, member);
+        }
+    }
+
+    /// Tells the core of a member that has made itself known, if it is an agent.
+    fn note_agent(&mut self, now: Uptime, member: Member) {
+        if member.role == Role::Agent {
+            let Member { address, zone, .. } = member;
+            self.run(now, Event::Agent { address, zone });
         }
     }
 
--- a/hostd/tests/processes/deployment.rs
+++ b/hostd/tests/processes/deployment.rs
@@ -11,7 +11,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{Method, Request};
 use hyper_util::{client::legacy::Client, rt::TokioExecutor};
-use platform_standin::{Executor, HostFile, Store, config_text, job_text};
+use platform_standin::{Executor, HostFile, PATIENCE_HEADER, Store, config_text, job_text};
 use tokio::time::{Instant, sleep};
 
 /// Time for a deployment to become ready, or a configuration to be in force.
@@ -123,7 +123,7 @@
             .method(method)
             .uri(format!("http://{}{path}", self.callers))
             .header("host", HOST)
-            .header("primrosemux-request-deadline", "15000")
+            .header(PATIENCE_HEADER, "15000")
             .body(Full::new(Bytes::from(body.to_owned())))
             .expect("a request");
         let Ok(response) = client.request(request).await else { return (0, String::new()) };
