--- a/components/broker/src/broker.rs
+++ b/components/broker/src/broker.rs
@@ -17,7 +17,8 @@
     agents::{Agent, Agents},
     estimate::Estimates,
     job::{Job, Submission},
-    limits::{PATIENCE_MS, STOP_LEAST_MS, STOP_LIMIT_MS, SUSPENDED_MS},
+    limits::{STOP_LEAST_MS, STOP_LIMIT_MS, SUSPENDED_MS},
+    policy::Policy,
     queue::{JobKey, Queue},
 };
 
@@ -32,6 +33,8 @@
     pub seed: u64,
     /// Time since an agent was last heard after which none of its runs can be left, in ms.
     pub runs_over: u64,
+    /// How it decides.
+    pub policy: Policy,
 }
 
 /// What happens to an entry.
@@ -160,12 +163,11 @@
     pub fn new(now: Uptime, options: Options) -> Broker {
         Broker {
             rng: SmallRng::seed_from_u64(options.seed),
-            options,
             agents: Agents::new(),
             jobs: SlotMap::with_key(),
             by_id: HashMap::new(),
             by_token: HashMap::new(),
-            queue: Queue::default(),
+            queue: Queue::new(options.policy.order),
             estimates: Estimates::default(),
             answered: HashMap::new(),
             forget: VecDeque::new(),
@@ -175,6 +177,7 @@
             stopping: None,
             finished: false,
             effects: Vec::new(),
+            options,
         }
     }
 
@@ -275,7 +278,9 @@
         let stopped = now.since(since);
         let told = self.agents.values().all(|it| it.lost || it.channel.pending().next().is_none());
         let done = stopped >= STOP_LEAST_MS && self.jobs.is_empty() && told;
-        if !self.finished && (done || stopped >= STOP_LIMIT_MS + PATIENCE_MS) {
+        if !self.finished
+            && (done || stopped >= STOP_LIMIT_MS + u64::from(self.options.policy.patience))
+        {
             self.finished = true;
             self.effects.push(Effect::Finished);
         }
--- a/components/broker/src/broker/jobs.rs
+++ b/components/broker/src/broker/jobs.rs
@@ -36,7 +36,8 @@
             return None;
         }
         let runs = earlier.map_or(0, |it| it.runs);
-        let job = Job::new(now, submission, token, runs, &self.estimates);
+        let order = self.options.policy.order;
+        let job = Job::new(now, submission, token, runs, &self.estimates, order);
         let chain = job.objective.saturating_sub(job.latest.since(now));
         if let Some(since) = self.stopping
             && now.since(since) + STOP_TIMES * chain >= STOP_LIMIT_MS
@@ -46,11 +47,11 @@
             self.effects.push(Effect::Answer { token, reply });
             return None;
         }
-        let latest = job.latest;
+        let rank = job.rank;
         let key = self.jobs.insert(job);
         self.by_id.insert(id, key);
         self.by_token.insert(token, key);
-        self.queue.insert(now, latest, key);
+        self.queue.insert(now, rank, key);
         self.changed = true;
         Some(key)
     }
@@ -63,7 +64,7 @@
         }
         let service = job.submission.route.service.clone();
         let candidates = Candidates::new(&self.agents, now, &service, &self.options.zone);
-        let ahead = self.queue.before(job.latest).filter(|it| *it != key);
+        let ahead = self.queue.before(job.rank).filter(|it| *it != key);
         let ahead = ahead.filter_map(|it| self.jobs.get(it));
         let ahead = ahead.filter(|it| it.submission.route.service == service);
         let work: u64 = ahead.map(|it| it.waiting_work(&self.estimates)).sum();
@@ -71,7 +72,7 @@
         let others = self.agents.values().filter(|it| !it.is_silent(now));
         let others = others.map(|it| u64::from(it.report.waiting) * 1_000).max().unwrap_or(0);
         let backlog = Backlog {
-            ahead: work + job.waiting_work(&self.estimates) / 2,
+            ahead: work,
             own,
             others,
             capacity: candidates.capacity(),
@@ -83,7 +84,11 @@
         }
         let fits = job.submission.steps.iter().all(|step| candidates.suit(step));
         let wait = backlog.wait();
-        if fits && wait.is_some_and(|wait| now + wait <= job.latest) {
+        let slack = job.latest.since(now);
+        let allowed = slack * self.options.policy.wait_share / 100;
+        let own_wait = (job.waiting_work(&self.estimates) / 2).checked_div(backlog.capacity);
+        let in_time = |wait| wait <= allowed && wait + own_wait.unwrap_or(0) <= slack;
+        if fits && wait.is_some_and(in_time) {
             return;
         }
         let retry_after = wait.unwrap_or(0).max(MIN_RETRY_AFTER_MS);
@@ -130,12 +135,12 @@
             for task in &mut job.tasks {
                 if matches!(task.state, TaskState::Lost { over } if now >= over) {
                     task.state = TaskState::Waiting;
-                    back.push((key, job.latest));
+                    back.push((key, job.rank));
                 }
             }
         }
-        for (key, latest) in back {
-            self.queue.insert(now, latest, key);
+        for (key, rank) in back {
+            self.queue.insert(now, rank, key);
             self.changed = true;
         }
         for key in over {
@@ -165,7 +170,7 @@
     pub(super) fn answer(&mut self, now: Uptime, key: JobKey, reply: Reply) {
         let Some(job) = self.jobs.remove(key) else { return };
         let id = job.submission.job;
-        self.queue.remove(job.latest, key);
+        self.queue.remove(job.rank, key);
         self.by_id.remove(&id);
         let mut stops: BTreeMap<SocketAddrV4, Vec<RunKey>> = BTreeMap::new();
         for (agent, run) in job.placed() {
--- a/components/broker/src/broker/placing.rs
+++ b/components/broker/src/broker/placing.rs
@@ -12,7 +12,6 @@
 use super::Broker;
 use crate::{
     job::{Job, TaskState},
-    limits::PATIENCE_MS,
     place::Candidates,
     queue::JobKey,
 };
@@ -39,13 +38,13 @@
             let (all, mut new) = place_job(job, key, candidates, &mut self.rng);
             orders.append(&mut new);
             if all {
-                placed.push((job.latest, key));
+                placed.push((job.rank, key));
             } else {
                 full.insert(route.service.clone());
             }
         }
-        for (latest, key) in placed {
-            self.queue.remove(latest, key);
+        for (rank, key) in placed {
+            self.queue.remove(rank, key);
         }
         for order in orders {
             self.send_order(now, order);
@@ -74,7 +73,7 @@
             memory: it.memory,
             gpus: it.gpus,
             expected: self.estimates.expected(&route.name, it.declared),
-            patience: PATIENCE_MS as u32,
+            patience: self.options.policy.patience,
             decided: agent.report.now,
         }));
     }
--- a/components/broker/src/broker/runs.rs
+++ b/components/broker/src/broker/runs.rs
@@ -104,7 +104,7 @@
                 } else if job.submission.steps.len() > 1 {
                     job.unblock();
                     if job.waits() {
-                        self.queue.insert(now, job.latest, job_key);
+                        self.queue.insert(now, job.rank, job_key);
                         self.changed = true;
                     }
                 }
@@ -132,7 +132,7 @@
     pub(super) fn wait_again(&mut self, now: Uptime, key: JobKey, position: usize) {
         let Some(job) = self.jobs.get_mut(key) else { return };
         job.tasks[position].state = TaskState::Waiting;
-        self.queue.insert(now, job.latest, key);
+        self.queue.insert(now, job.rank, key);
         self.changed = true;
     }
 
--- a/components/broker/src/job.rs
+++ b/components/broker/src/job.rs
@@ -4,7 +4,7 @@
 
 use mesh::{JobId, RunKey, Uptime};
 
-use crate::{Route, estimate::Estimates, limits::USEFUL_OBJECTIVES};
+use crate::{Route, estimate::Estimates, limits::USEFUL_OBJECTIVES, policy::Order};
 
 /// A job as its caller sent it.
 #[derive(Debug, Clone, PartialEq)]
@@ -57,6 +57,8 @@
     pub(crate) objective: u64,
     /// Latest start that keeps the objective.
     pub(crate) latest: Uptime,
+    /// Position among waiting jobs.
+    pub(crate) rank: Uptime,
     /// The caller leaves.
     pub(crate) deadline: Uptime,
     pub(crate) tasks: Vec<Task>,
@@ -99,6 +101,7 @@
         token: u64,
         runs: u32,
         estimates: &Estimates,
+        order: Order,
     ) -> Job {
         let route = &submission.route;
         let chain = longest_chain(&submission.steps, |step| {
@@ -117,11 +120,17 @@
                 avoid: Vec::new(),
             }));
         }
+        let latest = now + objective.saturating_sub(chain);
+        let rank = match order {
+            Order::LatestStart => latest,
+            Order::FirstCome => now,
+        };
         Job {
             tokens: vec![token],
             arrived: now,
             objective,
-            latest: now + objective.saturating_sub(chain),
+            latest,
+            rank,
             deadline: now + submission.patience,
             tasks,
             ran: false,
--- a/components/broker/src/lib.rs
+++ b/components/broker/src/lib.rs
@@ -16,6 +16,7 @@
 mod job;
 mod limits;
 mod place;
+mod policy;
 mod queue;
 
 pub use crate::{
@@ -23,4 +24,5 @@
     config::{Config, Limits, Route},
     job::{Step, Submission},
     limits::{AGENT_SILENCE_MS, PROBE_MS, RUNS_OVER_MS, SUSPENDED_MS},
+    policy::{Order, Policy},
 };
--- /dev/null
+++ b/components/broker/src/policy.rs
@@ -0,0 +1,30 @@
+//! What an entry decides by, as parameters that experiments compare.
+
+use crate::limits::{PATIENCE_MS, WAIT_SHARE};
+
+/// Order in which jobs wait for room.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Order {
+    /// By the latest start that keeps their objective; jobs that have missed it come last.
+    LatestStart,
+    /// As they came.
+    FirstCome,
+}
+
+/// How an entry decides.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Policy {
+    /// Order of waiting jobs.
+    pub order: Order,
+    /// Part of the time until its latest start for which a job may have to wait, in percent; it
+    /// is refused on arrival if its wait is predicted to be longer.
+    pub wait_share: u64,
+    /// Time for which an agent may let a run wait for room, in ms.
+    pub patience: u32,
+}
+
+impl Default for Policy {
+    fn default() -> Policy {
+        Policy { order: Order::LatestStart, wait_share: WAIT_SHARE, patience: PATIENCE_MS }
+    }
+}
--- a/components/broker/src/queue.rs
+++ b/components/broker/src/queue.rs
@@ -9,36 +9,47 @@
 use mesh::Uptime;
 use slotmap::new_key_type;
 
+use crate::policy::Order;
+
 new_key_type! {
     /// Key of a job.
     pub(crate) struct JobKey;
 }
 
 /// Jobs that wait for room.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Queue {
+    order: Order,
     in_time: BTreeSet<(Uptime, JobKey)>,
     late: BTreeSet<(Uptime, JobKey)>,
 }
 
 impl Queue {
+    /// An empty queue.
+    pub(crate) fn new(order: Order) -> Queue {
+        Queue { order, in_time: BTreeSet::new(), late: BTreeSet::new() }
+    }
+
     /// Adds a job.
-    pub(crate) fn insert(&mut self, now: Uptime, latest: Uptime, key: JobKey) {
-        if latest >= now {
-            self.in_time.insert((latest, key));
+    pub(crate) fn insert(&mut self, now: Uptime, rank: Uptime, key: JobKey) {
+        if rank >= now || self.order == Order::FirstCome {
+            self.in_time.insert((rank, key));
         } else {
-            self.late.insert((latest, key));
+            self.late.insert((rank, key));
         }
     }
 
     /// Removes a job.
-    pub(crate) fn remove(&mut self, latest: Uptime, key: JobKey) {
-        self.in_time.remove(&(latest, key));
-        self.late.remove(&(latest, key));
+    pub(crate) fn remove(&mut self, rank: Uptime, key: JobKey) {
+        self.in_time.remove(&(rank, key));
+        self.late.remove(&(rank, key));
     }
 
     /// Moves jobs that can't keep their objective any more behind the others.
     pub(crate) fn age(&mut self, now: Uptime) {
+        if self.order == Order::FirstCome {
+            return;
+        }
         while let Some(first) = self.in_time.first().copied()
             && first.0 < now
         {
@@ -52,9 +63,9 @@
         self.in_time.iter().chain(&self.late).map(|(_, key)| *key)
     }
 
-    /// Jobs that go before one with this latest start.
-    pub(crate) fn before(&self, latest: Uptime) -> impl Iterator<Item = JobKey> {
-        self.in_time.range(..(latest, JobKey::default())).map(|(_, key)| *key)
+    /// Jobs that go before one with this rank.
+    pub(crate) fn before(&self, rank: Uptime) -> impl Iterator<Item = JobKey> {
+        self.in_time.range(..(rank, JobKey::default())).map(|(_, key)| *key)
     }
 
     pub(crate) fn is_empty(&self) -> bool {
--- a/components/broker/tests/broker/fixture.rs
+++ b/components/broker/tests/broker/fixture.rs
@@ -6,7 +6,9 @@
     sync::Arc,
 };
 
-use broker::{Broker, Effect, Event, Options, RUNS_OVER_MS, Reply, Route, Step, Submission};
+use broker::{
+    Broker, Effect, Event, Options, Policy, RUNS_OVER_MS, Reply, Route, Step, Submission,
+};
 use mesh::{
     Channel, Command, Datagram, End, EndpointInfo, Health, JobId, Notice, Refusal, Report, RunKey,
     Uptime,
@@ -73,8 +75,13 @@
     /// An entry that has heard `count` agents with empty endpoints.
     pub(crate) fn new(count: u8) -> Fixture {
         let now = Uptime(10_000);
-        let options =
-            Options { incarnation: 7, zone: "north".to_owned(), seed: 1, runs_over: RUNS_OVER_MS };
+        let options = Options {
+            incarnation: 7,
+            zone: "north".to_owned(),
+            seed: 1,
+            runs_over: RUNS_OVER_MS,
+            policy: Policy::default(),
+        };
         let mut fixture = Fixture {
             broker: Broker::new(now, options),
             now,
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -18,7 +18,7 @@
 
 pub use crate::{
     fault::{Fault, FaultKind},
-    load::{Kind, Load},
+    load::{Burst, Kind, Load},
     report::{KindReport, Report, Violation},
     world::{World, WorldOptions},
 };
--- a/components/model/src/load.rs
+++ b/components/model/src/load.rs
@@ -25,6 +25,19 @@
     pub poison: f64,
 }
 
+/// A time of many jobs.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Burst {
+    /// Start, in ms from the first callers.
+    pub at: u64,
+    /// Length, in ms.
+    pub length: u64,
+    /// Kind, by its position; all kinds if there is none.
+    pub kind: Option<usize>,
+    /// Jobs a second against the usual ones.
+    pub times: f64,
+}
+
 /// All jobs of a deployment.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Load {
@@ -34,6 +47,8 @@
     pub spread: f64,
     /// Spread of declared against real run times, likewise.
     pub misjudged: f64,
+    /// Times of many jobs.
+    pub bursts: Vec<Burst>,
 }
 
 /// What a job really needs.
@@ -57,6 +72,15 @@
 const TARGET_MS: u64 = 60;
 
 impl Load {
+    /// Jobs of a kind a second, `at` ms after the first callers.
+    pub(crate) fn rate(&self, kind: usize, at: u64) -> f64 {
+        let strikes = |it: &&Burst| {
+            it.kind.is_none_or(|it| it == kind) && (it.at..it.at + it.length).contains(&at)
+        };
+        let times: f64 = self.bursts.iter().filter(strikes).map(|it| it.times).product();
+        self.kinds[kind].rate * times
+    }
+
     /// Draws a job of one kind.
     pub(crate) fn draw(&self, kind: usize, job: JobId, rng: &mut SmallRng) -> (Submission, Truth) {
         let it = &self.kinds[kind];
--- a/components/model/src/world.rs
+++ b/components/model/src/world.rs
@@ -6,7 +6,7 @@
     net::{Ipv4Addr, SocketAddr, SocketAddrV4},
 };
 
-use broker::{Broker, Effect as EntryEffect, Event as EntryEvent, Reply, Submission};
+use broker::{Broker, Effect as EntryEffect, Event as EntryEvent, Policy, Reply, Submission};
 use guard::{
     Answer, Call, CallKind, Effect as AgentEffect, Event as AgentEvent, Guard, Heartbeat,
     HeartbeatState, Rejection, Timing,
@@ -56,6 +56,8 @@
     pub timing: Timing,
     /// Time since an agent was last heard after which an entry runs its tasks again, in ms.
     pub runs_over: u64,
+    /// How entries decide.
+    pub policy: Policy,
     /// Job whose course is told in the report.
     pub trace: Option<JobId>,
 }
@@ -210,7 +212,7 @@
     }
 
     fn push_arrival(&mut self, kind: usize, after: u64) {
-        let rate = self.options.load.kinds[kind].rate;
+        let rate = self.options.load.rate(kind, after.saturating_sub(LEAD_MS));
         if rate <= 0.0 {
             return;
         }
@@ -227,6 +229,7 @@
             zone: String::new(),
             seed: self.rng.random(),
             runs_over: self.options.runs_over,
+            policy: self.options.policy,
         };
         let now = Uptime(self.now);
         self.entries[entry] = Some(Broker::new(now, options));
--- a/components/model/tests/promises.rs
+++ b/components/model/tests/promises.rs
@@ -23,7 +23,7 @@
         poison: 0.01,
     };
     let kinds = vec![kind("short", 8.0, 4.0, 60.0), kind("long", 4.0, 2.0, 1_200.0)];
-    Load { kinds, spread: 0.4, misjudged: 0.4 }
+    Load { kinds, spread: 0.4, misjudged: 0.4, bursts: Vec::new() }
 }
 
 fn options(seed: u64, faults: Vec<Fault>) -> WorldOptions {
@@ -36,6 +36,7 @@
         faults,
         timing: Timing::default(),
         runs_over: broker::RUNS_OVER_MS,
+        policy: broker::Policy::default(),
         trace: std::env::var("TRACE").ok().and_then(|it| it.parse().ok()).map(mesh::JobId),
     }
 }
--- a/hostd/src/cmd/entry.rs
+++ b/hostd/src/cmd/entry.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use broker::{Broker, Limits, Options, RUNS_OVER_MS};
+use broker::{Broker, Limits, Options, Policy, RUNS_OVER_MS};
 use eyre::{Context, Result};
 use hyper::StatusCode;
 use mesh::Role;
@@ -45,6 +45,7 @@
         zone: process.settings.zone.clone(),
         seed: rand::random(),
         runs_over: RUNS_OVER_MS,
+        policy: Policy::default(),
     };
     let parts = Parts {
         broker: Broker::new(process.started, options),
