Learn run times relative to the other endpoints, and log a placement in one line

Cause: a declared run time that is off for all jobs made every endpoint look fast, and dividing by that slowness kept the estimate wrong for ever (runs of 199 ms were expected to take 468). Slowness is now taken relative to the mean, and the first runs after a start weigh more. The placement of a job is one log line and not one for each agent: half of the lines were dropped.

--- a/components/broker/src/agents.rs
+++ b/components/broker/src/agents.rs
@@ -9,6 +9,14 @@
 /// Agents by their addresses.
 pub(crate) type Agents = BTreeMap<SocketAddrV4, Agent>;
 
+/// Mean slowness of the agents that are heard, in percent.
+pub(crate) fn usual_slowness(agents: &Agents, now: Uptime) -> u64 {
+    let heard = agents.values().filter(|it| !it.is_silent(now) && it.report.endpoint.is_some());
+    let (count, sum) = heard
+        .fold((0_u64, 0_u64), |(count, sum), it| (count + 1, sum + u64::from(it.report.slowness)));
+    sum.checked_div(count).unwrap_or(100).max(1)
+}
+
 /// One agent.
 #[derive(Debug)]
 pub(crate) struct Agent {
--- a/components/broker/src/broker.rs
+++ b/components/broker/src/broker.rs
@@ -14,7 +14,7 @@
 use slotmap::SlotMap;
 
 use crate::{
-    agents::{Agent, Agents},
+    agents::{Agent, Agents, usual_slowness},
     estimate::Estimates,
     job::{Job, Submission},
     limits::{STOP_LEAST_MS, STOP_LIMIT_MS, SUSPENDED_MS},
@@ -147,6 +147,8 @@
     by_token: HashMap<u64, JobKey>,
     queue: Queue,
     estimates: Estimates,
+    /// Mean slowness of the agents, in percent.
+    usual_slowness: u64,
     shares: Shares,
     answered: HashMap<JobId, Answered>,
     forget: VecDeque<(Uptime, JobId)>,
@@ -171,6 +173,7 @@
             by_token: HashMap::new(),
             queue: Queue::new(options.policy.order),
             estimates: Estimates::default(),
+            usual_slowness: 100,
             shares: Shares::default(),
             answered: HashMap::new(),
             forget: VecDeque::new(),
@@ -253,6 +256,7 @@
 
     fn on_tick(&mut self, now: Uptime) {
         self.queue.age(now);
+        self.usual_slowness = usual_slowness(&self.agents, now);
         self.check_agents(now);
         self.check_jobs(now);
         while let Some((at, job)) = self.forget.front().copied()
--- a/components/broker/src/broker/placing.rs
+++ b/components/broker/src/broker/placing.rs
@@ -2,15 +2,17 @@
 
 use std::{
     collections::{BTreeMap, HashMap, HashSet},
+    fmt::Write,
     net::SocketAddrV4,
     sync::Arc,
 };
 
-use mesh::{Command, RunKey, StartOrder, Uptime};
+use mesh::{Command, Report, RunKey, StartOrder, Uptime};
 use rand::rngs::SmallRng;
 
 use super::Broker;
 use crate::{
+    agents::Agents,
     job::{Job, TaskState},
     place::Candidates,
     queue::JobKey,
@@ -36,6 +38,9 @@
                 Candidates::new(&self.agents, now, &route.service, &self.options.zone)
             });
             let (all, mut new) = place_job(job, key, candidates, &mut self.rng);
+            if !new.is_empty() {
+                log_placed(now, job, &new, &self.agents);
+            }
             orders.append(&mut new);
             if all {
                 placed.push((job.rank, key));
@@ -59,13 +64,6 @@
         };
         let route = &job.submission.route;
         let it = &job.submission.steps[usize::from(step)];
-        log::info!(
-            job:% = job.submission.job, request = job.submission.request.as_str(),
-            route = route.name.as_str(), step = step, tasks = runs.len(), agent:% = address,
-            report_age_ms = now.since(agent.heard), free_cpu = agent.report.cpu,
-            slowness = agent.report.slowness, slack_ms = job.latest.since(now);
-            "tasks are placed"
-        );
         agent.channel.push(Command::Start(StartOrder {
             runs,
             spec: job.submission.spec.clone(),
@@ -79,6 +77,29 @@
     }
 }
 
+/// Tells where tasks of a job go, in one line, and what that was decided on.
+fn log_placed(now: Uptime, job: &Job, orders: &[Order], agents: &Agents) {
+    let tasks: usize = orders.iter().map(|it| it.runs.len()).sum();
+    let mut places = String::new();
+    let mut oldest = 0;
+    for order in orders {
+        if let Some(agent) = agents.get(&order.agent) {
+            let age = now.since(agent.heard);
+            let Report { cpu, slowness, .. } = agent.report;
+            let (count, address) = (order.runs.len(), order.agent);
+            oldest = oldest.max(age);
+            // A string can always be written to.
+            let _ = write!(places, "{count}@{address} free {cpu} slowness {slowness}; ");
+        }
+    }
+    log::info!(
+        job:% = job.submission.job, request = job.submission.request.as_str(),
+        route = job.submission.route.name.as_str(), tasks = tasks, places = places.as_str(),
+        report_age_ms = oldest, slack_ms = job.latest.since(now);
+        "tasks are placed"
+    );
+}
+
 /// Tasks of a step that an agent is to start.
 struct Order {
     agent: SocketAddrV4,
--- a/components/broker/src/broker/runs.rs
+++ b/components/broker/src/broker/runs.rs
@@ -95,8 +95,10 @@
             End::Done => {
                 task.state = TaskState::Done;
                 let step = &job.submission.steps[usize::from(key.step)];
+                // Slowness of one endpoint is relative to the others; what they have in common
+                // says that the declared run times are off.
                 let slowness = self.agents.get(&agent).map_or(100, |it| it.report.slowness.max(1));
-                let sound = u64::from(took) * 100 / u64::from(slowness);
+                let sound = u64::from(took) * self.usual_slowness / u64::from(slowness);
                 let sound = u32::try_from(sound).unwrap_or(u32::MAX);
                 self.estimates.learn(&job.submission.route.name, step.declared, sound);
                 if job.is_done() {
--- a/components/broker/src/estimate.rs
+++ b/components/broker/src/estimate.rs
@@ -5,7 +5,7 @@
 
 use std::collections::HashMap;
 
-/// Weight of the newest run in the mean.
+/// Least weight of the newest run in the mean; the first runs weigh more.
 const WEIGHT: f64 = 0.03;
 /// Bounds of what one run may say, so that one bad estimate does not rule the mean.
 const BOUNDS: (f64, f64) = (0.2, 5.0);
@@ -13,13 +13,19 @@
 /// Real run time against the declared one, by route.
 #[derive(Debug, Default)]
 pub(crate) struct Estimates {
-    factors: HashMap<String, f64>,
+    factors: HashMap<String, Factor>,
+}
+
+#[derive(Debug)]
+struct Factor {
+    mean: f64,
+    runs: u32,
 }
 
 impl Estimates {
     /// Expected run time of a task that declares `declared` ms.
     pub(crate) fn expected(&self, route: &str, declared: u32) -> u32 {
-        let factor = self.factors.get(route).copied().unwrap_or(1.0);
+        let factor = self.factors.get(route).map_or(1.0, |it| it.mean);
         (f64::from(declared.max(1)) * factor).ceil() as u32
     }
 
@@ -28,9 +34,15 @@
         let (least, most) = BOUNDS;
         let sample = (f64::from(took) / f64::from(declared.max(1))).clamp(least, most);
         match self.factors.get_mut(route) {
-            Some(factor) => *factor += WEIGHT * (sample - *factor),
+            Some(factor) => {
+                factor.runs = factor.runs.saturating_add(1);
+                let weight = (1.0 / f64::from(factor.runs)).max(WEIGHT);
+                factor.mean += weight * (sample - factor.mean);
+            }
             None => {
-                self.factors.insert(route.to_owned(), 1.0 + WEIGHT * (sample - 1.0));
+                // The declaration counts as much as the first run.
+                let mean = (1.0 + sample) / 2.0;
+                self.factors.insert(route.to_owned(), Factor { mean, runs: 2 });
             }
         }
     }
--- a/components/broker/tests/broker/fixture.rs
+++ b/components/broker/tests/broker/fixture.rs
@@ -36,6 +36,8 @@
     /// Runs that it was told to start and not to stop.
     pub(crate) runs: Vec<(RunKey, u32)>,
     pub(crate) stopped: Vec<RunKey>,
+    /// Run time that its newest order told it to expect, in ms.
+    pub(crate) expected: u32,
     /// Probes that it has got.
     pub(crate) probes: usize,
 }
@@ -97,6 +99,7 @@
                 answers: true,
                 runs: Vec::new(),
                 stopped: Vec::new(),
+                expected: 0,
                 probes: 0,
             };
             fixture.agents.insert(address(last), agent);
@@ -200,6 +203,7 @@
     fn take(&mut self, command: Command) {
         match command {
             Command::Start(order) => {
+                self.expected = order.expected;
                 self.runs.extend(order.runs.iter().map(|key| (*key, order.cpu)));
             }
             Command::Stop(keys) => {
--- a/components/broker/tests/broker/order.rs
+++ b/components/broker/tests/broker/order.rs
@@ -89,3 +89,23 @@
     fixture.submit(with_target(5, 500, 5_000));
     assert_eq!(fixture.broker.load().1, 1);
 }
+
+#[test]
+fn learns_that_declared_run_times_are_off_though_all_endpoints_look_fast() {
+    let mut fixture = Fixture::new(2);
+    for agent in fixture.agents.values_mut() {
+        agent.report.slowness = 40;
+    }
+    fixture.live(200);
+    // Runs end after 200 ms.
+    let misjudged = |job| submission(job, vec![Step { declared: 500, ..step(1, 100) }]);
+    for job in 1..=200 {
+        fixture.submit(misjudged(job));
+        fixture.end_all();
+    }
+
+    fixture.submit(misjudged(201));
+
+    let expected = fixture.agents.values().map(|it| it.expected).collect::<Vec<_>>();
+    assert!(expected.iter().all(|it| (190..=230).contains(it)), "{expected:?}");
+}
--- a/hostd/tests/processes/soak/mod.rs
+++ b/hostd/tests/processes/soak/mod.rs
@@ -26,8 +26,8 @@
 const CI_SEEDS: [u64; 2] = [1, 2];
 /// Seeds that have failed, each with its cause.
 const FAILED_SEEDS: [(u64, &str); 0] = [];
-/// Deployments that are played at the same time.
-const TOGETHER: usize = 2;
+/// Deployments that are played at the same time, unless `SOAK_TOGETHER` says otherwise.
+const TOGETHER: u64 = 2;
 const ENTRIES: usize = 2;
 const AGENTS: usize = 4;
 /// Time in which jobs are wanted after twice their work, in ms.
@@ -43,8 +43,9 @@
 /// Time for which a caller waits for one of them, in ms.
 const LAST_PATIENCE_MS: u64 = 3_000;
 
-/// `SOAK_SEEDS` is the number of seeds to play, `SOAK_FIRST` the first of them; without them
-/// the seeds of CI are played and all that have failed.
+/// `SOAK_SEEDS` is the number of seeds to play, `SOAK_FIRST` the first of them; without them the
+/// seeds of CI are played and all that have failed. `SOAK_TOGETHER` deployments are played at a
+/// time.
 #[tokio::test(flavor = "multi_thread")]
 async fn no_promise_is_broken_while_random_faults_strike_the_programs() {
     let number = |name: &str| env::var(name).ok().and_then(|it| it.parse::<u64>().ok());
@@ -54,7 +55,9 @@
         None => CI_SEEDS.into_iter().chain(FAILED_SEEDS.map(|it| it.0)).collect(),
     };
 
-    for (round, seeds) in seeds.chunks(TOGETHER).enumerate() {
+    let together = number("SOAK_TOGETHER").unwrap_or(TOGETHER).clamp(1, 20) as usize;
+
+    for (round, seeds) in seeds.chunks(together).enumerate() {
         let round = u8::try_from(round % 100).expect("a small number");
         let plays = seeds
             .iter()
