--- a/components/broker/src/broker/placing.rs
+++ b/components/broker/src/broker/placing.rs
@@ -52,12 +52,12 @@
             self.queue.remove(rank, key);
         }
         for order in orders {
-            self.send_order(now, order);
+            self.send_order(order);
         }
     }
 
     /// Gives an agent the order to start tasks.
-    fn send_order(&mut self, now: Uptime, order: Order) {
+    fn send_order(&mut self, order: Order) {
         let Order { agent: address, job, step, runs } = order;
         let (Some(agent), Some(job)) = (self.agents.get_mut(&address), self.jobs.get(job)) else {
             return;
--- a/components/model/src/world.rs
+++ b/components/model/src/world.rs
@@ -1,26 +1,27 @@
 //! The simulation.
 
+mod callers;
+mod endpoints;
+mod faults;
+
 use std::{
     cmp::Reverse,
     collections::{BinaryHeap, HashMap, HashSet},
-    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+    net::{Ipv4Addr, SocketAddrV4},
 };
 
-use broker::{Broker, Effect as EntryEffect, Event as EntryEvent, Policy, Reply, Submission};
-use guard::{
-    Answer, Call, CallKind, Effect as AgentEffect, Event as AgentEvent, Guard, Heartbeat,
-    HeartbeatState, Rejection, Timing,
-};
-use mesh::{Datagram, EndpointInfo, JobId, RunKey, Uptime};
+use broker::{Broker, Effect as EntryEffect, Event as EntryEvent, Policy};
+use guard::{Answer, Call, Effect as AgentEffect, Event as AgentEvent, Guard, Timing};
+use mesh::{Datagram, JobId, Uptime};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
 use crate::{
-    callers::{Callers, MAX_SENDS, Open, RESEND_MS},
+    callers::Callers,
     endpoint::Endpoint,
-    fault::{Fault, FaultKind},
-    load::{Load, SERVICE, Truths},
-    report::{KindReport, Report, Violation, Worth},
-    worth::{Answered, worth},
+    fault::Fault,
+    load::{Load, Truths},
+    report::{KindReport, Report, Worth},
+    worth::Answered,
 };
 
 /// Time between two ticks of a process, in ms.
@@ -33,8 +34,6 @@
 const LEAD_MS: u64 = 4_000;
 /// Time after callers have stopped coming, in ms.
 const TAIL_MS: u64 = 8_000;
-/// Memory of an endpoint, in MB.
-const MEMORY_MB: u32 = 1_000_000;
 /// Port of all processes.
 const PORT: u16 = 7_000;
 
@@ -215,18 +214,6 @@
         self.queue.push(Reverse((at, self.next_event)));
     }
 
-    fn push_arrival(&mut self, kind: usize, after: u64) {
-        let rate = self.options.load.rate(kind, after.saturating_sub(LEAD_MS));
-        if rate <= 0.0 {
-            return;
-        }
-        let pause = -(1.0 - self.rng.random::<f64>()).ln() * 1_000.0 / rate;
-        let at = after + pause as u64;
-        if at < LEAD_MS + self.options.length {
-            self.push(at, Event::Arrive(kind));
-        }
-    }
-
     fn start_entry(&mut self, entry: usize) {
         let options = broker::Options {
             incarnation: self.rng.random(),
@@ -302,78 +289,6 @@
         self.push(self.now + TICK_MS, Event::Tick(host));
     }
 
-    fn on_heartbeat(&mut self, agent: usize) {
-        self.push(self.now + HEARTBEAT_MS, Event::Heartbeat(agent));
-        let endpoint = &self.endpoints[agent];
-        if !endpoint.alive || self.agents[agent].is_none() {
-            return;
-        }
-        let info = EndpointInfo {
-            service: SERVICE.to_owned(),
-            cpu: endpoint.capacity,
-            memory: MEMORY_MB,
-            ..EndpointInfo::default()
-        };
-        let beat = Heartbeat {
-            instance: endpoint.instance.to_string().into(),
-            address: SocketAddr::V4(address(Host::Agent(agent))),
-            state: HeartbeatState::Ready,
-            info,
-        };
-        self.run_agent(agent, AgentEvent::Heartbeat(beat));
-    }
-
-    fn on_arrival(&mut self, kind: usize) {
-        self.push_arrival(kind, self.now);
-        let job = JobId(self.next_job);
-        self.next_job += 1;
-        let (submission, truth) = self.options.load.draw(kind, job, &mut self.rng);
-        self.truths.insert(job, truth);
-        self.report.kinds[kind].sent += 1;
-        let open = Open { submission, first: self.now, sends: 0, request: None };
-        self.callers.open.insert(job, open);
-        self.send_job(job);
-    }
-
-    /// Sends a job to an entry at random, or again later if there is none.
-    fn send_job(&mut self, job: JobId) {
-        let entry = self.rng.random_range(0..self.entries.len());
-        let Some(open) = self.callers.open.get_mut(&job) else { return };
-        open.sends += 1;
-        if open.sends > MAX_SENDS {
-            self.finish(job, None);
-            return;
-        }
-        if self.entries[entry].is_none() {
-            self.push(self.now + RESEND_MS, Event::Send(job));
-            return;
-        }
-        let patience = open.submission.patience;
-        let token = self.callers.next_request(job);
-        if let Some(open) = self.callers.open.get_mut(&job) {
-            open.request = Some((entry, token));
-        }
-        self.push(self.now, Event::Submit { entry, job, token });
-        self.push(self.now + patience, Event::OutOfPatience { job, token });
-    }
-
-    fn on_submit(&mut self, entry: usize, job: JobId, token: u64) {
-        let Some(open) = self.callers.open.get(&job) else { return };
-        let submission: Submission = open.submission.clone();
-        self.trace(job, || format!("sent to entry {entry} as request {token}"));
-        self.run_entry(entry, EntryEvent::Submit { token, submission });
-    }
-
-    /// A caller breaks its connection off, and sends its job again later.
-    fn on_out_of_patience(&mut self, job: JobId, token: u64) {
-        let Some(open) = self.callers.open.get_mut(&job) else { return };
-        let Some((entry, _)) = open.request.filter(|(_, it)| *it == token) else { return };
-        open.request = None;
-        self.callers.requests.remove(&token);
-        self.push(self.now, Event::Gone { entry, token });
-        self.push(self.now + RESEND_MS, Event::Send(job));
-    }
-
     fn on_datagram(&mut self, from: Host, to: Host, datagram: Datagram) {
         match (to, datagram) {
             (Host::Agent(agent), Datagram::Entry(frame)) if self.agents[agent].is_some() => {
@@ -423,276 +338,12 @@
         }
     }
 
-    /// Sends a call to an endpoint, which may carry it out late and without an answer.
-    fn call(&mut self, agent: usize, id: u64, call: Call) {
-        self.report.calls += 1;
-        let life = self.lives[agent];
-        let late = self.late_calls > 0.0 && self.rng.random_bool(self.late_calls);
-        let answered = !late && !self.endpoints[agent].silent;
-        if !answered {
-            let limit = guard::CALL_TIMEOUT_MS + wait_of(&call.kind);
-            let answer = Answer::Unknown;
-            self.push(self.now + limit, Event::Answer { agent, life, id, answer });
-        }
-        let delay = if late { self.rng.random_range(2_000..12_000) } else { 0 };
-        self.push(self.now + delay, Event::Call { agent, life, id, call, answered });
-    }
-
-    fn on_call(&mut self, agent: usize, life: u64, id: u64, call: &Call, answered: bool) {
-        let endpoint = &mut self.endpoints[agent];
-        if endpoint.silent {
-            return;
-        }
-        let answer = if !endpoint.alive {
-            Answer::Unsent
-        } else if endpoint.instance.to_string() != *call.instance {
-            Answer::Rejected(Rejection::Instance)
-        } else {
-            endpoint.call(self.now, call.token, &call.kind, &self.truths)
-        };
-        if let CallKind::Start { key, .. } | CallKind::Stop { key } = &call.kind {
-            self.trace(key.job, || format!("endpoint {agent}: {:?}: {answer:?}", call.kind));
-        }
-        if let (CallKind::Start { key, .. }, Answer::Accepted { .. }) = (&call.kind, &answer) {
-            self.ran.insert(key.job);
-        }
-        self.check_endpoint(agent);
-        if !answered {
-            return;
-        }
-        let wait = wait_of(&call.kind);
-        let news = self.endpoints[agent].has_news();
-        if matches!(answer, Answer::Seen(_)) && wait > 0 && !news {
-            self.holds.push(Hold { agent, life, id });
-            self.push(self.now + wait, Event::HoldOver { agent, life, id });
-            return;
-        }
-        self.push(self.now, Event::Answer { agent, life, id, answer });
-    }
-
-    fn on_hold_over(&mut self, agent: usize, life: u64, id: u64) {
-        let is_it = |it: &Hold| it.agent == agent && it.life == life && it.id == id;
-        if let Some(position) = self.holds.iter().position(is_it) {
-            self.holds.swap_remove(position);
-            let answer = match self.endpoints[agent].alive {
-                true => Answer::Seen(self.endpoints[agent].look(self.now)),
-                false => Answer::Unknown,
-            };
-            self.push(self.now, Event::Answer { agent, life, id, answer });
-        }
-    }
-
-    /// Ends what is over on an endpoint, answers looks that wait for it, and checks it.
-    fn check_endpoint(&mut self, agent: usize) {
-        self.endpoints[agent].advance(self.now);
-        if self.endpoints[agent].has_news() && !self.endpoints[agent].silent {
-            let waiting: Vec<_> = self.holds.extract_if(.., |it| it.agent == agent).collect();
-            for Hold { agent, life, id } in waiting {
-                let answer = Answer::Seen(self.endpoints[agent].look(self.now));
-                self.push(self.now, Event::Answer { agent, life, id, answer });
-            }
-        }
-        if let Some(due) = self.endpoints[agent].next_end()
-            && due < self.due[agent]
-        {
-            self.due[agent] = due;
-            self.push(due.max(self.now + 1), Event::EndpointDue(agent));
-        }
-        self.check_promises(agent);
-    }
-
-    fn check_promises(&mut self, agent: usize) {
-        let endpoint = &self.endpoints[agent];
-        if endpoint.used() > endpoint.capacity {
-            let what = format!("endpoint {agent} is over its capacity");
-            self.report.violations.push(Violation { at: self.now, what });
-        }
-        let runs: Vec<RunKey> = endpoint.runs().collect();
-        for key in runs {
-            let task = (key.job, key.step, key.index);
-            let same = |it: &RunKey| (it.job, it.step, it.index) == task;
-            for other in 0..self.endpoints.len() {
-                if other != agent {
-                    self.endpoints[other].advance(self.now);
-                }
-            }
-            let running = self.endpoints.iter().flat_map(Endpoint::runs).filter(same).count();
-            if running > 1 && self.overlaps.insert(task) {
-                let what = format!("two runs of {key} at the same time");
-                self.report.violations.push(Violation { at: self.now, what });
-            }
-        }
-    }
-
-    fn on_reply(&mut self, token: u64, reply: Reply) {
-        let Some(job) = self.callers.requests.remove(&token) else { return };
-        let Some(open) = self.callers.open.get_mut(&job) else { return };
-        if open.request.is_none_or(|(_, it)| it != token) {
-            return;
-        }
-        open.request = None;
-        self.trace(job, || format!("request {token} is answered: {reply:?}"));
-        let Some(open) = self.callers.open.get_mut(&job) else { return };
-        match reply {
-            Reply::Completed | Reply::Failed => self.finish(job, Some(reply)),
-            Reply::Refused { .. } => {
-                if open.sends == 1 {
-                    self.refused.insert(job);
-                }
-                self.finish(job, Some(reply));
-            }
-            Reply::GivenUp | Reply::Cancelled => {
-                self.push(self.now + RESEND_MS, Event::Send(job));
-            }
-        }
-    }
-
     /// Tells a step in the course of a job, if it is the one to be traced.
     fn trace(&mut self, job: JobId, step: impl FnOnce() -> String) {
         if self.options.trace == Some(job) {
             self.report.trace.push(format!("{} ms: {}", self.now, step()));
         }
     }
-
-    /// Counts a job that gets no further answer.
-    fn finish(&mut self, job: JobId, reply: Option<Reply>) {
-        let Some(open) = self.callers.open.remove(&job) else { return };
-        let truth = &self.truths[&job];
-        let took = self.now - open.first;
-        let kind = &mut self.report.kinds[truth.kind];
-        let as_it_should = match reply {
-            Some(Reply::Completed) => !truth.poisoned,
-            Some(Reply::Failed) => truth.poisoned,
-            Some(Reply::Refused { .. } | Reply::GivenUp | Reply::Cancelled) | None => false,
-        };
-        match reply {
-            Some(Reply::Refused { .. }) if took * 4 <= truth.objective => kind.refused_early += 1,
-            Some(Reply::Refused { .. }) => kind.refused_late += 1,
-            _ if !as_it_should => kind.failed += 1,
-            _ if took <= truth.objective => {
-                kind.in_time += 1;
-                self.answered.insert(job, Answered::InTime);
-            }
-            _ => {
-                kind.late += 1;
-                self.answered.insert(job, Answered::Late);
-            }
-        }
-        if as_it_should {
-            kind.times.saturating_record(took);
-            let work: u64 = truth.work.iter().sum();
-            self.report.useful += work * u64::from(truth.cpu) / 1_000;
-        }
-    }
-
-    fn strike(&mut self, kind: FaultKind) {
-        match kind {
-            FaultKind::KillEntry(entry) => {
-                self.entries[entry] = None;
-                self.drop_held(Host::Entry(entry));
-                self.break_requests(entry);
-            }
-            FaultKind::KillAgent(agent) => {
-                self.agents[agent] = None;
-                self.drop_held(Host::Agent(agent));
-                self.lives[agent] += 1;
-            }
-            FaultKind::FreezeEntry(entry) => {
-                self.frozen.entry(Host::Entry(entry)).or_default();
-            }
-            FaultKind::FreezeAgent(agent) => {
-                self.frozen.entry(Host::Agent(agent)).or_default();
-            }
-            FaultKind::CrashEndpoint(agent) => {
-                self.endpoints[agent].crash();
-            }
-            FaultKind::SilenceEndpoint(agent) => self.endpoints[agent].silent = true,
-            FaultKind::HangEndpoint(agent) => self.endpoints[agent].hangs = true,
-            FaultKind::FailEndpoint(agent) => self.endpoints[agent].fails = true,
-            FaultKind::SlowEndpoint(agent, times) => self.endpoints[agent].slowness = times,
-            FaultKind::DeafenEntries(agent) => {
-                self.lost_from.insert(agent);
-            }
-            FaultKind::DeafenAgent(agent) => {
-                self.lost_to.insert(agent);
-            }
-            FaultKind::LateCalls(share) => self.late_calls = share,
-            FaultKind::Loss(share) => self.loss = share,
-        }
-    }
-
-    fn heal(&mut self, kind: FaultKind) {
-        match kind {
-            FaultKind::KillEntry(entry) => self.start_entry(entry),
-            FaultKind::KillAgent(agent) => self.start_agent(agent),
-            FaultKind::FreezeEntry(entry) => self.thaw(Host::Entry(entry)),
-            FaultKind::FreezeAgent(agent) => self.thaw(Host::Agent(agent)),
-            FaultKind::CrashEndpoint(agent) => self.endpoints[agent].alive = true,
-            FaultKind::SilenceEndpoint(agent) => self.endpoints[agent].silent = false,
-            FaultKind::HangEndpoint(agent) => self.endpoints[agent].hangs = false,
-            FaultKind::FailEndpoint(agent) => self.endpoints[agent].fails = false,
-            FaultKind::SlowEndpoint(agent, _) => self.endpoints[agent].slowness = 1.0,
-            FaultKind::DeafenEntries(agent) => {
-                self.lost_from.remove(&agent);
-            }
-            FaultKind::DeafenAgent(agent) => {
-                self.lost_to.remove(&agent);
-            }
-            FaultKind::LateCalls(_) => self.late_calls = 0.0,
-            FaultKind::Loss(_) => self.loss = 0.0,
-        }
-    }
-
-    /// Hands a host what has arrived while it was suspended, in order.
-    fn thaw(&mut self, host: Host) {
-        for event in self.frozen.remove(&host).unwrap_or_default() {
-            self.push(self.now, event);
-        }
-    }
-
-    /// What a process had not read when it was killed is gone.
-    fn drop_held(&mut self, host: Host) {
-        if let Some(held) = self.frozen.get_mut(&host) {
-            held.clear();
-        }
-    }
-
-    /// Callers of an entry that was killed come again.
-    fn break_requests(&mut self, entry: usize) {
-        for (job, token) in self.callers.at(entry) {
-            self.callers.requests.remove(&token);
-            if let Some(open) = self.callers.open.get_mut(&job) {
-                open.request = None;
-            }
-            self.push(self.now + RESEND_MS, Event::Send(job));
-        }
-    }
-
-    /// Counts what has no answer at the end, and refusals that were not true.
-    fn close(&mut self) {
-        let mut open: Vec<_> = self.callers.open.keys().copied().collect();
-        open.sort_unstable();
-        for job in open {
-            self.finish(job, None);
-        }
-        let mut untrue: Vec<_> = self.refused.intersection(&self.ran).copied().collect();
-        untrue.sort_unstable();
-        for job in untrue {
-            let what = format!("job {job} was refused and has run");
-            self.report.violations.push(Violation { at: self.now, what });
-        }
-        let room: f64 = self.options.endpoints.iter().map(|it| f64::from(*it) / 1_000.0).sum();
-        let length = self.options.length as f64;
-        self.report.worth = worth(&self.truths, &self.answered, room * length);
-    }
-}
-
-/// Time for which a call waits at the endpoint, in ms.
-fn wait_of(kind: &CallKind) -> u64 {
-    match kind {
-        CallKind::Hold { wait, .. } => *wait,
-        CallKind::Start { .. } | CallKind::Stop { .. } => 0,
-    }
 }
 
 /// Process that handles an event; none for events of the world.
--- /dev/null
+++ b/components/model/src/world/callers.rs
@@ -0,0 +1,160 @@
+//! Callers: when they come, what they do with an answer, and what is counted.
+
+use broker::{Event as EntryEvent, Reply, Submission};
+use mesh::JobId;
+use rand::RngExt;
+
+use super::{Event, LEAD_MS, World};
+use crate::{
+    callers::{MAX_SENDS, Open, RESEND_MS},
+    report::Violation,
+    worth::{Answered, worth},
+};
+
+impl World {
+    pub(super) fn push_arrival(&mut self, kind: usize, after: u64) {
+        let rate = self.options.load.rate(kind, after.saturating_sub(LEAD_MS));
+        if rate <= 0.0 {
+            return;
+        }
+        let pause = -(1.0 - self.rng.random::<f64>()).ln() * 1_000.0 / rate;
+        let at = after + pause as u64;
+        if at < LEAD_MS + self.options.length {
+            self.push(at, Event::Arrive(kind));
+        }
+    }
+
+    pub(super) fn on_arrival(&mut self, kind: usize) {
+        self.push_arrival(kind, self.now);
+        let job = JobId(self.next_job);
+        self.next_job += 1;
+        let (submission, truth) = self.options.load.draw(kind, job, &mut self.rng);
+        self.truths.insert(job, truth);
+        self.report.kinds[kind].sent += 1;
+        let open = Open { submission, first: self.now, sends: 0, request: None };
+        self.callers.open.insert(job, open);
+        self.send_job(job);
+    }
+
+    /// Sends a job to an entry at random, or again later if there is none.
+    pub(super) fn send_job(&mut self, job: JobId) {
+        let entry = self.rng.random_range(0..self.entries.len());
+        let Some(open) = self.callers.open.get_mut(&job) else { return };
+        open.sends += 1;
+        if open.sends > MAX_SENDS {
+            self.finish(job, None);
+            return;
+        }
+        if self.entries[entry].is_none() {
+            self.push(self.now + RESEND_MS, Event::Send(job));
+            return;
+        }
+        let patience = open.submission.patience;
+        let token = self.callers.next_request(job);
+        if let Some(open) = self.callers.open.get_mut(&job) {
+            open.request = Some((entry, token));
+        }
+        self.push(self.now, Event::Submit { entry, job, token });
+        self.push(self.now + patience, Event::OutOfPatience { job, token });
+    }
+
+    pub(super) fn on_submit(&mut self, entry: usize, job: JobId, token: u64) {
+        let Some(open) = self.callers.open.get(&job) else { return };
+        let submission: Submission = open.submission.clone();
+        self.trace(job, || format!("sent to entry {entry} as request {token}"));
+        self.run_entry(entry, EntryEvent::Submit { token, submission });
+    }
+
+    /// A caller breaks its connection off, and sends its job again later.
+    pub(super) fn on_out_of_patience(&mut self, job: JobId, token: u64) {
+        let Some(open) = self.callers.open.get_mut(&job) else { return };
+        let Some((entry, _)) = open.request.filter(|(_, it)| *it == token) else { return };
+        open.request = None;
+        self.callers.requests.remove(&token);
+        self.push(self.now, Event::Gone { entry, token });
+        self.push(self.now + RESEND_MS, Event::Send(job));
+    }
+
+    pub(super) fn on_reply(&mut self, token: u64, reply: Reply) {
+        let Some(job) = self.callers.requests.remove(&token) else { return };
+        let Some(open) = self.callers.open.get_mut(&job) else { return };
+        if open.request.is_none_or(|(_, it)| it != token) {
+            return;
+        }
+        open.request = None;
+        self.trace(job, || format!("request {token} is answered: {reply:?}"));
+        let Some(open) = self.callers.open.get_mut(&job) else { return };
+        match reply {
+            Reply::Completed | Reply::Failed => self.finish(job, Some(reply)),
+            Reply::Refused { .. } => {
+                if open.sends == 1 {
+                    self.refused.insert(job);
+                }
+                self.finish(job, Some(reply));
+            }
+            Reply::GivenUp | Reply::Cancelled => {
+                self.push(self.now + RESEND_MS, Event::Send(job));
+            }
+        }
+    }
+
+    /// Counts a job that gets no further answer.
+    pub(super) fn finish(&mut self, job: JobId, reply: Option<Reply>) {
+        let Some(open) = self.callers.open.remove(&job) else { return };
+        let truth = &self.truths[&job];
+        let took = self.now - open.first;
+        let kind = &mut self.report.kinds[truth.kind];
+        let as_it_should = match reply {
+            Some(Reply::Completed) => !truth.poisoned,
+            Some(Reply::Failed) => truth.poisoned,
+            Some(Reply::Refused { .. } | Reply::GivenUp | Reply::Cancelled) | None => false,
+        };
+        match reply {
+            Some(Reply::Refused { .. }) if took * 4 <= truth.objective => kind.refused_early += 1,
+            Some(Reply::Refused { .. }) => kind.refused_late += 1,
+            _ if !as_it_should => kind.failed += 1,
+            _ if took <= truth.objective => {
+                kind.in_time += 1;
+                self.answered.insert(job, Answered::InTime);
+            }
+            _ => {
+                kind.late += 1;
+                self.answered.insert(job, Answered::Late);
+            }
+        }
+        if as_it_should {
+            kind.times.saturating_record(took);
+            let work: u64 = truth.work.iter().sum();
+            self.report.useful += work * u64::from(truth.cpu) / 1_000;
+        }
+    }
+
+    /// Counts what has no answer at the end, and refusals that were not true.
+    pub(super) fn close(&mut self) {
+        let mut open: Vec<_> = self.callers.open.keys().copied().collect();
+        open.sort_unstable();
+        for job in open {
+            self.finish(job, None);
+        }
+        let mut untrue: Vec<_> = self.refused.intersection(&self.ran).copied().collect();
+        untrue.sort_unstable();
+        for job in untrue {
+            let what = format!("job {job} was refused and has run");
+            self.report.violations.push(Violation { at: self.now, what });
+        }
+        let room: f64 = self.options.endpoints.iter().map(|it| f64::from(*it) / 1_000.0).sum();
+        let length = self.options.length as f64;
+        self.report.worth = worth(&self.truths, &self.answered, room * length);
+    }
+
+    /// Callers of an entry that was killed come again.
+    pub(super) fn break_requests(&mut self, entry: usize) {
+        for (job, token) in self.callers.at(entry) {
+            self.callers.requests.remove(&token);
+            if let Some(open) = self.callers.open.get_mut(&job) {
+                open.request = None;
+            }
+            self.push(self.now + RESEND_MS, Event::Send(job));
+        }
+    }
+}
--- /dev/null
+++ b/components/model/src/world/endpoints.rs
@@ -0,0 +1,152 @@
+//! Endpoints: heartbeats, calls, and the promises that are checked on them.
+
+use std::net::SocketAddr;
+
+use guard::{Answer, Call, CallKind, Event as AgentEvent, Heartbeat, HeartbeatState, Rejection};
+use mesh::{EndpointInfo, RunKey};
+use rand::RngExt;
+
+use super::{Event, HEARTBEAT_MS, Hold, Host, World, address};
+use crate::{endpoint::Endpoint, load::SERVICE, report::Violation};
+
+/// Memory of an endpoint, in MB.
+const MEMORY_MB: u32 = 1_000_000;
+
+impl World {
+    pub(super) fn on_heartbeat(&mut self, agent: usize) {
+        self.push(self.now + HEARTBEAT_MS, Event::Heartbeat(agent));
+        let endpoint = &self.endpoints[agent];
+        if !endpoint.alive || self.agents[agent].is_none() {
+            return;
+        }
+        let info = EndpointInfo {
+            service: SERVICE.to_owned(),
+            cpu: endpoint.capacity,
+            memory: MEMORY_MB,
+            ..EndpointInfo::default()
+        };
+        let beat = Heartbeat {
+            instance: endpoint.instance.to_string().into(),
+            address: SocketAddr::V4(address(Host::Agent(agent))),
+            state: HeartbeatState::Ready,
+            info,
+        };
+        self.run_agent(agent, AgentEvent::Heartbeat(beat));
+    }
+
+    /// Sends a call to an endpoint, which may carry it out late and without an answer.
+    pub(super) fn call(&mut self, agent: usize, id: u64, call: Call) {
+        self.report.calls += 1;
+        let life = self.lives[agent];
+        let late = self.late_calls > 0.0 && self.rng.random_bool(self.late_calls);
+        let answered = !late && !self.endpoints[agent].silent;
+        if !answered {
+            let limit = guard::CALL_TIMEOUT_MS + wait_of(&call.kind);
+            let answer = Answer::Unknown;
+            self.push(self.now + limit, Event::Answer { agent, life, id, answer });
+        }
+        let delay = if late { self.rng.random_range(2_000..12_000) } else { 0 };
+        self.push(self.now + delay, Event::Call { agent, life, id, call, answered });
+    }
+
+    pub(super) fn on_call(
+        &mut self,
+        agent: usize,
+        life: u64,
+        id: u64,
+        call: &Call,
+        answered: bool,
+    ) {
+        let endpoint = &mut self.endpoints[agent];
+        if endpoint.silent {
+            return;
+        }
+        let answer = if !endpoint.alive {
+            Answer::Unsent
+        } else if endpoint.instance.to_string() != *call.instance {
+            Answer::Rejected(Rejection::Instance)
+        } else {
+            endpoint.call(self.now, call.token, &call.kind, &self.truths)
+        };
+        if let CallKind::Start { key, .. } | CallKind::Stop { key } = &call.kind {
+            self.trace(key.job, || format!("endpoint {agent}: {:?}: {answer:?}", call.kind));
+        }
+        if let (CallKind::Start { key, .. }, Answer::Accepted { .. }) = (&call.kind, &answer) {
+            self.ran.insert(key.job);
+        }
+        self.check_endpoint(agent);
+        if !answered {
+            return;
+        }
+        let wait = wait_of(&call.kind);
+        let news = self.endpoints[agent].has_news();
+        if matches!(answer, Answer::Seen(_)) && wait > 0 && !news {
+            self.holds.push(Hold { agent, life, id });
+            self.push(self.now + wait, Event::HoldOver { agent, life, id });
+            return;
+        }
+        self.push(self.now, Event::Answer { agent, life, id, answer });
+    }
+
+    pub(super) fn on_hold_over(&mut self, agent: usize, life: u64, id: u64) {
+        let is_it = |it: &Hold| it.agent == agent && it.life == life && it.id == id;
+        if let Some(position) = self.holds.iter().position(is_it) {
+            self.holds.swap_remove(position);
+            let answer = match self.endpoints[agent].alive {
+                true => Answer::Seen(self.endpoints[agent].look(self.now)),
+                false => Answer::Unknown,
+            };
+            self.push(self.now, Event::Answer { agent, life, id, answer });
+        }
+    }
+
+    /// Ends what is over on an endpoint, answers looks that wait for it, and checks it.
+    pub(super) fn check_endpoint(&mut self, agent: usize) {
+        self.endpoints[agent].advance(self.now);
+        if self.endpoints[agent].has_news() && !self.endpoints[agent].silent {
+            let waiting: Vec<_> = self.holds.extract_if(.., |it| it.agent == agent).collect();
+            for Hold { agent, life, id } in waiting {
+                let answer = Answer::Seen(self.endpoints[agent].look(self.now));
+                self.push(self.now, Event::Answer { agent, life, id, answer });
+            }
+        }
+        if let Some(due) = self.endpoints[agent].next_end()
+            && due < self.due[agent]
+        {
+            self.due[agent] = due;
+            self.push(due.max(self.now + 1), Event::EndpointDue(agent));
+        }
+        self.check_promises(agent);
+    }
+
+    pub(super) fn check_promises(&mut self, agent: usize) {
+        let endpoint = &self.endpoints[agent];
+        if endpoint.used() > endpoint.capacity {
+            let what = format!("endpoint {agent} is over its capacity");
+            self.report.violations.push(Violation { at: self.now, what });
+        }
+        let runs: Vec<RunKey> = endpoint.runs().collect();
+        for key in runs {
+            let task = (key.job, key.step, key.index);
+            let same = |it: &RunKey| (it.job, it.step, it.index) == task;
+            for other in 0..self.endpoints.len() {
+                if other != agent {
+                    self.endpoints[other].advance(self.now);
+                }
+            }
+            let running = self.endpoints.iter().flat_map(Endpoint::runs).filter(same).count();
+            if running > 1 && self.overlaps.insert(task) {
+                let what = format!("two runs of {key} at the same time");
+                self.report.violations.push(Violation { at: self.now, what });
+            }
+        }
+    }
+}
+
+/// Time for which a call waits at the endpoint, in ms.
+fn wait_of(kind: &CallKind) -> u64 {
+    match kind {
+        CallKind::Hold { wait, .. } => *wait,
+        CallKind::Start { .. } | CallKind::Stop { .. } => 0,
+    }
+}
--- /dev/null
+++ b/components/model/src/world/faults.rs
@@ -0,0 +1,78 @@
+//! Faults: how they strike and heal.
+
+use super::{Host, World};
+use crate::fault::FaultKind;
+
+impl World {
+    pub(super) fn strike(&mut self, kind: FaultKind) {
+        match kind {
+            FaultKind::KillEntry(entry) => {
+                self.entries[entry] = None;
+                self.drop_held(Host::Entry(entry));
+                self.break_requests(entry);
+            }
+            FaultKind::KillAgent(agent) => {
+                self.agents[agent] = None;
+                self.drop_held(Host::Agent(agent));
+                self.lives[agent] += 1;
+            }
+            FaultKind::FreezeEntry(entry) => {
+                self.frozen.entry(Host::Entry(entry)).or_default();
+            }
+            FaultKind::FreezeAgent(agent) => {
+                self.frozen.entry(Host::Agent(agent)).or_default();
+            }
+            FaultKind::CrashEndpoint(agent) => {
+                self.endpoints[agent].crash();
+            }
+            FaultKind::SilenceEndpoint(agent) => self.endpoints[agent].silent = true,
+            FaultKind::HangEndpoint(agent) => self.endpoints[agent].hangs = true,
+            FaultKind::FailEndpoint(agent) => self.endpoints[agent].fails = true,
+            FaultKind::SlowEndpoint(agent, times) => self.endpoints[agent].slowness = times,
+            FaultKind::DeafenEntries(agent) => {
+                self.lost_from.insert(agent);
+            }
+            FaultKind::DeafenAgent(agent) => {
+                self.lost_to.insert(agent);
+            }
+            FaultKind::LateCalls(share) => self.late_calls = share,
+            FaultKind::Loss(share) => self.loss = share,
+        }
+    }
+
+    pub(super) fn heal(&mut self, kind: FaultKind) {
+        match kind {
+            FaultKind::KillEntry(entry) => self.start_entry(entry),
+            FaultKind::KillAgent(agent) => self.start_agent(agent),
+            FaultKind::FreezeEntry(entry) => self.thaw(Host::Entry(entry)),
+            FaultKind::FreezeAgent(agent) => self.thaw(Host::Agent(agent)),
+            FaultKind::CrashEndpoint(agent) => self.endpoints[agent].alive = true,
+            FaultKind::SilenceEndpoint(agent) => self.endpoints[agent].silent = false,
+            FaultKind::HangEndpoint(agent) => self.endpoints[agent].hangs = false,
+            FaultKind::FailEndpoint(agent) => self.endpoints[agent].fails = false,
+            FaultKind::SlowEndpoint(agent, _) => self.endpoints[agent].slowness = 1.0,
+            FaultKind::DeafenEntries(agent) => {
+                self.lost_from.remove(&agent);
+            }
+            FaultKind::DeafenAgent(agent) => {
+                self.lost_to.remove(&agent);
+            }
+            FaultKind::LateCalls(_) => self.late_calls = 0.0,
+            FaultKind::Loss(_) => self.loss = 0.0,
+        }
+    }
+
+    /// Hands a host what has arrived while it was suspended, in order.
+    pub(super) fn thaw(&mut self, host: Host) {
+        for event in self.frozen.remove(&host).unwrap_or_default() {
+            self.push(self.now, event);
+        }
+    }
+
+    /// What a process had not read when it was killed is gone.
+    pub(super) fn drop_held(&mut self, host: Host) {
+        if let Some(held) = self.frozen.get_mut(&host) {
+            held.clear();
+        }
+    }
+}
