Compare policies of entries in the model, and show that old orders must be refused

primrosemux-load policies plays six policies on the same arrivals and draws their part of the bound. The age of orders is shown to be needed by switching it off.

--- a/components/model/tests/promises.rs
+++ b/components/model/tests/promises.rs
@@ -148,3 +148,12 @@
     assert!(breaks(&faults, 3_000, change));
     assert!(!breaks(&faults, 3_000, |_| {}));
 }
+
+#[test]
+fn tasks_overlap_if_agents_take_orders_that_were_decided_on_old_reports() {
+    let change = |options: &mut WorldOptions| options.timing.order_age = 60_000;
+    let faults = [(0, FaultKind::FreezeAgent(0))];
+
+    assert!(breaks(&faults, 1_250, change));
+    assert!(!breaks(&faults, 1_250, |_| {}));
+}
--- a/load/src/cli.rs
+++ b/load/src/cli.rs
@@ -21,6 +21,8 @@
     Cost(Cost),
     /// Slopes of processor time, memory and bytes against the size.
     Capacity(Capacity),
+    /// Who waits and who is refused under several policies, in the model.
+    Policies(Policies),
 }
 
 /// Compare response times, missed deadlines and messages, side by side.
@@ -77,3 +79,33 @@
     #[argh(option, default = "1")]
     pub seed: u64,
 }
+
+/// Compare policies of the entries in the model of a deployment, on the same arrivals.
+#[derive(Debug)]
+#[derive(FromArgs)]
+#[argh(subcommand, name = "policies")]
+pub struct Policies {
+    /// work that arrives, in percent of the room; may be repeated (default: 60, 80, 100, 130)
+    #[argh(option)]
+    pub load: Vec<u32>,
+
+    /// seeds to play at each load (default: 3)
+    #[argh(option, default = "3")]
+    pub seeds: u64,
+
+    /// endpoints of 64 cores (default: 14)
+    #[argh(option, default = "14")]
+    pub endpoints: usize,
+
+    /// entries (default: 3)
+    #[argh(option, default = "3")]
+    pub entries: usize,
+
+    /// seconds during which jobs arrive (default: 8)
+    #[argh(option, default = "8")]
+    pub seconds: u64,
+
+    /// file for a plot, as SVG
+    #[argh(option)]
+    pub report: Option<std::path::PathBuf>,
+}
--- a/load/src/cmd/mod.rs
+++ b/load/src/cmd/mod.rs
@@ -3,3 +3,4 @@
 pub mod capacity;
 pub mod compare;
 pub mod cost;
+pub mod policies;
--- /dev/null
+++ b/load/src/cmd/policies.rs
@@ -0,0 +1,190 @@
+//! Policies of the entries side by side, on the same arrivals.
+//!
+//! The model drives the cores of entries and agents that ship. What is compared are the order
+//! of waiting jobs, the wait for which a job is still taken, and where it waits.
+
+use std::path::Path;
+
+use broker::{Order, Policy};
+use eyre::{Result, ensure, eyre};
+use guard::Timing;
+use model::{Kind, KindReport, Load, Report, World, WorldOptions};
+use plotters::prelude::{
+    BLACK, ChartBuilder, IntoDrawingArea, IntoFont, LineSeries, Palette, Palette99, PathElement,
+    SVGBackend, WHITE,
+};
+
+use crate::cli::Policies;
+
+/// Loads that are played by default, in percent of the room.
+const LOADS: [u32; 4] = [60, 80, 100, 130];
+/// Thousandths of a core of an endpoint.
+const CAPACITY: u32 = 64_000;
+/// Thousandths of a core of a task, in the mean.
+const TASK_CPU: f64 = 5_000.0;
+/// Spread of sizes and run times, and of declared against real ones, as deviations of their
+/// logarithms.
+const SPREAD: f64 = 0.4;
+/// Wait that is longer than any that occurs, in percent of the time until the latest start.
+const ANY_WAIT: u64 = 1_000_000;
+/// Size of the plot, in pixels.
+const PLOT: (u32, u32) = (800, 500);
+
+/// Figures of a policy at a load, as means over the seeds.
+#[derive(Debug, Clone, Copy, Default)]
+struct Row {
+    in_time: f64,
+    late: f64,
+    refused_early: f64,
+    refused_late: f64,
+    failed: f64,
+    worst_kind: f64,
+    of_bound: f64,
+}
+
+/// Compares all policies and prints a table; draws a plot if there is a file for it.
+pub fn policies(args: &Policies) -> Result<()> {
+    ensure!(args.endpoints > 0, "--endpoints is 0; at least 1 is needed");
+    ensure!(args.entries > 0, "--entries is 0; at least 1 is needed");
+    ensure!(args.seeds > 0, "--seeds is 0; at least 1 is needed");
+    let loads = if args.load.is_empty() { LOADS.to_vec() } else { args.load.clone() };
+    println!(
+        "{:<22} {:>5} {:>8} {:>7} {:>7} {:>7} {:>7} {:>7} {:>9}",
+        "policy", "load", "in time", "late", "early", "refused", "failed", "worst", "of bound"
+    );
+    let mut lines = Vec::new();
+    for (name, policy) in choices() {
+        let mut points = Vec::new();
+        for load in &loads {
+            let row = play(args, *load, policy);
+            println!(
+                "{name:<22} {load:>4}% {:>8.3} {:>7.3} {:>7.3} {:>7.3} {:>7.3} {:>7.3} {:>9.3}",
+                row.in_time,
+                row.late,
+                row.refused_early,
+                row.refused_late,
+                row.failed,
+                row.worst_kind,
+                row.of_bound
+            );
+            points.push((f64::from(*load), row.of_bound));
+        }
+        lines.push((name, points));
+    }
+    println!("early: refused within a quarter of the objective; refused: later than that;");
+    println!("worst: the kind of which the smallest part is in time; of bound: worth in time");
+    println!("against the most that knowing all jobs beforehand could have reached.");
+    match &args.report {
+        Some(path) => plot(path, &loads, &lines),
+        None => Ok(()),
+    }
+}
+
+/// Policies with their names; the first is the one that ships.
+fn choices() -> [(&'static str, Policy); 6] {
+    let ships = Policy::default();
+    let whole = Policy { roomy_wait: 100, crowded_wait: 100, ..ships };
+    let never = Policy { roomy_wait: ANY_WAIT, crowded_wait: ANY_WAIT, ..ships };
+    [
+        ("ships", ships),
+        ("waits at agents", Policy { patience: 60, ..ships }),
+        ("short waits", Policy { roomy_wait: 12, ..ships }),
+        ("long waits", whole),
+        ("latest start, all", never),
+        ("first come, all", Policy { order: Order::FirstCome, ..never }),
+    ]
+}
+
+/// Plays all seeds of a load.
+fn play(args: &Policies, load: u32, policy: Policy) -> Row {
+    let mut row = Row::default();
+    let seeds = args.seeds as f64;
+    for seed in 1..=args.seeds {
+        let report = World::new(options(args, load, seed, policy)).run();
+        let sent: u64 = report.kinds.iter().map(|it| it.sent).sum();
+        let share = |count: fn(&KindReport) -> u64| {
+            report.kinds.iter().map(count).sum::<u64>() as f64 / sent.max(1) as f64 / seeds
+        };
+        row.in_time += share(|it| it.in_time);
+        row.late += share(|it| it.late);
+        row.refused_early += share(|it| it.refused_early);
+        row.refused_late += share(|it| it.refused_late);
+        row.failed += share(|it| it.failed);
+        row.worst_kind += worst_kind(&report) / seeds;
+        row.of_bound += report.worth.in_time / report.worth.bound / seeds;
+    }
+    row
+}
+
+fn worst_kind(report: &Report) -> f64 {
+    report.kinds.iter().map(KindReport::share_in_time).fold(1.0, f64::min)
+}
+
+/// Three kinds of jobs that take a fifth, a third and the rest of the work.
+fn options(args: &Policies, load: u32, seed: u64, policy: Policy) -> WorldOptions {
+    let room = args.endpoints as f64 * f64::from(CAPACITY) * f64::from(load) / 100.0;
+    let kind = |name: &str, part: f64, width: f64, work: f64| Kind {
+        name: name.to_owned(),
+        rate: part * room * 1_000.0 / (width * TASK_CPU * work),
+        width,
+        cpu: TASK_CPU,
+        work,
+        attempts: 2,
+        poison: 0.0,
+    };
+    let kinds = vec![
+        kind("check", 0.19, 8.0, 60.0),
+        kind("match", 0.33, 4.0, 900.0),
+        kind("order", 0.48, 2.0, 200.0),
+    ];
+    WorldOptions {
+        seed,
+        entries: args.entries,
+        endpoints: vec![CAPACITY; args.endpoints],
+        load: Load { kinds, spread: SPREAD, misjudged: SPREAD, bursts: Vec::new() },
+        length: args.seconds * 1_000,
+        faults: Vec::new(),
+        timing: Timing::default(),
+        runs_over: broker::RUNS_OVER_MS,
+        policy,
+        trace: None,
+    }
+}
+
+/// Draws the part of the bound that each policy reaches, by load.
+fn plot(path: &Path, loads: &[u32], lines: &[(&str, Vec<(f64, f64)>)]) -> Result<()> {
+    let cannot = |what: String| eyre!("the plot {} cannot be drawn: {what}", path.display());
+    let least = loads.iter().copied().min().map_or(0.0, f64::from);
+    let most = loads.iter().copied().max().map_or(100.0, f64::from).max(least + 1.0);
+    let area = SVGBackend::new(path, PLOT).into_drawing_area();
+    area.fill(&WHITE).map_err(|err| cannot(err.to_string()))?;
+    let mut chart = ChartBuilder::on(&area)
+        .caption("Worth in time, of the bound", ("sans-serif", 20).into_font())
+        .margin(15)
+        .x_label_area_size(35)
+        .y_label_area_size(45)
+        .build_cartesian_2d(least..most, 0.0..1.0)
+        .map_err(|err| cannot(err.to_string()))?;
+    chart
+        .configure_mesh()
+        .x_desc("load, % of the room")
+        .draw()
+        .map_err(|err| cannot(err.to_string()))?;
+    for (number, (name, points)) in lines.iter().enumerate() {
+        let color = Palette99::pick(number);
+        let series = LineSeries::new(points.iter().copied(), &color);
+        let legend = Palette99::pick(number);
+        chart
+            .draw_series(series)
+            .map_err(|err| cannot(err.to_string()))?
+            .label(*name)
+            .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 20, y)], &legend));
+    }
+    chart
+        .configure_series_labels()
+        .background_style(WHITE)
+        .border_style(BLACK)
+        .draw()
+        .map_err(|err| cannot(err.to_string()))?;
+    area.present().map_err(|err| cannot(err.to_string()))
+}
--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -12,5 +12,6 @@
         Command::Capacity(args) => cmd::capacity::capacity(&args).await,
         Command::Compare(args) => cmd::compare::compare(&args).await,
         Command::Cost(args) => cmd::cost::cost(&args).await,
+        Command::Policies(args) => cmd::policies::policies(&args),
     }
 }
