Let the soak's tasks run for longer than callers take to come again

Cause: a proxy had been given the free port that the settings name for readiness. What listens at any port now has addresses of its own.

--- a/hostd/tests/processes/deployment.rs
+++ b/hostd/tests/processes/deployment.rs
@@ -101,7 +101,9 @@
         let folder = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&folder).expect("a folder");
         let [mesh_port, caller_port, readiness_port, heartbeat_port] = free_ports();
-        // Hosts have the numbers from 1 on; their processes are behind proxies from 101 on.
+        // Hosts have the numbers from 1 on; their processes are behind proxies from 101 on. What
+        // listens at any free port does so at the addresses from 51 on, so that it never takes
+        // one of the ports that the settings name.
         let public = |host: usize| address(host + 1, mesh_port);
         let own = |host: usize| address(host + 101, mesh_port);
 
@@ -120,26 +122,26 @@
         let mut callers = Vec::new();
         let mut executors = Vec::new();
         for host in 0..entries + agents {
-            let proxied = address(host + 1, 0).into();
+            let any = address(host + 51, 0).into();
             let mut store = store_address;
             if let Some(proxies) = &mut proxies {
-                let proxy = StreamProxy::start(proxied, store).await;
+                let proxy = StreamProxy::start(any, store).await;
                 store = proxy.address;
                 proxies.stores.push(proxy);
             }
             if host < entries {
                 let mut caller = address(host + 1, caller_port).into();
                 if let Some(proxies) = &mut proxies {
-                    let proxy = StreamProxy::start(proxied, caller).await;
+                    let proxy = StreamProxy::start(any, caller).await;
                     caller = proxy.address;
                     proxies.callers.push(proxy);
                 }
                 callers.push(caller);
             } else {
                 let executor = Executor::new(&format!("i-{host}"), SERVICE, CAPACITY);
-                let mut called = executor.serve(proxied).await.expect("an executor");
+                let mut called = executor.serve(any).await.expect("an executor");
                 if let Some(proxies) = &mut proxies {
-                    let proxy = StreamProxy::start(proxied, called).await;
+                    let proxy = StreamProxy::start(any, called).await;
                     called = proxy.address;
                     proxies.executors.push(proxy);
                 }
--- a/hostd/tests/processes/soak/traffic.rs
+++ b/hostd/tests/processes/soak/traffic.rs
@@ -18,7 +18,9 @@
 use crate::{deployment::Caller, promises::SeenJob};
 
 /// Mean time between two jobs, in ms.
-const PAUSE_MS: u64 = 70;
+const PAUSE_MS: u64 = 110;
+/// Share of the jobs whose tasks run on for longer than callers take to come again.
+const LONG: f64 = 0.2;
 /// Share of the jobs that come with a burst of others.
 const BURSTS: f64 = 0.01;
 /// Jobs of a burst.
@@ -115,8 +117,11 @@
             let plan = Plan {
                 number,
                 entry: rng.random_range(0..entries),
-                work: rng.random_range(20..400),
-                patience: rng.random_range(1_500..4_000),
+                work: match rng.random_bool(LONG) {
+                    true => rng.random_range(1_400..2_600),
+                    false => rng.random_range(20..400),
+                },
+                patience: rng.random_range(1_500..6_000),
                 leaves: rng.random_bool(LEAVE).then(|| rng.random_range(1..400)),
             };
             callers.spawn(call(caller.clone(), entries, Arc::clone(&seen), plan, tasks));
