Let tests and experiments share one load, and use the usual names for faults of links

The load of three kinds and the options of a deployment without faults stood in two and three places and are now Load::of_three_kinds and WorldOptions::new; two tests of the guard repeat their looks through the fixture; the soak has one access to its proxies. Weather, fate, deaf and mute become Delivery, delay, ReceivesNothing and SendsNothing. No behaviour changes.

--- a/components/guard/tests/guard/entries.rs
+++ b/components/guard/tests/guard/entries.rs
@@ -1,4 +1,4 @@
-//! Runs of entries that are silent, deaf or started anew.
+//! Runs of entries that are silent, hear nothing or are started anew.
 
 use guard::{Answer, ENTRY_SILENCE_MS, Look};
 use mesh::{Channel, End, Notice};
--- a/components/guard/tests/guard/fixture.rs
+++ b/components/guard/tests/guard/fixture.rs
@@ -171,6 +171,14 @@
         }
     }
 
+    /// Lets two looks, 10 ms apart, show that nothing runs and nothing has ended.
+    pub(crate) fn look_at_nothing_twice(&mut self) {
+        for _ in 0..2 {
+            self.now = self.now + 10;
+            self.answer_hold(Look::default());
+        }
+    }
+
     /// Answers a start with success.
     pub(crate) fn accept_start(&mut self) -> Call {
         let clock = self.clock();
--- a/components/guard/tests/guard/starts.rs
+++ b/components/guard/tests/guard/starts.rs
@@ -1,6 +1,6 @@
 //! Starts that are late, rejected or not answered.
 
-use guard::{Answer, CallKind, EndpointEnd, Event, Look, Rejection, SUSPENDED_MS};
+use guard::{Answer, CallKind, EndpointEnd, Event, Rejection, SUSPENDED_MS};
 use mesh::{Command, End, Notice, Refusal, RunKey};
 
 use crate::fixture::{CAPACITY, Fixture, TOKEN, ended, is_start, is_stop, key, order, running};
@@ -52,10 +52,7 @@
     }
     let clock = fixture.clock();
     fixture.answer(is_stop, Answer::Accepted { clock });
-    fixture.now = fixture.now + 10;
-    fixture.answer_hold(Look::default());
-    fixture.now = fixture.now + 10;
-    fixture.answer_hold(Look::default());
+    fixture.look_at_nothing_twice();
     fixture.probe();
 
     assert!(matches!(fixture.notices[..], [Notice::Ended { end: End::Lost, .. }]));
@@ -103,10 +100,7 @@
     fixture.order(vec![key(1)], 100);
     fixture.accept_start();
     fixture.answer_hold(running(&[(key(1), 1)]));
-    fixture.now = fixture.now + 10;
-    fixture.answer_hold(Look::default());
-    fixture.now = fixture.now + 10;
-    fixture.answer_hold(Look::default());
+    fixture.look_at_nothing_twice();
     fixture.probe();
 
     assert!(matches!(fixture.notices[..], [Notice::Ended { end: End::Lost, .. }]));
--- a/components/mesh/tests/channel.rs
+++ b/components/mesh/tests/channel.rs
@@ -79,7 +79,7 @@
 proptest! {
     #[test]
     fn delivers_each_item_once_whatever_is_lost_or_repeated(
-        fates in prop::collection::vec(0_u8..4, 1..200),
+        outcomes in prop::collection::vec(0_u8..4, 1..200),
     ) {
         let (mut left, mut right) = joined();
         let mut delivered = Vec::new();
@@ -87,12 +87,12 @@
         let mut now = Uptime(0);
         let mut pushed = 0;
 
-        for fate in fates {
+        for outcome in outcomes {
             now = now + 7;
             pushed += 1;
             left.push(pushed);
             let frame = left.frame(now, ());
-            match fate {
+            match outcome {
                 0 => {}
                 1 => held.push(frame),
                 _ => {
@@ -102,7 +102,7 @@
                     }
                 }
             }
-            if fate == 3 {
+            if outcome == 3 {
                 left.accept(NOW, right.frame(now, ()));
             }
         }
--- a/components/model/src/fault.rs
+++ b/components/model/src/fault.rs
@@ -33,9 +33,9 @@
     /// Tasks that start on an endpoint take this many times as long.
     SlowEndpoint(usize, f64),
     /// What an agent sends is lost.
-    DeafenEntries(usize),
+    LoseSent(usize),
     /// What is sent to an agent is lost.
-    DeafenAgent(usize),
+    LoseReceived(usize),
     /// This share of the calls of endpoints is not answered and carried out 2 to 12 s later.
     LateCalls(f64),
     /// This share of all datagrams is lost.
--- a/components/model/src/load.rs
+++ b/components/model/src/load.rs
@@ -74,12 +74,37 @@
 /// Jobs by their names.
 pub(crate) type Truths = HashMap<JobId, Truth>;
 
+/// Thousandths of a core of a task of [`Load::of_three_kinds`], in the mean.
+const TASK_CPU: f64 = 5_000.0;
+/// Its spread of sizes and run times, and of declared against real ones, as deviations of
+/// their logarithms.
+const SPREAD: f64 = 0.4;
 /// Part of the objective that grows with the work of a job.
 const STRETCH: f64 = 1.6;
 /// Fixed part of the objective, in ms.
 const TARGET_MS: u64 = 60;
 
 impl Load {
+    /// Short, long and middling jobs that take 19, 33 and 48 % of the work; `room` is the work
+    /// that arrives, in thousandths of a core.
+    pub fn of_three_kinds(room: f64) -> Load {
+        let kind = |name: &str, part: f64, width: f64, work: f64| Kind {
+            name: name.to_owned(),
+            rate: part * room * 1_000.0 / (width * TASK_CPU * work),
+            width,
+            cpu: TASK_CPU,
+            work,
+            attempts: 2,
+            poison: 0.0,
+        };
+        let kinds = vec![
+            kind("check", 0.19, 8.0, 60.0),
+            kind("match", 0.33, 4.0, 900.0),
+            kind("order", 0.48, 2.0, 200.0),
+        ];
+        Load { kinds, spread: SPREAD, misjudged: SPREAD, bursts: Vec::new() }
+    }
+
     /// Jobs of a kind a second, `at` ms after the first callers.
     pub(crate) fn rate(&self, kind: usize, at: u64) -> f64 {
         let strikes = |it: &&Burst| {
--- a/components/model/src/world.rs
+++ b/components/model/src/world.rs
@@ -10,7 +10,7 @@
     net::{Ipv4Addr, SocketAddrV4},
 };
 
-use broker::{Broker, Effect as EntryEffect, Event as EntryEvent, Policy};
+use broker::{Broker, Effect as EntryEffect, Event as EntryEvent, Policy, RUNS_OVER_MS};
 use guard::{Answer, Call, Effect as AgentEffect, Event as AgentEvent, Guard, Timing};
 use mesh::{Datagram, JobId, Uptime};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
@@ -62,6 +62,24 @@
     pub trace: Option<JobId>,
 }
 
+impl WorldOptions {
+    /// A deployment as it ships, without faults.
+    pub fn new(seed: u64, entries: usize, endpoints: Vec<u32>, load: Load, length: u64) -> Self {
+        WorldOptions {
+            seed,
+            entries,
+            endpoints,
+            load,
+            length,
+            faults: Vec::new(),
+            timing: Timing::default(),
+            runs_over: RUNS_OVER_MS,
+            policy: Policy::default(),
+            trace: None,
+        }
+    }
+}
+
 /// What happens next.
 #[derive(Debug)]
 enum Event {
--- a/components/model/src/world/faults.rs
+++ b/components/model/src/world/faults.rs
@@ -29,10 +29,10 @@
             FaultKind::HangEndpoint(agent) => self.endpoints[agent].hangs = true,
             FaultKind::FailEndpoint(agent) => self.endpoints[agent].fails = true,
             FaultKind::SlowEndpoint(agent, times) => self.endpoints[agent].slowness = times,
-            FaultKind::DeafenEntries(agent) => {
+            FaultKind::LoseSent(agent) => {
                 self.lost_from.insert(agent);
             }
-            FaultKind::DeafenAgent(agent) => {
+            FaultKind::LoseReceived(agent) => {
                 self.lost_to.insert(agent);
             }
             FaultKind::LateCalls(share) => self.late_calls = share,
@@ -51,10 +51,10 @@
             FaultKind::HangEndpoint(agent) => self.endpoints[agent].hangs = false,
             FaultKind::FailEndpoint(agent) => self.endpoints[agent].fails = false,
             FaultKind::SlowEndpoint(agent, _) => self.endpoints[agent].slowness = 1.0,
-            FaultKind::DeafenEntries(agent) => {
+            FaultKind::LoseSent(agent) => {
                 self.lost_from.remove(&agent);
             }
-            FaultKind::DeafenAgent(agent) => {
+            FaultKind::LoseReceived(agent) => {
                 self.lost_to.remove(&agent);
             }
             FaultKind::LateCalls(_) => self.late_calls = 0.0,
--- a/components/model/tests/overload.rs
+++ b/components/model/tests/overload.rs
@@ -1,8 +1,6 @@
 //! Loads up to and beyond the room there is: who is answered in time, and who is refused.
 
-use broker::Policy;
-use guard::Timing;
-use model::{Burst, Kind, KindReport, Load, Report, World, WorldOptions};
+use model::{Burst, KindReport, Load, Report, World, WorldOptions};
 
 /// Time for which callers come, in ms.
 const LENGTH: u64 = 8_000;
@@ -17,31 +15,11 @@
 /// Part of the mean share of jobs answered in time that each kind must have.
 const FLOOR: f64 = 0.6;
 
-/// Three kinds that take 19, 33 and 47 % of the work; `load` is the part of the room.
+/// Three kinds of jobs; `load` is the part of the room.
 fn play(load: f64, bursts: Vec<Burst>) -> Report {
     let room = ENDPOINTS as f64 * f64::from(CAPACITY);
-    let kind = |name: &str, part: f64, width: f64, work: f64| {
-        let cpu = 5_000.0;
-        let rate = load * part * room * 1_000.0 / (width * cpu * work);
-        Kind { name: name.to_owned(), rate, width, cpu, work, attempts: 2, poison: 0.0 }
-    };
-    let kinds = vec![
-        kind("check", 0.19, 8.0, 60.0),
-        kind("match", 0.33, 4.0, 900.0),
-        kind("order", 0.48, 2.0, 200.0),
-    ];
-    let options = WorldOptions {
-        seed: 5,
-        entries: ENTRIES,
-        endpoints: vec![CAPACITY; ENDPOINTS],
-        load: Load { kinds, spread: 0.4, misjudged: 0.4, bursts },
-        length: LENGTH,
-        faults: Vec::new(),
-        timing: Timing::default(),
-        runs_over: broker::RUNS_OVER_MS,
-        policy: Policy::default(),
-        trace: None,
-    };
+    let load = Load { bursts, ..Load::of_three_kinds(load * room) };
+    let options = WorldOptions::new(5, ENTRIES, vec![CAPACITY; ENDPOINTS], load, LENGTH);
     let report = World::new(options).run();
     assert_eq!(report.violations, vec![]);
     report
--- a/components/model/tests/promises.rs
+++ b/components/model/tests/promises.rs
@@ -1,7 +1,6 @@
 //! Promises hold on random schedules of faults, and break without the mechanisms that keep
 //! them.
 
-use guard::Timing;
 use model::{Fault, FaultKind, Kind, Load, Report, World, WorldOptions};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
@@ -27,18 +26,9 @@
 }
 
 fn options(seed: u64, faults: Vec<Fault>) -> WorldOptions {
-    WorldOptions {
-        seed,
-        entries: ENTRIES,
-        endpoints: vec![1_000; AGENTS],
-        load: load(),
-        length: LENGTH,
-        faults,
-        timing: Timing::default(),
-        runs_over: broker::RUNS_OVER_MS,
-        policy: broker::Policy::default(),
-        trace: std::env::var("TRACE").ok().and_then(|it| it.parse().ok()).map(mesh::JobId),
-    }
+    let trace = std::env::var("TRACE").ok().and_then(|it| it.parse().ok()).map(mesh::JobId);
+    let options = WorldOptions::new(seed, ENTRIES, vec![1_000; AGENTS], load(), LENGTH);
+    WorldOptions { faults, trace, ..options }
 }
 
 /// Faults of every kind, overlapping at random.
@@ -59,8 +49,8 @@
             6 => FaultKind::HangEndpoint(agent),
             7 => FaultKind::FailEndpoint(agent),
             8 => FaultKind::SlowEndpoint(agent, 6.0),
-            9 => FaultKind::DeafenEntries(agent),
-            10 => FaultKind::DeafenAgent(agent),
+            9 => FaultKind::LoseSent(agent),
+            10 => FaultKind::LoseReceived(agent),
             11 => FaultKind::LateCalls(0.1),
             _ => FaultKind::Loss(0.05),
         };
@@ -134,7 +124,7 @@
 #[test]
 fn tasks_overlap_if_entries_run_lost_tasks_again_too_early() {
     let change = |options: &mut WorldOptions| options.runs_over = 0;
-    let faults = [(0, FaultKind::DeafenEntries(0))];
+    let faults = [(0, FaultKind::LoseSent(0))];
 
     assert!(breaks(&faults, 1_500, change));
     assert!(!breaks(&faults, 1_500, |_| {}));
@@ -143,7 +133,7 @@
 #[test]
 fn tasks_overlap_if_leases_are_long() {
     let change = |options: &mut WorldOptions| options.timing.lease = 1_000;
-    let faults = [(0, FaultKind::DeafenEntries(0)), (400, FaultKind::SilenceEndpoint(0))];
+    let faults = [(0, FaultKind::LoseSent(0)), (400, FaultKind::SilenceEndpoint(0))];
 
     assert!(breaks(&faults, 3_000, change));
     assert!(!breaks(&faults, 3_000, |_| {}));
--- a/hostd/src/tick.rs
+++ b/hostd/src/tick.rs
@@ -1,4 +1,4 @@
-//! The pulse of a node's core.
+//! Ticks for the core of a process, at a steady pace.
 
 use std::time::Duration;
 
--- a/hostd/tests/processes/deployment.rs
+++ b/hostd/tests/processes/deployment.rs
@@ -39,7 +39,7 @@
     /// Entries, then agents.
     pub(crate) processes: Vec<Process>,
     pub(crate) entries: usize,
-    pub(crate) proxies: Option<Proxies>,
+    proxies: Option<Proxies>,
     hosts: Vec<HostFile>,
     callers: Vec<SocketAddr>,
     client: Client<HttpConnector, Full<Bytes>>,
@@ -185,6 +185,11 @@
         deployment
     }
 
+    /// What stands between the processes of a deployment with proxies.
+    pub(crate) fn proxies(&self) -> &Proxies {
+        self.proxies.as_ref().expect("a deployment with proxies")
+    }
+
     /// What callers use.
     pub(crate) fn caller(&self) -> Caller {
         Caller { client: self.client.clone(), callers: self.callers.clone() }
--- a/hostd/tests/processes/proxy.rs
+++ b/hostd/tests/processes/proxy.rs
@@ -20,16 +20,16 @@
 
 /// What happens to the datagrams of a process.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub(crate) enum Weather {
+pub(crate) enum Delivery {
     Clear,
     /// This share is lost, both ways.
     Lossy(f64),
     /// All come later by up to this, both ways, and out of order.
     Slow(Duration),
     /// What is sent to it is lost.
-    Deaf,
+    ReceivesNothing,
     /// What it sends is lost.
-    Mute,
+    SendsNothing,
     /// Everything is lost.
     Cut,
 }
@@ -38,7 +38,7 @@
 pub(crate) struct DatagramProxy {
     nodes: Vec<Node>,
     by_address: HashMap<SocketAddr, usize>,
-    weather: Mutex<Vec<Weather>>,
+    delivery: Mutex<Vec<Delivery>>,
     rng: Mutex<SmallRng>,
 }
 
@@ -63,7 +63,7 @@
         let by_address =
             nodes.iter().enumerate().map(|(it, node)| (node.address.into(), it)).collect();
         let proxy = Arc::new(DatagramProxy {
-            weather: Mutex::new(vec![Weather::Clear; nodes.len()]),
+            delivery: Mutex::new(vec![Delivery::Clear; nodes.len()]),
             rng: Mutex::new(SmallRng::seed_from_u64(seed)),
             nodes,
             by_address,
@@ -75,8 +75,8 @@
     }
 
     /// Changes what happens to the datagrams of a process.
-    pub(crate) fn set(&self, process: usize, weather: Weather) {
-        self.weather.lock().unwrap_or_else(PoisonError::into_inner)[process] = weather;
+    pub(crate) fn set(&self, process: usize, delivery: Delivery) {
+        self.delivery.lock().unwrap_or_else(PoisonError::into_inner)[process] = delivery;
     }
 
     /// Passes on what is sent to one process.
@@ -88,7 +88,7 @@
                 continue;
             };
             let Some(from) = self.by_address.get(&from).copied() else { continue };
-            let Some(delay) = self.fate(from, to) else { continue };
+            let Some(delay) = self.delay(from, to) else { continue };
             let bytes = buffer[..length].to_vec();
             if delay.is_zero() {
                 self.pass(from, to, &bytes).await;
@@ -108,23 +108,23 @@
     }
 
     /// Delay of a datagram, or none if it is lost.
-    fn fate(&self, from: usize, to: usize) -> Option<Duration> {
+    fn delay(&self, from: usize, to: usize) -> Option<Duration> {
         let (sender, receiver) = {
-            let weather = self.weather.lock().unwrap_or_else(PoisonError::into_inner);
-            (weather[from], weather[to])
+            let delivery = self.delivery.lock().unwrap_or_else(PoisonError::into_inner);
+            (delivery[from], delivery[to])
         };
         let mut rng = self.rng.lock().unwrap_or_else(PoisonError::into_inner);
         let mut delay = Duration::ZERO;
-        for (weather, sends) in [(sender, true), (receiver, false)] {
-            match weather {
-                Weather::Clear => {}
-                Weather::Lossy(share) if rng.random_bool(share) => return None,
-                Weather::Lossy(_) => {}
-                Weather::Slow(most) => delay += most.mul_f64(rng.random()),
-                Weather::Deaf if !sends => return None,
-                Weather::Mute if sends => return None,
-                Weather::Deaf | Weather::Mute => {}
-                Weather::Cut => return None,
+        for (delivery, sends) in [(sender, true), (receiver, false)] {
+            match delivery {
+                Delivery::Clear => {}
+                Delivery::Lossy(share) if rng.random_bool(share) => return None,
+                Delivery::Lossy(_) => {}
+                Delivery::Slow(most) => delay += most.mul_f64(rng.random()),
+                Delivery::ReceivesNothing if !sends => return None,
+                Delivery::SendsNothing if sends => return None,
+                Delivery::ReceivesNothing | Delivery::SendsNothing => {}
+                Delivery::Cut => return None,
             }
         }
         Some(delay)
--- a/hostd/tests/processes/soak/mod.rs
+++ b/hostd/tests/processes/soak/mod.rs
@@ -19,7 +19,7 @@
 use crate::{
     deployment::{Deployment, Layout},
     promises::broken,
-    proxy::{Link, Weather},
+    proxy::{Delivery, Link},
 };
 
 /// Seeds that CI plays.
@@ -142,12 +142,12 @@
 }
 
 fn apply(deployment: &mut Deployment, versions: &mut u64, step: &Step) {
-    let proxies = deployment.proxies.as_ref().expect("a deployment with proxies");
+    let proxies = deployment.proxies();
     match step {
         Step::Signal(process, signal) => deployment.processes[*process].signal(*signal),
         Step::Kill(process) => deployment.processes[*process].kill(),
         Step::Start(process) => deployment.processes[*process].start(),
-        Step::Weather(process, weather) => proxies.datagrams.set(*process, *weather),
+        Step::Datagrams(process, delivery) => proxies.datagrams.set(*process, *delivery),
         Step::Callers(entry, link) => proxies.callers[*entry].set(*link),
         Step::Store(process, link) => proxies.stores[*process].set(*link),
         Step::Calls(agent, link) => proxies.executors[*agent].set(*link),
@@ -171,8 +171,8 @@
 fn heal(deployment: &mut Deployment) {
     for process in 0..ENTRIES + AGENTS {
         deployment.processes[process].signal(Signal::SIGCONT);
-        let proxies = deployment.proxies.as_ref().expect("a deployment with proxies");
-        proxies.datagrams.set(process, Weather::Clear);
+        let proxies = deployment.proxies();
+        proxies.datagrams.set(process, Delivery::Clear);
         proxies.stores[process].set(Link::Clear);
         match process.checked_sub(ENTRIES) {
             None => proxies.callers[process].set(Link::Clear),
--- a/hostd/tests/processes/soak/plan.rs
+++ b/hostd/tests/processes/soak/plan.rs
@@ -5,7 +5,7 @@
 use nix::sys::signal::Signal;
 use rand::{Rng, RngExt, SeedableRng, rngs::SmallRng};
 
-use crate::proxy::{Link, Weather};
+use crate::proxy::{Delivery, Link};
 
 /// Time in which faults begin.
 const LENGTH_MS: u64 = 9_000;
@@ -27,7 +27,7 @@
     Kill(usize),
     Start(usize),
     /// Datagrams of a process.
-    Weather(usize, Weather),
+    Datagrams(usize, Delivery),
     /// Connections of callers to an entry.
     Callers(usize, Link),
     /// Connections of a process to the store.
@@ -108,8 +108,8 @@
         ],
         4 => vec![(Step::Signal(process, Signal::SIGHUP), When::Begin)],
         5 | 6 => {
-            let weather = draw_weather(rng);
-            lasting(Step::Weather(process, weather), Step::Weather(process, Weather::Clear))
+            let delivery = draw_delivery(rng);
+            lasting(Step::Datagrams(process, delivery), Step::Datagrams(process, Delivery::Clear))
         }
         7 => lasting(Step::Callers(entry, draw_link(rng)), Step::Callers(entry, Link::Clear)),
         8 => lasting(Step::Store(process, draw_link(rng)), Step::Store(process, Link::Clear)),
@@ -129,13 +129,13 @@
     }
 }
 
-fn draw_weather(rng: &mut SmallRng) -> Weather {
+fn draw_delivery(rng: &mut SmallRng) -> Delivery {
     match rng.random_range(0..5) {
-        0 => Weather::Lossy(rng.random_range(0.05..0.6)),
-        1 => Weather::Slow(Duration::from_millis(rng.random_range(5..400))),
-        2 => Weather::Deaf,
-        3 => Weather::Mute,
-        _ => Weather::Cut,
+        0 => Delivery::Lossy(rng.random_range(0.05..0.6)),
+        1 => Delivery::Slow(Duration::from_millis(rng.random_range(5..400))),
+        2 => Delivery::ReceivesNothing,
+        3 => Delivery::SendsNothing,
+        _ => Delivery::Cut,
     }
 }
 
--- a/load/src/cmd/policies.rs
+++ b/load/src/cmd/policies.rs
@@ -7,8 +7,7 @@
 
 use broker::{Order, Policy};
 use eyre::{Result, ensure, eyre};
-use guard::Timing;
-use model::{Kind, KindReport, Load, Report, World, WorldOptions};
+use model::{KindReport, Load, Report, World, WorldOptions};
 use plotters::prelude::{
     BLACK, ChartBuilder, IntoDrawingArea, IntoFont, LineSeries, Palette, Palette99, PathElement,
     SVGBackend, WHITE,
@@ -20,11 +19,6 @@
 const LOADS: [u32; 4] = [60, 80, 100, 130];
 /// Thousandths of a core of an endpoint.
 const CAPACITY: u32 = 64_000;
-/// Thousandths of a core of a task, in the mean.
-const TASK_CPU: f64 = 5_000.0;
-/// Spread of sizes and run times, and of declared against real ones, as deviations of their
-/// logarithms.
-const SPREAD: f64 = 0.4;
 /// Wait that is longer than any that occurs, in percent of the time until the latest start.
 const ANY_WAIT: u64 = 1_000_000;
 /// Size of the plot, in pixels.
@@ -120,35 +114,12 @@
     report.kinds.iter().map(KindReport::share_in_time).fold(1.0, f64::min)
 }
 
-/// Three kinds of jobs that take a fifth, a third and the rest of the work.
 fn options(args: &Policies, load: u32, seed: u64, policy: Policy) -> WorldOptions {
     let room = args.endpoints as f64 * f64::from(CAPACITY) * f64::from(load) / 100.0;
-    let kind = |name: &str, part: f64, width: f64, work: f64| Kind {
-        name: name.to_owned(),
-        rate: part * room * 1_000.0 / (width * TASK_CPU * work),
-        width,
-        cpu: TASK_CPU,
-        work,
-        attempts: 2,
-        poison: 0.0,
-    };
-    let kinds = vec![
-        kind("check", 0.19, 8.0, 60.0),
-        kind("match", 0.33, 4.0, 900.0),
-        kind("order", 0.48, 2.0, 200.0),
-    ];
-    WorldOptions {
-        seed,
-        entries: args.entries,
-        endpoints: vec![CAPACITY; args.endpoints],
-        load: Load { kinds, spread: SPREAD, misjudged: SPREAD, bursts: Vec::new() },
-        length: args.seconds * 1_000,
-        faults: Vec::new(),
-        timing: Timing::default(),
-        runs_over: broker::RUNS_OVER_MS,
-        policy,
-        trace: None,
-    }
+    let load = Load::of_three_kinds(room);
+    let endpoints = vec![CAPACITY; args.endpoints];
+    let options = WorldOptions::new(seed, args.entries, endpoints, load, args.seconds * 1_000);
+    WorldOptions { policy, ..options }
 }
 
 /// Draws the part of the bound that each policy reaches, by load.
