Count agents that are not heard yet while an entry settles

Cause: after a restart of everything an entry predicted waits from the one or two of eleven agents that it had heard, and refused jobs for which idle endpoints were some ms away. When the last endpoint became unavailable the time for which jobs may wait also ran from the last job that had to wait, not from the last time that an endpoint was available. Change: for two seconds after the start, or after no endpoint was available, the agents that are known and not heard yet count with the mean capacity of the others, as idle; a job that needs an endpoint not heard yet is not refused.

--- a/components/broker/src/backlog.rs
+++ b/components/broker/src/backlog.rs
@@ -4,6 +4,10 @@
 //! zone may have more callers or fewer entries than another. Agents therefore tell each entry
 //! how much work waits at the others. A job that would start too late is refused on arrival
 //! rather than after a wait, while its caller can still retry elsewhere.
+//!
+//! After a restart of everything an entry hears the agents one by one within some hundred ms.
+//! Endpoints of agents that are known and not heard yet are most likely idle, so they count as
+//! free capacity until they had time to answer.
 
 /// Work that competes for the endpoints of one service, in thousandths of a core times ms.
 #[derive(Debug, Clone, Copy)]
@@ -14,6 +18,8 @@
     pub(crate) own: u64,
     /// Work that waits at all other entries.
     pub(crate) other_entries: u64,
+    /// Work that endpoints which are not heard yet can start at once.
+    pub(crate) startable: u64,
     /// Capacity of all endpoints, in thousandths of a core.
     pub(crate) capacity: u64,
 }
@@ -27,6 +33,7 @@
             0 => self.other_entries / 2,
             own => self.other_entries * self.ahead / own,
         };
-        (self.ahead + other_work).checked_div(self.capacity)
+        let work = (self.ahead + other_work).saturating_sub(self.startable);
+        work.checked_div(self.capacity)
     }
 }
--- a/components/broker/src/broker.rs
+++ b/components/broker/src/broker.rs
@@ -17,7 +17,7 @@
     agents::{Agent, Agents, mean_slowdown},
     estimate::Estimates,
     job::{Job, Submission},
-    limits::{SHUTDOWN_MIN_MS, SHUTDOWN_TIMEOUT_MS, SUSPENDED_MS},
+    limits::{SETTLE_MS, SHUTDOWN_MIN_MS, SHUTDOWN_TIMEOUT_MS, SUSPENDED_MS},
     policy::Policy,
     queue::{JobKey, Queue},
     share::Shares,
@@ -160,6 +160,8 @@
     placement_due: bool,
     /// Last time at which an endpoint was available, initially the start.
     last_available: Uptime,
+    /// Until when agents that are known and not heard yet count as available.
+    settles_at: Uptime,
     /// Time of the last event.
     last_event: Uptime,
     /// When the process was asked to shut down.
@@ -185,6 +187,7 @@
             expirations: VecDeque::new(),
             placement_due: false,
             last_available: now,
+            settles_at: now + SETTLE_MS,
             last_event: now,
             shutdown_since: None,
             finished: false,
@@ -267,6 +270,9 @@
         self.queue.demote_late(now);
         self.mean_slowdown = mean_slowdown(&self.agents, now);
         self.check_agents(now);
+        if self.available_agents(now) > 0 {
+            self.last_available = now;
+        }
         self.check_jobs(now);
         while let Some((at, job)) = self.expirations.front().copied()
             && at <= now
--- a/components/broker/src/broker/jobs.rs
+++ b/components/broker/src/broker/jobs.rs
@@ -10,8 +10,8 @@
     candidates::Candidates,
     job::{Job, Submission, TaskState},
     limits::{
-        ANSWER_RETENTION_MS, DISCOVERY_TIMEOUT_MS, MIN_RETRY_AFTER_MS, SHUTDOWN_RUN_FACTOR,
-        SHUTDOWN_TIMEOUT_MS,
+        ANSWER_RETENTION_MS, DISCOVERY_TIMEOUT_MS, MIN_RETRY_AFTER_MS, SETTLE_MS,
+        SHUTDOWN_RUN_FACTOR, SHUTDOWN_TIMEOUT_MS,
     },
     queue::JobKey,
 };
@@ -79,13 +79,18 @@
         let responding = self.agents.values().filter(|it| !it.is_silent(now));
         let other_entries =
             responding.map(|it| u64::from(it.report.waiting) * 1_000).max().unwrap_or(0);
-        let backlog = Backlog { ahead: work, own, other_entries, capacity: candidates.capacity() };
+        let heard = candidates.capacity();
+        let unheard = if now < self.settles_at { self.unheard_capacity(now, heard) } else { 0 };
+        let startable = unheard * own_work / job.waiting_cpu().max(1);
+        let capacity = heard + unheard;
+        let backlog = Backlog { ahead: work, own, other_entries, startable, capacity };
         if backlog.capacity > 0 {
             self.last_available = now;
         } else if now.since(self.last_available) < DISCOVERY_TIMEOUT_MS {
+            self.settles_at = now + SETTLE_MS;
             return;
         }
-        let fits = job.submission.steps.iter().all(|step| candidates.can_run(step));
+        let fits = unheard > 0 || job.submission.steps.iter().all(|step| candidates.can_run(step));
         let wait = backlog.wait();
         let slack = job.latest_start.since(now);
         let route = &job.submission.route.name;
@@ -106,6 +111,14 @@
         self.answer(now, key, Reply::Refused { retry_after });
     }
 
+    /// Expected capacity of the known agents that are not heard yet, in thousandths of a core, if
+    /// those heard so far provide `heard_capacity`.
+    fn unheard_capacity(&self, now: Uptime, heard_capacity: u64) -> u64 {
+        let heard = self.agents.values().filter(|it| !it.is_silent(now)).count();
+        let unheard = self.agents.len() - heard;
+        heard_capacity * unheard as u64 / heard.max(1) as u64
+    }
+
     /// Adds the work of an admitted job to the usage of its route.
     fn record_admission(&mut self, now: Uptime, key: JobKey) {
         if let Some(job) = self.jobs.get(key) {
--- a/components/broker/src/job.rs
+++ b/components/broker/src/job.rs
@@ -198,6 +198,12 @@
         self.work_of(estimates, |it| it.state == TaskState::Waiting)
     }
 
+    /// Capacity that the tasks which wait for it need, in thousandths of a core.
+    pub(crate) fn waiting_cpu(&self) -> u64 {
+        let waiting = self.tasks.iter().filter(|it| it.state == TaskState::Waiting);
+        waiting.map(|it| u64::from(self.submission.steps[usize::from(it.step)].cpu)).sum()
+    }
+
     /// Work of all tasks, in thousandths of a core times ms.
     pub(crate) fn total_work(&self, estimates: &Estimates) -> u64 {
         self.work_of(estimates, |_| true)
--- a/components/broker/src/limits.rs
+++ b/components/broker/src/limits.rs
@@ -49,6 +49,10 @@
 /// Time for which jobs may wait for a first endpoint to be found, in ms, after the start of the
 /// entry or after its last endpoint became unavailable.
 pub(crate) const DISCOVERY_TIMEOUT_MS: u64 = 1_500;
+/// Time after the start of the entry, or after an endpoint was last missing altogether, during
+/// which agents that are known and not heard yet count as available, in ms; afterwards they
+/// count as gone.
+pub const SETTLE_MS: u64 = 2_000;
 /// Shortest time after which a refused caller is told to retry, in ms.
 pub(crate) const MIN_RETRY_AFTER_MS: u64 = 1_000;
 /// Time into the shutdown after which an entry gives up its jobs, in ms; the process has 6 s to
