Start a new channel with a peer that was forgotten

Cause: an agent forgets an entry after 10 s without a datagram, an entry an agent after 60 s. Only one end lost its state then: the other went on with its item numbers, so that after a partition of that length no order or notice was ever accepted again between the two, until one restarted. The entry saw the agent respond and left the first job it placed there waiting until its deadline. Ruled out: a longer retention, which only moves the length of the partition. Change: every channel that a process creates has its own incarnation.

--- a/components/broker/src/broker.rs
+++ b/components/broker/src/broker.rs
@@ -145,6 +145,8 @@
     options: Options,
     rng: SmallRng,
     agents: Agents,
+    /// Number of channels to agents that were created, those of forgotten agents included.
+    channels_created: u64,
     jobs: SlotMap<JobKey, Job>,
     by_id: HashMap<JobId, JobKey>,
     by_request: HashMap<u64, JobKey>,
@@ -176,6 +178,7 @@
         Broker {
             rng: SmallRng::seed_from_u64(options.seed),
             agents: Agents::new(),
+            channels_created: 0,
             jobs: SlotMap::with_key(),
             by_id: HashMap::new(),
             by_request: HashMap::new(),
--- a/components/broker/src/broker/runs.rs
+++ b/components/broker/src/broker/runs.rs
@@ -16,9 +16,13 @@
 
 impl Broker {
     pub(super) fn on_announced(&mut self, now: Uptime, address: SocketAddrV4, zone: String) {
-        let incarnation = self.options.incarnation;
-        let agent =
-            self.agents.entry(address).or_insert_with(|| Agent::new(incarnation, now, zone));
+        let agent = self.agents.entry(address).or_insert_with(|| {
+            // An agent that this entry has forgotten may still have its end of the channel. The
+            // new incarnation makes it start over.
+            self.channels_created += 1;
+            let incarnation = self.options.incarnation.wrapping_add(self.channels_created);
+            Agent::new(incarnation, now, zone)
+        });
         agent.last_announced = now;
         if agent.unreachable {
             agent.next_probe = now;
--- a/components/broker/src/lib.rs
+++ b/components/broker/src/lib.rs
@@ -25,6 +25,8 @@
     broker::{Broker, Effect, Event, Options, Reply, Status},
     config::{Config, Limits, Route},
     job::{Step, Submission},
-    limits::{AGENT_SILENCE_MS, PROBE_MS, RUN_EXPIRY_MS, SETTLE_MS, SUSPENDED_MS},
+    limits::{
+        AGENT_RETENTION_MS, AGENT_SILENCE_MS, PROBE_MS, RUN_EXPIRY_MS, SETTLE_MS, SUSPENDED_MS,
+    },
     policy::{Policy, QueueOrder},
 };
--- a/components/broker/src/limits.rs
+++ b/components/broker/src/limits.rs
@@ -30,7 +30,7 @@
 /// Must stay below the agent's timeout for a silent entry (420), after which it stops the runs.
 pub const SUSPENDED_MS: u64 = 350;
 /// Time after which an agent that is neither heard nor announced is removed, in ms.
-pub(crate) const AGENT_RETENTION_MS: u64 = 60_000;
+pub const AGENT_RETENTION_MS: u64 = 60_000;
 /// Time for which a run may wait for free capacity at an agent, in ms.
 ///
 /// On the order of a round trip between availability zones and a tick; after it another agent is
--- a/components/broker/tests/broker/agents.rs
+++ b/components/broker/tests/broker/agents.rs
@@ -1,6 +1,6 @@
 //! Tests with agents that stop responding, come back or restart.
 
-use broker::{AGENT_SILENCE_MS, Event, PROBE_MS, RUN_EXPIRY_MS, Reply};
+use broker::{AGENT_RETENTION_MS, AGENT_SILENCE_MS, Event, PROBE_MS, RUN_EXPIRY_MS, Reply};
 use mesh::{Channel, Health};
 
 use crate::fixture::{Fixture, address, step, submission};
@@ -128,3 +128,20 @@
 
     assert!(fixture.agents[&address(1)].runs.len() <= 1);
 }
+
+#[test]
+fn gives_work_again_to_an_agent_that_it_had_forgotten() {
+    let mut fixture = Fixture::new(1);
+    fixture.submit(submission(1, vec![step(1, 100)]));
+    fixture.end_all();
+    set_responds(&mut fixture, 1, false);
+    fixture.advance(AGENT_RETENTION_MS + 1_000);
+    set_responds(&mut fixture, 1, true);
+    fixture.event(Event::Announced { address: address(1), zone: "north".to_owned() });
+    fixture.advance(300);
+
+    fixture.submit(submission(2, vec![step(1, 100)]));
+    fixture.advance(20);
+
+    assert_eq!(fixture.runs().len(), 1);
+}
--- a/components/guard/src/guard.rs
+++ b/components/guard/src/guard.rs
@@ -172,6 +172,8 @@
     health_tracker: HealthTracker,
     runs: Runs,
     entries: Entries,
+    /// Number of channels to entries that were created, those of forgotten entries included.
+    channels_created: u64,
     pending: HashMap<u64, Pending>,
     next_call: u64,
     poll: Option<PendingPoll>,
@@ -208,6 +210,7 @@
             health_tracker: HealthTracker::new(now),
             runs: Runs::default(),
             entries: Entries::new(),
+            channels_created: 0,
             pending: HashMap::new(),
             next_call: 0,
             poll: None,
--- a/components/guard/src/guard/orders.rs
+++ b/components/guard/src/guard/orders.rs
@@ -21,11 +21,13 @@
         from: SocketAddrV4,
         frame: Frame<Command, EntryState>,
     ) {
-        let incarnation = self.options.incarnation;
         let silence = self.options.timing.entry_silence;
         let entry = self.entries.entry(from).or_insert_with(|| {
             log::info!(entry:% = from; "an entry has appeared");
-            Entry::new(incarnation, now)
+            // An entry that this agent has forgotten still has its end of the channel. The new
+            // incarnation makes it start over.
+            self.channels_created += 1;
+            Entry::new(self.options.incarnation.wrapping_add(self.channels_created), now)
         });
         let state = frame.state;
         let accepted = entry.channel.accept(now, frame);
--- a/components/guard/src/lib.rs
+++ b/components/guard/src/lib.rs
@@ -19,7 +19,7 @@
     call::{Answer, Call, CallKind, EndedRun, Rejection, RunOutcome, RunningRun, Snapshot},
     guard::{Effect, Event, Guard, Heartbeat, HeartbeatState, Options},
     limits::{
-        CALL_TIMEOUT_MS, ENTRY_SILENCE_MS, LEASE_MS, MAX_ORDER_AGE_MS, RENEW_MS, SUSPENDED_MS,
-        Timing,
+        CALL_TIMEOUT_MS, ENTRY_EXPIRY_MS, ENTRY_SILENCE_MS, LEASE_MS, MAX_ORDER_AGE_MS, RENEW_MS,
+        SUSPENDED_MS, Timing,
     },
 };
--- a/components/guard/src/limits.rs
+++ b/components/guard/src/limits.rs
@@ -37,7 +37,7 @@
 /// Interval between two reports to an entry whose jobs wait for resources, in ms.
 pub(crate) const REPORT_INTERVAL_MS: u64 = 8;
 /// Time without a datagram after which an entry is removed, in ms.
-pub(crate) const ENTRY_EXPIRY_MS: u64 = 10_000;
+pub const ENTRY_EXPIRY_MS: u64 = 10_000;
 /// Interval between two polls while orphans (runs that an earlier agent started) are being
 /// stopped, in ms.
 pub(crate) const ORPHAN_POLL_MS: u64 = 40;
--- a/components/guard/tests/guard/entries.rs
+++ b/components/guard/tests/guard/entries.rs
@@ -1,9 +1,9 @@
 //! Runs of entries that time out, receive no reports or restart, and offers to waiting entries.
 
-use guard::{Answer, ENTRY_SILENCE_MS, Snapshot};
+use guard::{Answer, ENTRY_EXPIRY_MS, ENTRY_SILENCE_MS, RunOutcome, Snapshot};
 use mesh::{Channel, End, Notice};
 
-use crate::fixture::{Fixture, is_stop, key, running};
+use crate::fixture::{Fixture, ended, is_stop, key, running};
 
 /// An agent with one run that its endpoint has confirmed.
 fn fixture_with_run() -> Fixture {
@@ -127,3 +127,23 @@
     let offers = reported.iter().filter(|it| it.iter().any(|cpu| *cpu > 0)).count();
     assert_eq!(offers, 1, "{reported:?}");
 }
+
+#[test]
+fn takes_orders_again_from_an_entry_that_was_partitioned_until_it_was_forgotten() {
+    let mut fixture = Fixture::open();
+    fixture.order(vec![key(1)], 100);
+    fixture.accept_start();
+    fixture.answer_poll(ended(1, &[(key(1), RunOutcome::Done)]));
+    let forgotten_at = fixture.now + ENTRY_EXPIRY_MS;
+    while fixture.now <= forgotten_at {
+        fixture.advance(50);
+        fixture.answer_poll(Snapshot::default());
+    }
+
+    for _ in 0..3 {
+        fixture.probe();
+    }
+    fixture.order(vec![key(2)], 100);
+
+    assert_eq!(fixture.started(), vec![key(2)]);
+}
