Tell agents at once when jobs start or cease to wait

Cause: an agent whose free capacity several entries want offers it to one of them for 3 ms at a time. It learnt who waits from the regular probes alone, up to 130 ms late: offers went to entries that had placed their jobs elsewhere, and a job that started to wait got none. Change: an entry whose jobs wait tells 16 more agents every 10 ms, declines an offer that it does not need, and the agent then offers to the next. One test for each, which failed before.

--- a/components/broker/src/agents.rs
+++ b/components/broker/src/agents.rs
@@ -60,6 +60,10 @@
     pub(crate) next_probe: Uptime,
     /// Start of the time for which it has been watched; none while it is not.
     pub(crate) watched_since: Option<Uptime>,
+    /// Whether the newest frame to it said that jobs wait here.
+    pub(crate) told_waiting: bool,
+    /// Whether it has reported free capacity since the newest frame to it.
+    pub(crate) has_offered: bool,
     /// Weight in the choice of the agents to watch.
     pub(crate) weight: u64,
     /// Whether it does not respond or was never heard; its runs are considered lost.
@@ -87,6 +91,8 @@
             last_announced: now,
             next_probe: now,
             watched_since: Some(now),
+            told_waiting: false,
+            has_offered: false,
             weight,
             unreachable: true,
         }
@@ -115,6 +121,11 @@
         }
     }
 
+    /// Whether it may reserve capacity for jobs that no longer wait.
+    pub(crate) fn awaits_decline(&self, waiting: bool) -> bool {
+        !waiting && self.told_waiting && self.has_offered
+    }
+
     /// Whether it may be one of the subset of agents to watch.
     pub(crate) fn is_watchable(&self) -> bool {
         !self.unreachable && self.report.health != Health::Closed
--- a/components/broker/src/broker.rs
+++ b/components/broker/src/broker.rs
@@ -152,6 +152,8 @@
     watch: Watch,
     /// When the agents to watch are chosen again.
     next_watch: Uptime,
+    /// When further agents may be told that jobs wait.
+    next_wait_notice: Uptime,
     /// Interval between probes of an agent that is not watched, in ms.
     background_probe: u64,
     /// Number of channels to agents that were created, those of forgotten agents included.
@@ -189,6 +191,7 @@
             agents: Agents::new(),
             watch: Watch::new(now, options.policy.min_watched),
             next_watch: now,
+            next_wait_notice: now,
             background_probe: MIN_BACKGROUND_PROBE_MS,
             channels_created: 0,
             jobs: SlotMap::with_key(),
--- a/components/broker/src/broker/placement.rs
+++ b/components/broker/src/broker/placement.rs
@@ -8,13 +8,14 @@
 };
 
 use mesh::{Command, Report, RunKey, StartOrder, Uptime};
-use rand::rngs::SmallRng;
+use rand::{rngs::SmallRng, seq::IteratorRandom};
 
 use super::Broker;
 use crate::{
     agents::Agents,
     candidates::Candidates,
     job::{Job, TaskState},
+    limits::{WAIT_NOTICE_AGENTS, WAIT_NOTICE_INTERVAL_MS},
     queue::JobKey,
 };
 
@@ -57,10 +58,31 @@
         for assignment in assignments {
             self.send_order(assignment);
         }
-        if !self.queue.is_empty() && self.watch.widen(now) {
+        if !self.queue.is_empty() {
+            self.seek_capacity(now);
+        }
+    }
+
+    /// Widens the subset of watched agents, and tells some of them that jobs wait.
+    ///
+    /// Agents offer free capacity to the entries whose jobs wait. A job would otherwise get no
+    /// offers until the next regular probes.
+    fn seek_capacity(&mut self, now: Uptime) {
+        if self.watch.widen(now) {
             log::info!(waiting = self.queue.len(), known = self.agents.len(); "a job waits, so more agents are watched");
             self.choose_watched(now);
         }
+        if now < self.next_wait_notice {
+            return;
+        }
+        self.next_wait_notice = now + WAIT_NOTICE_INTERVAL_MS;
+        let untold = self
+            .agents
+            .values_mut()
+            .filter(|it| it.watched_since.is_some() && !it.unreachable && !it.told_waiting);
+        for agent in untold.sample(&mut self.rng, WAIT_NOTICE_AGENTS) {
+            agent.next_probe = now;
+        }
     }
 
     /// Queues a start order for an agent.
--- a/components/broker/src/broker/runs.rs
+++ b/components/broker/src/broker/runs.rs
@@ -56,6 +56,7 @@
             );
         }
         agent.last_heard = now;
+        agent.has_offered |= report.cpu > 0;
         agent.report = report;
         self.placement_due = true;
         if accepted.restarted {
@@ -228,8 +229,10 @@
 
     /// Sends a frame to each agent that is due a probe, commands or an acknowledgement.
     pub(super) fn send_frames(&mut self, now: Uptime) {
+        let jobs_wait = !self.queue.is_empty();
         let is_due = |agent: &Agent| {
-            now >= agent.next_probe || !agent.unreachable && agent.channel.is_due(now)
+            let has_message = agent.channel.is_due(now) || agent.awaits_decline(jobs_wait);
+            now >= agent.next_probe || !agent.unreachable && has_message
         };
         if !self.agents.values().any(is_due) {
             return;
@@ -247,6 +250,8 @@
                         None => background_probe,
                     };
             }
+            agent.told_waiting = jobs_wait;
+            agent.has_offered = false;
             let state = EntryState { probe, waiting, heard: agent.report.now };
             let frame = agent.channel.frame(now, state);
             self.effects.push(Effect::Send { to: *address, datagram: Datagram::Entry(frame) });
--- a/components/broker/src/limits.rs
+++ b/components/broker/src/limits.rs
@@ -22,6 +22,10 @@
 pub(crate) const MAX_BACKGROUND_PROBE_MS: u64 = 3_000;
 /// Silence after which an agent that is not watched is unreachable, in ms: three probes.
 pub(crate) const BACKGROUND_SILENCE_MS: u64 = 9_500;
+/// Interval at which further agents are told that jobs wait, in ms.
+pub(crate) const WAIT_NOTICE_INTERVAL_MS: u64 = 10;
+/// Number of agents that are told at a time that jobs wait.
+pub(crate) const WAIT_NOTICE_AGENTS: usize = 16;
 /// Silence after which no more tasks are placed on an agent, in ms.
 pub(crate) const PLACEMENT_SILENCE_MS: u64 = 300;
 /// Age of an unacknowledged order at which no more tasks are placed on an agent, in ms; the
--- a/components/broker/src/watch.rs
+++ b/components/broker/src/watch.rs
@@ -76,7 +76,7 @@
             self.kept_at = now;
         } else if free_percent < NARROW_ABOVE_PERCENT {
             self.kept_at = now;
-        } else if now.since(self.kept_at) >= NARROW_INTERVAL_MS {
+        } else if known > self.min && now.since(self.kept_at) >= NARROW_INTERVAL_MS {
             self.size = (self.size.min(known) / 2).max(self.min);
             self.kept_at = now;
         }
--- a/components/broker/tests/broker/fixture.rs
+++ b/components/broker/tests/broker/fixture.rs
@@ -39,6 +39,8 @@
     pub(crate) stopped: Vec<RunKey>,
     /// Expected run time in its newest start order, in ms.
     pub(crate) expected: u32,
+    /// Work that waits at the entry by its newest frame, in core-milliseconds.
+    pub(crate) told_waiting: u32,
     /// Number of probes that were sent to it.
     pub(crate) probes: usize,
 }
@@ -112,6 +114,7 @@
                 runs: Vec::new(),
                 stopped: Vec::new(),
                 expected: 0,
+                told_waiting: 0,
                 probes: 0,
             };
             fixture.agents.insert(address(last), agent);
@@ -142,6 +145,7 @@
                         let now = self.now;
                         let agent = self.agents.get_mut(&to).expect("an agent of the test");
                         let probed = frame.state.probe;
+                        agent.told_waiting = frame.state.waiting;
                         agent.probes += usize::from(probed);
                         if !agent.responds {
                             continue;
--- a/components/broker/tests/broker/placement.rs
+++ b/components/broker/tests/broker/placement.rs
@@ -109,3 +109,28 @@
     let expected = fixture.agents.values().map(|it| it.expected).collect::<Vec<_>>();
     assert!(expected.iter().all(|it| (190..=230).contains(it)), "{expected:?}");
 }
+
+/// An entry with a job that fills four endpoints and one that waits.
+fn fixture_with_waiting_job() -> Fixture {
+    let mut fixture = Fixture::new(4);
+    fixture.submit(submission(1, vec![step(4, 1_000)]));
+    fixture.advance(200);
+    fixture.submit(submission(2, vec![step(1, 400)]));
+    fixture
+}
+
+#[test]
+fn tells_agents_at_once_that_a_job_waits() {
+    let fixture = fixture_with_waiting_job();
+
+    assert!(fixture.agents.values().all(|it| it.told_waiting > 0));
+}
+
+#[test]
+fn declines_offers_at_once_when_no_job_waits_any_more() {
+    let mut fixture = fixture_with_waiting_job();
+
+    fixture.end_all();
+
+    assert!(fixture.agents.values().all(|it| it.told_waiting == 0));
+}
--- a/components/broker/tests/broker/watch.rs
+++ b/components/broker/tests/broker/watch.rs
@@ -34,6 +34,16 @@
     assert!(probes.iter().sum::<usize>() < 2 * usize::from(AGENTS) * 4, "{probes:?}");
 }
 
+#[test]
+fn all_agents_of_a_small_fleet_are_watched() {
+    let mut fixture = Fixture::new(MIN_WATCHED as u8);
+    fixture.advance(10_000);
+
+    let probes = probes_in(&mut fixture, 1_000);
+
+    assert!(probes.iter().all(|it| *it >= 5), "{probes:?}");
+}
+
 #[test]
 fn entries_watch_different_agents() {
     let watched = |seed| {
--- a/components/guard/src/guard/orders.rs
+++ b/components/guard/src/guard/orders.rs
@@ -207,7 +207,8 @@
             self.offer = None;
             return;
         }
-        if self.offer.as_ref().is_some_and(|it| now < it.until) {
+        let waits = |to| self.entries.get(to).is_some_and(|it| it.waiting > 0);
+        if self.offer.as_ref().is_some_and(|it| now < it.until && waits(&it.to)) {
             return;
         }
         let total: u64 = waiting.iter().map(|(_, it)| u64::from(it.waiting)).sum();
--- a/components/guard/tests/guard/entries.rs
+++ b/components/guard/tests/guard/entries.rs
@@ -166,3 +166,24 @@
 
     assert_eq!(fixture.unanswered(is_stop), vec![]);
 }
+
+#[test]
+fn offers_resources_to_the_next_entry_once_the_first_declines_them() {
+    let mut fixture = Fixture::open();
+    let mut channels: Vec<_> = (21..24).map(Channel::new).collect();
+    let mut probe = |fixture: &mut Fixture, number: usize, waiting| {
+        let reported = send_waiting(fixture, &mut channels[number], number as u8 + 1, waiting);
+        reported.iter().any(|cpu| *cpu > 0)
+    };
+    for _ in 0..2 {
+        for number in 0..3 {
+            probe(&mut fixture, number, 50);
+        }
+    }
+    let first = (0..3).find(|it| probe(&mut fixture, *it, 50)).expect("an offer");
+
+    probe(&mut fixture, first, 0);
+
+    let next = (0..3).filter(|it| *it != first && probe(&mut fixture, *it, 50)).count();
+    assert_eq!(next, 1);
+}
