Log and count what is known of each copy of a start

Each answer to a copy now has a line with the run's number, the copies sent and those without an answer; a refusal or an end of a run that may still run has a line of its own and is counted (primrosemux_doubtful_runs_total). The decisions are the same as before.

--- a/components/guard/src/guard.rs
+++ b/components/guard/src/guard.rs
@@ -134,7 +134,7 @@
 /// Purpose of a call that is in flight.
 #[derive(Debug, Clone)]
 enum Pending {
-    Start(RunSlot),
+    Start { slot: RunSlot, number: u32 },
     Stop(RunSlot),
     StopOrphan,
     Poll { instance: Arc<str>, sent: Uptime, acknowledged: u64 },
@@ -184,6 +184,8 @@
     /// Runs whose stop may not have reached the endpoint; while there are any, no lease is
     /// renewed and no run started, so that the lease ends them in any case.
     unconfirmed_stops: HashSet<RunSlot>,
+    /// Number of runs that were rejected or listed as ended while they may still run.
+    doubtful_runs: u64,
     /// Free resources, health or the offer have changed since entries with waiting jobs got a
     /// report.
     report_due: bool,
@@ -217,6 +219,7 @@
             last_poll: Uptime::default(),
             first_unanswered: None,
             unconfirmed_stops: HashSet::new(),
+            doubtful_runs: 0,
             report_due: false,
             offer: None,
             lcg_state: 0,
@@ -255,6 +258,11 @@
         self.runs.iter().filter(|(_, run)| run.phase.holds_resources()).count()
     }
 
+    /// Number of runs that were rejected or listed as ended while they may still run.
+    pub fn doubtful_runs(&self) -> u64 {
+        self.doubtful_runs
+    }
+
     /// Refuses the queued runs if the host was suspended: their orders may be stale.
     fn check_suspended(&mut self, now: Uptime) {
         let gap = now.since(self.last_event);
--- a/components/guard/src/guard/answers.rs
+++ b/components/guard/src/guard/answers.rs
@@ -28,7 +28,7 @@
                     self.on_poll_answer(now, sent, acknowledged, answer);
                 }
             }
-            Pending::Start(slot) => self.on_start_answer(now, slot, answer),
+            Pending::Start { slot, number } => self.on_start_answer(now, slot, number, answer),
             Pending::Stop(slot) => self.on_stop_answer(now, slot, answer),
             Pending::StopOrphan => self.on_any_answer(now, &answer),
         }
@@ -68,9 +68,19 @@
         }
     }
 
-    pub(super) fn on_start_answer(&mut self, now: Uptime, slot: RunSlot, answer: Answer) {
+    pub(super) fn on_start_answer(
+        &mut self,
+        now: Uptime,
+        slot: RunSlot,
+        number: u32,
+        answer: Answer,
+    ) {
         self.on_any_answer(now, &answer);
         let Some(run) = self.runs.get_mut(slot) else { return };
+        if run.number == number {
+            run.copies.settle(!matches!(answer, Answer::Unknown | Answer::Seen(_)));
+        }
+        log_start_answer(run, number, &answer);
         if run.phase != Phase::Starting {
             return;
         }
@@ -95,14 +105,16 @@
                 | Rejection::Instance
                 | Rejection::Invalid,
             ) => {
-                log::warn!(run:% = run.key, answer:? = answer; "the endpoint rejected the start of a run");
                 self.refuse(now, slot, Refusal::Endpoint);
             }
             Answer::Unknown | Answer::Seen(_) => {
                 run.start_timeouts += 1;
                 let stops =
                     run.start_timeouts >= MAX_START_TIMEOUTS || self.first_unanswered.is_some();
-                log::warn!(run:% = run.key, starts = run.start_timeouts, stops = stops; "a start was not answered");
+                log::warn!(
+                    run:% = run.key, number = number, starts = run.start_timeouts, stops = stops;
+                    "a start was not answered"
+                );
                 if stops {
                     self.stop_run(now, slot, End::Lost);
                 } else {
@@ -148,7 +160,11 @@
         let lease = self.endpoint.as_mut().and_then(|it| it.grant_lease(now, length));
         match lease {
             Some(lease) => {
-                self.call_endpoint(Pending::Start(slot), CallKind::Start { key, spec, lease });
+                if let Some(run) = self.runs.get_mut(slot) {
+                    run.copies.send();
+                }
+                let pending = Pending::Start { slot, number: key.run };
+                self.call_endpoint(pending, CallKind::Start { key, spec, lease });
             }
             None => self.refuse(now, slot, Refusal::Closed),
         }
@@ -206,3 +222,22 @@
         }
     }
 }
+
+/// Logs an answer to a copy of a start that leaves the run in doubt or rejects it.
+fn log_start_answer(run: &Run, number: u32, answer: &Answer) {
+    let copies = run.copies;
+    match answer {
+        Answer::Accepted { .. } if copies.sent == 1 => {}
+        Answer::Accepted { .. } => log::info!(
+            run:% = run.key, number = number, phase:? = run.phase, copies = copies.sent,
+            in_flight = copies.in_flight, unanswered = copies.unanswered;
+            "the endpoint accepted a copy of a start"
+        ),
+        Answer::Rejected(_) | Answer::Unsent => log::warn!(
+            run:% = run.key, number = number, answer:? = answer, phase:? = run.phase,
+            copies = copies.sent, in_flight = copies.in_flight, unanswered = copies.unanswered;
+            "the endpoint rejected the start of a run"
+        ),
+        Answer::Seen(_) | Answer::Unknown => {}
+    }
+}
--- a/components/guard/src/guard/orders.rs
+++ b/components/guard/src/guard/orders.rs
@@ -11,7 +11,7 @@
 use crate::{
     entries::Entry,
     limits::REPORT_INTERVAL_MS,
-    runs::{Phase, Run, RunSlot, Work},
+    runs::{Copies, Phase, Run, RunSlot, Work},
 };
 
 impl Guard {
@@ -92,6 +92,7 @@
                 last_progress: now,
                 number_retries: 0,
                 start_timeouts: 0,
+                copies: Copies::default(),
             });
         }
     }
@@ -143,6 +144,14 @@
     pub(super) fn refuse(&mut self, now: Uptime, slot: RunSlot, refusal: Refusal) {
         if let Some(run) = self.runs.remove(now, slot) {
             self.report_due = true;
+            if run.copies.unresolved() > 0 {
+                self.doubtful_runs += 1;
+                log::warn!(
+                    run:% = run.key, number = run.number, refusal:? = refusal,
+                    in_flight = run.copies.in_flight, unanswered = run.copies.unanswered;
+                    "a run is refused while a copy of its start is unresolved"
+                );
+            }
             self.notify_refused(run.entry, run.key, refusal, now.since(run.started));
         }
     }
@@ -167,7 +176,8 @@
         let took = now.since(run.started);
         log::info!(
             run:% = run.key, entry:% = run.entry, end:? = end, took_ms = took,
-            expected_ms = run.work.expected, percent = run.progress_percent;
+            expected_ms = run.work.expected, percent = run.progress_percent, number = run.number,
+            copies = run.copies.sent, unanswered = run.copies.unanswered;
             "a run has ended"
         );
         if let Some(entry) = self.entries.get_mut(&run.entry) {
--- a/components/guard/src/guard/polls.rs
+++ b/components/guard/src/guard/polls.rs
@@ -173,6 +173,10 @@
             if row.number > seen
                 && let Some(slot) = self.runs.by_endpoint_key(row.key)
             {
+                if snapshot.running.iter().any(|it| it.key == row.key) {
+                    self.doubtful_runs += 1;
+                    log::warn!(run:% = row.key, outcome:? = row.outcome; "the endpoint lists a run as ended and as in progress");
+                }
                 self.on_outcome(now, slot, row.outcome);
             }
         }
--- a/components/guard/src/runs.rs
+++ b/components/guard/src/runs.rs
@@ -47,6 +47,18 @@
     pub(crate) number_retries: u32,
     /// Timeouts of the start; its hedge counts as one.
     pub(crate) start_timeouts: u32,
+    /// Copies of the start under the present number.
+    pub(crate) copies: Copies,
+}
+
+/// Copies of a start that were sent under one run number, by what is known of them.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct Copies {
+    pub(crate) sent: u32,
+    /// Sent and neither answered nor timed out.
+    pub(crate) in_flight: u32,
+    /// Timed out; the endpoint may have started the run, or may yet.
+    pub(crate) unanswered: u32,
 }
 
 /// Phase of a run.
@@ -98,6 +110,27 @@
     }
 }
 
+impl Copies {
+    /// Counts a copy that is sent.
+    pub(crate) fn send(&mut self) {
+        self.sent += 1;
+        self.in_flight += 1;
+    }
+
+    /// Counts the answer to a copy, or that there is none.
+    pub(crate) fn settle(&mut self, answered: bool) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        if !answered {
+            self.unanswered += 1;
+        }
+    }
+
+    /// Copies that may have started the run without an answer that says so.
+    pub(crate) fn unresolved(self) -> u32 {
+        self.in_flight + self.unanswered
+    }
+}
+
 impl Phase {
     /// Whether the run holds resources of the endpoint.
     pub(crate) fn holds_resources(self) -> bool {
@@ -156,6 +189,7 @@
         self.by_endpoint_key.remove(&(task.0, task.1, task.2, run.number));
         run.number += 1;
         run.number_retries += 1;
+        run.copies = Copies::default();
         self.last_numbers.insert(task, run.number);
         self.by_endpoint_key.insert((task.0, task.1, task.2, run.number), slot);
     }
--- a/hostd/src/agent.rs
+++ b/hostd/src/agent.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use guard::{Answer, Call, Effect, Event, Guard, Heartbeat};
+use guard::{Answer, Call, CallKind, Effect, Event, Guard, Heartbeat, Rejection};
 use mesh::{Datagram, Uptime};
 use platform::EndpointClient;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
@@ -19,7 +19,7 @@
     cmd::Input,
     datagrams::DatagramSocket,
     discovery::Discovery,
-    metrics::{Metrics, Outcome},
+    metrics::{CallRejection, Metrics, Outcome},
 };
 
 /// Messages of the actor.
@@ -34,6 +34,8 @@
     Answered {
         /// Id that the core gave the call.
         id: u64,
+        /// Operation of the call.
+        operation: &'static str,
         /// Answer, or why there is none.
         answer: Answer,
         /// Duration of the call.
@@ -90,8 +92,8 @@
             Message::Input(input) => self.on_input(now, input),
             Message::Heartbeat(heartbeat) => self.handle_event(now, Event::Heartbeat(heartbeat)),
             Message::Deregistered(instance) => self.handle_event(now, Event::Left { instance }),
-            Message::Answered { id, answer, took } => {
-                self.record_call(&answer, took);
+            Message::Answered { id, operation, answer, took } => {
+                self.record_call(operation, &answer, took);
                 self.handle_event(now, Event::Answered { id, answer });
             }
         }
@@ -109,6 +111,8 @@
                 self.handle_event(now, Event::Tick);
                 self.deps.metrics.active.set(self.deps.guard.active() as i64);
                 self.deps.metrics.open.set(i64::from(self.deps.guard.accepts_work(now)));
+                let doubtful = &self.deps.metrics.doubtful;
+                doubtful.inc_by(self.deps.guard.doubtful_runs() - doubtful.get());
             }
             Input::Stop => self.handle_event(now, Event::Shutdown),
         }
@@ -144,16 +148,25 @@
     fn start_call(&self, id: u64, call: Call) {
         let endpoint = self.deps.endpoint.clone();
         let myself = self.myself.clone();
+        let operation = match call.kind {
+            CallKind::Start { .. } => "start",
+            CallKind::Stop { .. } => "stop",
+            CallKind::Hold { .. } => "poll",
+        };
         tokio::spawn(async move {
             let started = Instant::now();
             let answer = endpoint.call(&call).await;
             let took = started.elapsed();
             // The cast fails only once the actor has stopped, at the end of the process.
-            let _ = myself.cast(Message::Answered { id, answer, took });
+            let _ = myself.cast(Message::Answered { id, operation, answer, took });
         });
     }
 
-    fn record_call(&self, answer: &Answer, took: Duration) {
+    fn record_call(&self, operation: &'static str, answer: &Answer, took: Duration) {
+        if let Answer::Rejected(rejection) = answer {
+            let label = CallRejection::new(operation, rejection_name(*rejection));
+            self.deps.metrics.rejections.get_or_create(&label).inc();
+        }
         let outcome = match answer {
             Answer::Accepted { .. } => "accepted",
             Answer::Seen(_) => "seen",
@@ -165,3 +178,16 @@
         self.deps.metrics.call_time.observe(took.as_secs_f64());
     }
 }
+
+/// Name of a rejection in the metrics.
+fn rejection_name(rejection: Rejection) -> &'static str {
+    match rejection {
+        Rejection::Fence => "fence",
+        Rejection::Old => "old",
+        Rejection::Late => "late",
+        Rejection::Room => "room",
+        Rejection::Unhealthy => "unhealthy",
+        Rejection::Instance => "instance",
+        Rejection::Invalid => "invalid",
+    }
+}
--- a/hostd/src/metrics.rs
+++ b/hostd/src/metrics.rs
@@ -46,6 +46,10 @@
     pub(crate) version: Gauge,
     /// Calls to the endpoint, by outcome.
     pub(crate) calls: Family<Outcome, Counter>,
+    /// Calls that the endpoint rejected, by operation and reason.
+    pub(crate) rejections: Family<CallRejection, Counter>,
+    /// Runs that were rejected or listed as ended while they may still run.
+    pub(crate) doubtful: Counter,
     /// Duration of a call to the endpoint, in seconds.
     pub(crate) call_time: Histogram,
     /// Runs that use capacity of the endpoint.
@@ -68,6 +72,21 @@
     }
 }
 
+/// Operation of a rejected call, and why it was rejected.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+pub(crate) struct CallRejection {
+    call: &'static str,
+    reason: &'static str,
+}
+
+impl CallRejection {
+    /// Creates labels with these values.
+    pub(crate) fn new(call: &'static str, reason: &'static str) -> CallRejection {
+        CallRejection { call, reason }
+    }
+}
+
 impl Metrics {
     /// Registers all metrics.
     pub(crate) fn new() -> Metrics {
@@ -83,6 +102,8 @@
             watched: Gauge::default(),
             version: Gauge::default(),
             calls: Family::default(),
+            rejections: Family::default(),
+            doubtful: Counter::default(),
             call_time: histogram(),
             active: Gauge::default(),
             open: Gauge::default(),
@@ -104,6 +125,16 @@
         );
         registry.register("config_version", "Configuration in force", metrics.version.clone());
         registry.register("endpoint_calls", "Calls of the endpoint", metrics.calls.clone());
+        registry.register(
+            "endpoint_rejections",
+            "Calls that the endpoint rejected",
+            metrics.rejections.clone(),
+        );
+        registry.register(
+            "doubtful_runs",
+            "Runs rejected or listed as ended while they may still run",
+            metrics.doubtful.clone(),
+        );
         registry.register("endpoint_call_seconds", "Time of a call", metrics.call_time.clone());
         registry.register("runs_active", "Runs on the endpoint", metrics.active.clone());
         registry.register("endpoint_open", "Endpoint takes work", metrics.open.clone());
