Reproduce a run that is refused while a copy of its start is carried out

An agent that gets no answer to a start, or none within 20 ms, sends a copy. A rejection of that copy ends the run: it is refused, with which its agent says that it has not run, or it is numbered on, though the other copy may run.

--- /dev/null
+++ b/components/guard/tests/guard/copies.rs
@@ -0,0 +1,109 @@
+//! Several copies of one start, of which each answer says only what became of that copy.
+
+use guard::{Answer, Rejection, RunOutcome};
+use mesh::{End, Notice, Refusal};
+
+use crate::fixture::{Fixture, ended, is_start, is_stop, key};
+
+/// Answers that say that the endpoint did nothing.
+const REJECTIONS: [Answer; 6] = [
+    Answer::Rejected(Rejection::Unhealthy),
+    Answer::Rejected(Rejection::Room),
+    Answer::Rejected(Rejection::Late),
+    Answer::Rejected(Rejection::Invalid),
+    Answer::Rejected(Rejection::Old),
+    Answer::Unsent,
+];
+
+/// Answers the stop in flight and two polls after it.
+fn confirm_stop(fixture: &mut Fixture) {
+    let clock = fixture.clock();
+    fixture.answer(is_stop, Answer::Accepted { clock });
+    fixture.answer_two_empty_polls();
+    fixture.probe();
+}
+
+// Guards against a second run elsewhere while the first copy of a start has been carried out.
+#[test]
+fn a_run_with_an_unanswered_copy_is_stopped_and_not_refused_when_the_next_copy_is_rejected() {
+    for rejection in REJECTIONS {
+        let mut fixture = Fixture::open();
+        fixture.order(vec![key(1)], 100);
+        fixture.answer(is_start, Answer::Unknown);
+
+        fixture.answer(is_start, rejection.clone());
+        fixture.probe();
+
+        assert_eq!(fixture.notices, vec![], "{rejection:?}");
+        assert_eq!(fixture.started(), vec![], "{rejection:?}");
+        confirm_stop(&mut fixture);
+        let lost = matches!(fixture.notices[..], [Notice::Ended { end: End::Lost, .. }]);
+        assert!(lost, "{rejection:?}: {:?}", fixture.notices);
+    }
+}
+
+// Guards against a second run elsewhere while a hedged start is being carried out.
+#[test]
+fn a_run_goes_on_if_one_copy_of_its_start_is_rejected_and_another_accepted() {
+    for rejection in REJECTIONS {
+        let mut fixture = Fixture::open();
+        fixture.order(vec![key(1)], 100);
+        fixture.advance(20);
+
+        fixture.answer(is_start, rejection.clone());
+        assert_eq!(fixture.unanswered(is_stop), vec![], "{rejection:?}");
+        fixture.accept_start();
+        fixture.answer_poll(ended(1, &[(key(1), RunOutcome::Done)]));
+        fixture.probe();
+
+        let done = matches!(fixture.notices[..], [Notice::Ended { end: End::Done, .. }]);
+        assert!(done, "{rejection:?}: {:?}", fixture.notices);
+    }
+}
+
+// Guards against a second run elsewhere while a hedged start may have been carried out.
+#[test]
+fn a_run_is_stopped_if_one_copy_of_its_start_is_rejected_and_another_never_answered() {
+    for rejection in REJECTIONS {
+        let mut fixture = Fixture::open();
+        fixture.order(vec![key(1)], 100);
+        fixture.advance(20);
+
+        fixture.answer(is_start, rejection.clone());
+        fixture.answer(is_start, Answer::Unknown);
+        fixture.probe();
+
+        assert_eq!(fixture.notices, vec![], "{rejection:?}");
+        assert_eq!(fixture.unanswered(is_stop).len(), 1, "{rejection:?}");
+    }
+}
+
+// Guards against a delay of tasks whose start was certainly rejected.
+#[test]
+fn a_run_is_refused_at_once_if_all_copies_of_its_start_are_rejected() {
+    let mut fixture = Fixture::open();
+    fixture.order(vec![key(1)], 100);
+    fixture.advance(20);
+
+    fixture.answer(is_start, Answer::Rejected(Rejection::Unhealthy));
+    fixture.answer(is_start, Answer::Rejected(Rejection::Unhealthy));
+    fixture.probe();
+
+    let refused = Notice::Refused { key: key(1), refusal: Refusal::Endpoint };
+    assert_eq!(fixture.notices, vec![refused]);
+}
+
+// Guards against a second start of a task that is done, when the start after it is rejected as old.
+#[test]
+fn the_end_of_a_run_is_reported_if_a_later_copy_of_its_start_is_rejected_as_old() {
+    let mut fixture = Fixture::open();
+    fixture.order(vec![key(1)], 100);
+    fixture.answer(is_start, Answer::Unknown);
+
+    fixture.answer(is_start, Answer::Rejected(Rejection::Old));
+    assert_eq!(fixture.started(), vec![]);
+    fixture.answer_poll(ended(1, &[(key(1), RunOutcome::Done)]));
+    fixture.probe();
+
+    assert!(matches!(fixture.notices[..], [Notice::Ended { end: End::Done, .. }]));
+}
--- a/components/guard/tests/guard/main.rs
+++ b/components/guard/tests/guard/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the agent's core.
 
+mod copies;
 mod entries;
 mod fixture;
 mod health;
