Stop a run that may have started when a copy of its start is rejected

Cause: an agent sends a start again under the same number when its answer is lost or takes longer than 20 ms. A rejection answers one copy only, but was taken for the whole start: the agent refused the run, with which it says that it has not run, and the entry placed the task elsewhere at once. After a rejection as old the agent numbered the run on and started it again, though the other copy had run.

Change: a rejection is held until no other copy is in flight. If all copies were rejected the run is refused as before; if one was not answered the run is stopped, and reported as lost once the stop is confirmed. The stop makes the endpoint reject any copy that is still on its way. An end that it lists meanwhile is reported as that end. Numbers are raised only if no copy is unresolved.

--- a/components/guard/src/guard/answers.rs
+++ b/components/guard/src/guard/answers.rs
@@ -81,7 +81,7 @@
             run.copies.settle(!matches!(answer, Answer::Unknown | Answer::Seen(_)));
         }
         log_start_answer(run, number, &answer);
-        if run.phase != Phase::Starting {
+        if run.phase != Phase::Starting || run.number != number {
             return;
         }
         match answer {
@@ -89,14 +89,16 @@
                 run.phase = Phase::Running;
                 run.last_progress = now;
             }
-            Answer::Rejected(Rejection::Old) if run.number_retries < MAX_NUMBER_RETRIES => {
+            Answer::Rejected(Rejection::Fence) => self.send_start(now, slot),
+            Answer::Rejected(Rejection::Old)
+                if run.copies.unresolved() == 0 && run.number_retries < MAX_NUMBER_RETRIES =>
+            {
                 self.runs.raise_number(slot);
                 self.send_start(now, slot);
             }
-            Answer::Rejected(Rejection::Fence) => self.send_start(now, slot),
             Answer::Rejected(Rejection::Unhealthy) | Answer::Unsent => {
                 self.health_tracker.eject(now);
-                self.refuse(now, slot, Refusal::Endpoint);
+                self.on_rejected_copy(now, slot);
             }
             Answer::Rejected(
                 Rejection::Old
@@ -104,8 +106,9 @@
                 | Rejection::Room
                 | Rejection::Instance
                 | Rejection::Invalid,
-            ) => {
-                self.refuse(now, slot, Refusal::Endpoint);
+            ) => self.on_rejected_copy(now, slot),
+            Answer::Unknown | Answer::Seen(_) if run.copies.rejected => {
+                self.on_rejected_copy(now, slot);
             }
             Answer::Unknown | Answer::Seen(_) => {
                 run.start_timeouts += 1;
@@ -125,6 +128,15 @@
         }
     }
 
+    /// Refuses a run of which a copy of the start was rejected, once no other copy is in flight.
+    fn on_rejected_copy(&mut self, now: Uptime, slot: RunSlot) {
+        let Some(run) = self.runs.get_mut(slot) else { return };
+        run.copies.rejected = true;
+        if run.copies.in_flight == 0 {
+            self.refuse(now, slot, Refusal::Endpoint);
+        }
+    }
+
     pub(super) fn on_stop_answer(&mut self, now: Uptime, slot: RunSlot, answer: Answer) {
         self.on_any_answer(now, &answer);
         let Some(run) = self.runs.get_mut(slot) else {
--- a/components/guard/src/guard/orders.rs
+++ b/components/guard/src/guard/orders.rs
@@ -141,17 +141,23 @@
         }
     }
 
+    /// Refuses a run that has not started; one that may have started is stopped.
+    ///
+    /// After a stop the endpoint rejects every copy of the start that is still on its way.
     pub(super) fn refuse(&mut self, now: Uptime, slot: RunSlot, refusal: Refusal) {
+        let Some(run) = self.runs.get(slot) else { return };
+        if run.copies.unresolved() > 0 {
+            log::warn!(
+                run:% = run.key, number = run.number, refusal:? = refusal,
+                in_flight = run.copies.in_flight, unanswered = run.copies.unanswered;
+                "a run that may have started is stopped in place of a refusal"
+            );
+            self.doubtful_runs += 1;
+            self.stop_run(now, slot, End::Lost);
+            return;
+        }
         if let Some(run) = self.runs.remove(now, slot) {
             self.report_due = true;
-            if run.copies.unresolved() > 0 {
-                self.doubtful_runs += 1;
-                log::warn!(
-                    run:% = run.key, number = run.number, refusal:? = refusal,
-                    in_flight = run.copies.in_flight, unanswered = run.copies.unanswered;
-                    "a run is refused while a copy of its start is unresolved"
-                );
-            }
             self.notify_refused(run.entry, run.key, refusal, now.since(run.started));
         }
     }
--- a/components/guard/src/runs.rs
+++ b/components/guard/src/runs.rs
@@ -59,6 +59,8 @@
     pub(crate) in_flight: u32,
     /// Timed out; the endpoint may have started the run, or may yet.
     pub(crate) unanswered: u32,
+    /// A copy was rejected.
+    pub(crate) rejected: bool,
 }
 
 /// Phase of a run.
