Confirm the end of a run that may still be in progress by a stop

What callers would see: a task runs on two endpoints at the same time.

The resources of the run were given to others as well.

Evidence: three tests of the core, red before.

Change: such a run is stopped first.

--- a/components/guard/src/guard/polls.rs
+++ b/components/guard/src/guard/polls.rs
@@ -173,18 +173,26 @@
             if row.number > seen
                 && let Some(slot) = self.runs.by_endpoint_key(row.key)
             {
-                if snapshot.running.iter().any(|it| it.key == row.key) {
-                    self.doubtful_runs += 1;
-                    log::warn!(run:% = row.key, outcome:? = row.outcome; "the endpoint lists a run as ended and as in progress");
-                }
-                self.on_outcome(now, slot, row.outcome);
+                let in_progress = snapshot.running.iter().any(|it| it.key == row.key);
+                self.on_outcome(now, slot, row.outcome, in_progress);
             }
         }
         self.check_progress(now, sent, snapshot);
     }
 
-    pub(super) fn on_outcome(&mut self, now: Uptime, slot: RunSlot, outcome: RunOutcome) {
+    /// Handles an end that the endpoint lists, perhaps for a run that it lists as in progress too.
+    fn on_outcome(&mut self, now: Uptime, slot: RunSlot, outcome: RunOutcome, in_progress: bool) {
         let Some(run) = self.runs.get(slot) else { return };
+        // Only one of several copies may have failed.
+        let copy_failed = outcome == RunOutcome::Failed && run.copies.unresolved() > 0;
+        let may_run = in_progress || copy_failed;
+        if may_run {
+            log::warn!(
+                run:% = run.key, number = run.number, outcome:? = outcome,
+                in_progress = in_progress, unanswered = run.copies.unanswered;
+                "a run that is listed as ended may still run and is stopped"
+            );
+        }
         let (job, took) = (run.key.job, now.since(run.started));
         let end = match outcome {
             RunOutcome::Done => {
@@ -205,7 +213,23 @@
             },
             RunOutcome::Lapsed => End::Lost,
         };
-        self.end_run(now, slot, end);
+        if may_run {
+            self.doubtful_runs += 1;
+            self.stop_ended_run(now, slot, end);
+        } else {
+            self.end_run(now, slot, end);
+        }
+    }
+
+    /// Stops a run that may go on after its end was listed, and reports that end once it is gone.
+    fn stop_ended_run(&mut self, now: Uptime, slot: RunSlot, listed: End) {
+        if let Some(run) = self.runs.get_mut(slot)
+            && let Phase::Stopping { end, .. } = &mut run.phase
+        {
+            *end = listed;
+        } else {
+            self.stop_run(now, slot, listed);
+        }
     }
 
     /// Ends runs that are gone and stops runs that make no progress.
--- a/components/guard/tests/guard/copies.rs
+++ b/components/guard/tests/guard/copies.rs
@@ -1,9 +1,9 @@
 //! Several copies of one start, of which each answer says only what became of that copy.
 
-use guard::{Answer, Rejection, RunOutcome};
+use guard::{Answer, Rejection, RunOutcome, Snapshot};
 use mesh::{End, Notice, Refusal};
 
-use crate::fixture::{Fixture, ended, is_start, is_stop, key};
+use crate::fixture::{Fixture, ended, is_start, is_stop, key, running};
 
 /// Answers that say that the endpoint did nothing.
 const REJECTIONS: [Answer; 6] = [
@@ -15,6 +15,20 @@
     Answer::Unsent,
 ];
 
+/// Snapshot of a run that is in progress although its end is listed.
+fn ended_and_running(outcome: RunOutcome) -> Snapshot {
+    Snapshot { ended: ended(1, &[(key(1), outcome)]).ended, ..running(&[(key(1), 10)]) }
+}
+
+/// An agent whose run was confirmed by the second copy of its start, the first being unanswered.
+fn fixture_with_unanswered_copy() -> Fixture {
+    let mut fixture = Fixture::open();
+    fixture.order(vec![key(1)], 100);
+    fixture.answer(is_start, Answer::Unknown);
+    fixture.accept_start();
+    fixture
+}
+
 /// Answers the stop in flight and two polls after it.
 fn confirm_stop(fixture: &mut Fixture) {
     let clock = fixture.clock();
@@ -107,3 +121,53 @@
 
     assert!(matches!(fixture.notices[..], [Notice::Ended { end: End::Done, .. }]));
 }
+
+// Guards against a second run elsewhere while an endpoint lists an end of a run that goes on.
+#[test]
+fn a_run_that_is_listed_as_ended_and_as_in_progress_is_stopped_before_its_end_is_reported() {
+    let outcomes = [
+        (RunOutcome::Failed, End::Failed),
+        (RunOutcome::Stopped, End::Stopped),
+        (RunOutcome::Lapsed, End::Lost),
+        (RunOutcome::Done, End::Done),
+    ];
+    for (outcome, expected) in outcomes {
+        let mut fixture = Fixture::open();
+        fixture.order(vec![key(1)], 100);
+        fixture.accept_start();
+
+        fixture.answer_poll(ended_and_running(outcome));
+        fixture.probe();
+
+        assert_eq!(fixture.notices, vec![], "{outcome:?}");
+        confirm_stop(&mut fixture);
+        let reported =
+            matches!(fixture.notices[..], [Notice::Ended { end, .. }] if end == expected);
+        assert!(reported, "{outcome:?}: {:?}", fixture.notices);
+    }
+}
+
+// Guards against a second run elsewhere while another copy of a start than the failed one runs.
+#[test]
+fn a_failure_is_reported_after_a_stop_if_a_copy_of_the_start_was_not_answered() {
+    let mut fixture = fixture_with_unanswered_copy();
+
+    fixture.answer_poll(ended(1, &[(key(1), RunOutcome::Failed)]));
+    fixture.probe();
+
+    assert_eq!(fixture.notices, vec![]);
+    confirm_stop(&mut fixture);
+    assert!(matches!(fixture.notices[..], [Notice::Ended { end: End::Failed, .. }]));
+}
+
+// Guards against a second run of a task of which one copy failed and another was completed.
+#[test]
+fn a_task_is_done_if_one_copy_of_its_run_failed_and_another_completed() {
+    let mut fixture = fixture_with_unanswered_copy();
+    fixture.answer_poll(ended(1, &[(key(1), RunOutcome::Failed)]));
+
+    fixture.answer_poll(ended(2, &[(key(1), RunOutcome::Done)]));
+    confirm_stop(&mut fixture);
+
+    assert!(matches!(fixture.notices[..], [Notice::Ended { end: End::Done, .. }]));
+}
