Ignore answers for an instance of the endpoint that was replaced

What callers would see: a task runs twice, or an endpoint gets no work until it restarts.

Cause: the answer to a start or a stop was applied to the present endpoint, whichever instance it was for. A late `another instance has the address` for the predecessor ended all runs of its successor as lost, banned it, and a late reading of the predecessor's clock moved the leases.

Evidence: three tests of the core, red before.

Change: each call in flight keeps the instance that it is for; answers for another one are ignored, but for what they say of that one.

--- a/components/guard/src/guard.rs
+++ b/components/guard/src/guard.rs
@@ -131,13 +131,21 @@
     Finished,
 }
 
+/// A call that is in flight.
+#[derive(Debug)]
+struct PendingCall {
+    /// Instance of the endpoint that is called.
+    instance: Arc<str>,
+    purpose: Pending,
+}
+
 /// Purpose of a call that is in flight.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Copy)]
 enum Pending {
     Start { slot: RunSlot, number: u32 },
     Stop(RunSlot),
     StopOrphan,
-    Poll { instance: Arc<str>, sent: Uptime, acknowledged: u64 },
+    Poll { sent: Uptime, acknowledged: u64 },
     Announced,
 }
 
@@ -174,7 +182,7 @@
     entries: Entries,
     /// Number of channels to entries that were created, those of forgotten entries included.
     channels_created: u64,
-    pending: HashMap<u64, Pending>,
+    pending: HashMap<u64, PendingCall>,
     next_call: u64,
     poll: Option<PendingPoll>,
     /// Time of the last poll.
@@ -381,7 +389,7 @@
         }
     }
 
-    fn call_endpoint(&mut self, pending: Pending, kind: CallKind) -> Option<u64> {
+    fn call_endpoint(&mut self, purpose: Pending, kind: CallKind) -> Option<u64> {
         let endpoint = self.endpoint.as_ref()?;
         let call = Call {
             instance: Arc::clone(&endpoint.instance),
@@ -389,13 +397,14 @@
             fencing_token: self.fencing_token,
             kind,
         };
-        Some(self.call(pending, call))
+        Some(self.call(purpose, call))
     }
 
-    fn call(&mut self, pending: Pending, call: Call) -> u64 {
+    fn call(&mut self, purpose: Pending, call: Call) -> u64 {
         self.next_call += 1;
         let id = self.next_call;
-        self.pending.insert(id, pending);
+        let instance = Arc::clone(&call.instance);
+        self.pending.insert(id, PendingCall { instance, purpose });
         self.effects.push(Effect::Call { id, call });
         id
     }
--- a/components/guard/src/guard/answers.rs
+++ b/components/guard/src/guard/answers.rs
@@ -4,7 +4,7 @@
 
 use mesh::{End, Refusal, RunKey, Uptime};
 
-use super::{Guard, Pending, STOP_RETRY_MS, UNCONFIRMED_STOP_RETRY_MS};
+use super::{Guard, Pending, PendingCall, STOP_RETRY_MS, UNCONFIRMED_STOP_RETRY_MS};
 use crate::{
     call::{Answer, CallKind, Rejection},
     limits::{HEDGE_MS, MAX_NUMBER_RETRIES, MAX_START_TIMEOUTS, TOKEN_STEP_MS},
@@ -13,21 +13,23 @@
 
 impl Guard {
     pub(super) fn on_answer(&mut self, now: Uptime, id: u64, answer: Answer) {
-        let Some(pending) = self.pending.remove(&id) else { return };
-        match pending {
-            Pending::Announced => self.on_announced_answer(now, answer),
-            Pending::Poll { instance, sent, acknowledged } => {
+        let Some(PendingCall { instance, purpose }) = self.pending.remove(&id) else { return };
+        let current = self.endpoint.as_ref().is_some_and(|it| it.instance == instance);
+        match purpose {
+            Pending::Announced => self.on_announced_answer(now, instance, answer),
+            Pending::Poll { sent, acknowledged } => {
                 let newest = self.poll.as_ref().is_some_and(|it| it.id == id);
                 if newest {
                     self.poll = None;
                 }
-                let current = self.endpoint.as_ref().is_some_and(|it| it.instance == instance);
                 // A superseded poll may still report ended runs, but its timeout does not mean
                 // that the endpoint is silent.
                 if current && (newest || matches!(answer, Answer::Seen(_))) {
                     self.on_poll_answer(now, sent, acknowledged, answer);
                 }
             }
+            // What an earlier instance answers says nothing about the present one.
+            Pending::Start { .. } | Pending::Stop(_) | Pending::StopOrphan if !current => {}
             Pending::Start { slot, number } => self.on_start_answer(now, slot, number, answer),
             Pending::Stop(slot) => self.on_stop_answer(now, slot, answer),
             Pending::StopOrphan => self.on_any_answer(now, &answer),
--- a/components/guard/src/guard/polls.rs
+++ b/components/guard/src/guard/polls.rs
@@ -63,19 +63,29 @@
         }
     }
 
-    pub(super) fn on_announced_answer(&mut self, now: Uptime, answer: Answer) {
+    /// Handles the answer to the poll of `polled`, which may no longer be the announced instance.
+    pub(super) fn on_announced_answer(&mut self, now: Uptime, polled: Arc<str>, answer: Answer) {
         self.polling_announced = false;
+        let is_newest = self.announced.as_ref().is_some_and(|it| it.instance == polled);
         match answer {
-            Answer::Seen(snapshot) => self.adopt_announced(now, &snapshot),
+            Answer::Seen(snapshot) if is_newest => self.adopt_announced(now, &snapshot),
             Answer::Rejected(Rejection::Instance) => {
-                if let Some(announced) = self.announced.take() {
-                    log::warn!(instance = &*announced.instance; "a heartbeat is ignored; its instance is not at its address");
-                    self.ended_instances.insert(announced.instance);
-                }
-            }
-            Answer::Accepted { .. } | Answer::Rejected(_) | Answer::Unsent | Answer::Unknown => {
-                self.on_any_answer(now, &answer);
+                log::warn!(instance = &*polled; "a heartbeat is ignored; its instance is not at its address");
+                self.announced.take_if(|it| it.instance == polled);
+                self.ended_instances.insert(polled);
             }
+            Answer::Rejected(Rejection::Fence) => self.on_any_answer(now, &answer),
+            Answer::Rejected(
+                Rejection::Old
+                | Rejection::Late
+                | Rejection::Room
+                | Rejection::Unhealthy
+                | Rejection::Invalid,
+            )
+            | Answer::Seen(_)
+            | Answer::Accepted { .. }
+            | Answer::Unsent
+            | Answer::Unknown => {}
         }
     }
 
@@ -324,14 +334,13 @@
             if renews { endpoint.grant_lease(now, self.options.timing.lease) } else { None };
         let wait = if busy && !unanswered && endpoint.orphan_free { RENEW_MS } else { 0 };
         let acknowledged = endpoint.processed;
-        let instance = Arc::clone(&endpoint.instance);
         self.last_poll = now;
         let kind = CallKind::Hold { lease, acknowledged, wait };
         let overdue = self.poll.take().is_some();
         if overdue {
             self.on_unanswered_poll(now, &Answer::Unknown);
         }
-        let pending = Pending::Poll { instance, sent: now, acknowledged };
+        let pending = Pending::Poll { sent: now, acknowledged };
         let id = self.call_endpoint(pending, kind);
         self.poll = id.map(|id| PendingPoll { id, sent: now, wait });
     }
--- a/components/guard/tests/guard/main.rs
+++ b/components/guard/tests/guard/main.rs
@@ -4,6 +4,7 @@
 mod entries;
 mod fixture;
 mod health;
+mod instances;
 mod lease;
 mod resources;
 mod restart;
