Let the model lose answers and reject starts

The simulated endpoints lost answers only together with a partition or a late call, and rejected a start only for a cause of their own.

New faults: answers are lost after the call was carried out, by a broken connection or a timeout; answers are slow and overtake each other; starts are rejected or not sent; a copy of a start fails beside its run.

The model also reports starts of a task after a run of the same submission has ended as done, if that end is acknowledged within the lease. The platform's rule on repeated runs counts only runs at the same time where a job is not stored, and no other job is taken, so these are not violations; they are work done twice that no fault of calls explains.

--- a/components/model/src/endpoint.rs
+++ b/components/model/src/endpoint.rs
@@ -29,7 +29,11 @@
     /// End of the lease, on the endpoint's clock.
     lease: u64,
     running: Vec<Run>,
-    ended: Vec<EndedRun>,
+    ended: Vec<End>,
+    /// Times at which copies of a start fail beside their run.
+    failures: Vec<(u64, RunKey)>,
+    /// Ends that were acknowledged since the last [`Endpoint::take_acknowledged`].
+    acknowledged: Vec<End>,
     next_number: u64,
     /// Highest run of each task that has ended or was stopped.
     last_ended: HashMap<(JobId, u16, u16), u32>,
@@ -45,6 +49,15 @@
     end: Option<(u64, RunOutcome)>,
 }
 
+/// A listed end.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct End {
+    pub(crate) row: EndedRun,
+    pub(crate) at: u64,
+    /// Whether the lease has lapsed since.
+    pub(crate) lapsed: bool,
+}
+
 impl Endpoint {
     pub(crate) fn new(capacity: u32) -> Endpoint {
         Endpoint {
@@ -59,6 +72,8 @@
             lease: 0,
             running: Vec::new(),
             ended: Vec::new(),
+            failures: Vec::new(),
+            acknowledged: Vec::new(),
             next_number: 1,
             last_ended: HashMap::new(),
         }
@@ -94,26 +109,53 @@
     /// Time at which the next run ends or the lease lapses, in ms.
     pub(crate) fn next_end(&self) -> Option<u64> {
         let ends = self.running.iter().filter_map(|run| run.end.map(|(at, _)| at));
+        let failures = self.failures.iter().map(|(at, _)| *at);
         let lapse = (!self.running.is_empty()).then(|| self.lease * 1_000 / CLOCK_RATE + 1);
-        ends.chain(lapse).min()
+        ends.chain(lapse).chain(failures).min()
     }
 
     /// Ends the runs that are due at `now`, and all runs if the lease has lapsed.
     pub(crate) fn advance(&mut self, now: u64) {
         let lapsed = clock(now) > self.lease;
+        for end in &mut self.ended {
+            end.lapsed |= lapsed;
+        }
+        let mut failures = std::mem::take(&mut self.failures);
+        for (at, key) in failures.extract_if(.., |(at, _)| *at <= now) {
+            self.list_end(at, key, RunOutcome::Failed);
+        }
+        self.failures = failures;
         let mut runs = std::mem::take(&mut self.running);
         for run in runs.extract_if(.., |run| lapsed || run.end.is_some_and(|(at, _)| at <= now)) {
-            let outcome = match run.end {
-                Some((at, outcome)) if at <= now => outcome,
-                Some(_) | None => RunOutcome::Lapsed,
+            let (at, outcome) = match run.end {
+                Some((at, outcome)) if at <= now => (at, outcome),
+                Some(_) | None => (now, RunOutcome::Lapsed),
             };
-            self.ended.push(EndedRun { number: self.next_number, key: run.key, outcome });
-            self.next_number += 1;
-            self.record_ended(run.key);
+            self.list_end(at, run.key, outcome);
         }
         self.running = runs;
     }
 
+    /// Rejects a start without carrying it out.
+    pub(crate) fn reject(&mut self, now: u64, lease: u64, rejection: Rejection) -> Answer {
+        self.advance(now);
+        // The lease of a start is taken even if there is no room for it.
+        if rejection == Rejection::Room {
+            self.extend(now, lease);
+        }
+        Answer::Rejected(rejection)
+    }
+
+    /// Lists a failed end under the number of a run in progress, at a given time.
+    pub(crate) fn fail_copy(&mut self, at: u64, key: RunKey) {
+        self.failures.push((at, key));
+    }
+
+    /// Ends that were acknowledged since the last call of this function.
+    pub(crate) fn take_acknowledged(&mut self) -> Vec<End> {
+        std::mem::take(&mut self.acknowledged)
+    }
+
     /// Handles a call from the agent.
     pub(crate) fn call(
         &mut self,
@@ -143,7 +185,8 @@
                 if let Some(lease) = lease {
                     self.extend(now, *lease);
                 }
-                self.ended.retain(|it| it.number > *acknowledged);
+                let ends = self.ended.extract_if(.., |it| it.row.number <= *acknowledged);
+                self.acknowledged.extend(ends);
                 Answer::Seen(self.snapshot(now))
             }
         }
@@ -156,7 +199,8 @@
             key: run.key,
             percent: if run.end.is_none() { 0 } else { percent(run).min(99) as u32 },
         });
-        Snapshot { clock: clock(now), running: runs.collect(), ended: self.ended.clone() }
+        let ended = self.ended.iter().map(|it| it.row).collect();
+        Snapshot { clock: clock(now), running: runs.collect(), ended }
     }
 
     fn start(&mut self, now: u64, key: RunKey, lease: u64, all_needs: &NeedsByJob) -> Answer {
@@ -188,6 +232,13 @@
         self.lease = self.lease.max(lease.min(clock(now) + MAX_LEASE_MS));
     }
 
+    fn list_end(&mut self, at: u64, key: RunKey, outcome: RunOutcome) {
+        let row = EndedRun { number: self.next_number, key, outcome };
+        self.ended.push(End { row, at, lapsed: false });
+        self.next_number += 1;
+        self.record_ended(key);
+    }
+
     fn record_ended(&mut self, key: RunKey) {
         let last = self.last_ended.entry((key.job, key.step, key.index)).or_default();
         *last = key.run.max(*last);
--- a/components/model/src/fault.rs
+++ b/components/model/src/fault.rs
@@ -1,5 +1,7 @@
 //! Faults that are injected into a simulation.
 
+use guard::Rejection;
+
 /// A fault with its start and duration.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Fault {
@@ -40,4 +42,32 @@
     LateCalls(f64),
     /// This share of all datagrams is lost.
     Loss(f64),
+    /// This share of the calls to endpoints is carried out, and the answer is lost: either the
+    /// connection breaks before it, or the call times out.
+    LoseAnswers(f64),
+    /// Answers of endpoints take up to 70 ms and may overtake each other.
+    SlowAnswers,
+    /// This share of the starts is rejected, whatever the endpoint runs.
+    RejectStarts(f64, Rejection),
+    /// This share of the starts is not sent, as endpoints refuse the connections.
+    UnsentStarts(f64),
+    /// This share of the starts of a run in progress makes the endpoint list a failed end under
+    /// the run's number, while the run goes on.
+    FailCopies(f64),
+}
+
+/// Faults of calls to endpoints that are in effect.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct CallFaults {
+    /// Share of calls that are executed late and not answered.
+    pub(crate) late: f64,
+    /// Share of answers that are lost.
+    pub(crate) lost: f64,
+    pub(crate) slow: bool,
+    /// Share of starts that are rejected, and the reason.
+    pub(crate) rejected: Option<(f64, Rejection)>,
+    /// Share of starts that are not sent.
+    pub(crate) unsent: f64,
+    /// Share of the copies of a start that fail beside their run.
+    pub(crate) failed: f64,
 }
--- a/components/model/src/report.rs
+++ b/components/model/src/report.rs
@@ -62,6 +62,12 @@
     pub weighted: WeightedShares,
     /// Violated invariants.
     pub violations: Vec<Violation>,
+    /// Starts of a task after a run of the same submission had ended as done, if that end was
+    /// acknowledged within the lease.
+    ///
+    /// They are not violations: a job that is not stored may run again after an agent or its
+    /// notices are lost. Faults of calls alone must not cause any.
+    pub repeats: Vec<Violation>,
     /// Number of datagrams sent between processes, including lost ones.
     pub datagrams: u64,
     /// Number of calls to endpoints.
--- a/components/model/src/simulation.rs
+++ b/components/model/src/simulation.rs
@@ -18,7 +18,8 @@
 use crate::{
     callers::Callers,
     endpoint::Endpoint,
-    fault::Fault,
+    fault::{CallFaults, Fault},
+    history::History,
     load::{Load, NeedsByJob},
     report::{KindReport, Report, WeightedShares},
     weighting::Timeliness,
@@ -91,8 +92,8 @@
     Disconnect { entry: usize, token: u64 },
     RequestTimeout { job: JobId, token: u64 },
     Datagram { from: Host, to: Host, datagram: Box<Datagram> },
-    Call { agent: usize, generation: u64, id: u64, call: Call, answered: bool },
-    HoldTimeout { agent: usize, generation: u64, id: u64 },
+    Call { pending: PendingCall, call: Call, answered: bool },
+    HoldTimeout(PendingCall),
     Answer { agent: usize, generation: u64, id: u64, answer: Answer },
     EndpointDue(usize),
     FaultStart(usize),
@@ -106,12 +107,14 @@
     Agent(usize),
 }
 
-/// A long-polling hold call that waits for a run to end.
-#[derive(Debug)]
-struct Hold {
+/// A call that awaits its answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct PendingCall {
     agent: usize,
     generation: u64,
     id: u64,
+    /// Time at which the call times out.
+    expiry: u64,
 }
 
 /// Events deferred until a suspended host resumes.
@@ -134,7 +137,8 @@
     generations: Vec<u64>,
     suspended: HashMap<Host, Deferred>,
     endpoints: Vec<Endpoint>,
-    holds: Vec<Hold>,
+    /// Long polls that wait for a run to end.
+    holds: Vec<PendingCall>,
     /// Time of the next [`Event::EndpointDue`] of each endpoint, `u64::MAX` if none is scheduled.
     endpoint_due: Vec<u64>,
     callers: Callers,
@@ -142,10 +146,10 @@
     next_job: u64,
     /// Jobs with a started run.
     ran: HashSet<JobId>,
+    history: History,
     /// Jobs refused on their first request.
     refused: HashSet<JobId>,
-    /// Share of calls that are executed late.
-    late_calls: f64,
+    call_faults: CallFaults,
     /// Share of datagrams that are lost.
     loss: f64,
     /// Agents whose outgoing datagrams are lost.
@@ -166,6 +170,7 @@
             kinds,
             weighted: WeightedShares::default(),
             violations: Vec::new(),
+            repeats: Vec::new(),
             datagrams: 0,
             calls: 0,
             useful_work: 0,
@@ -188,8 +193,9 @@
             needs: NeedsByJob::new(),
             next_job: 1,
             ran: HashSet::new(),
+            history: History::default(),
             refused: HashSet::new(),
-            late_calls: 0.0,
+            call_faults: CallFaults::default(),
             loss: 0.0,
             lost_from: HashSet::new(),
             lost_to: HashSet::new(),
@@ -288,12 +294,8 @@
             }
             Event::RequestTimeout { job, token } => self.on_request_timeout(job, token),
             Event::Datagram { from, to, datagram } => self.on_datagram(from, to, *datagram),
-            Event::Call { agent, generation, id, call, answered } => {
-                self.on_call(agent, generation, id, &call, answered);
-            }
-            Event::HoldTimeout { agent, generation, id } => {
-                self.on_hold_timeout(agent, generation, id)
-            }
+            Event::Call { pending, call, answered } => self.on_call(pending, &call, answered),
+            Event::HoldTimeout(pending) => self.on_hold_timeout(pending),
             Event::Answer { agent, generation, id, answer } => {
                 if self.generations[agent] == generation {
                     self.run_agent(agent, AgentEvent::Answered { id, answer });
@@ -388,7 +390,7 @@
         | Event::Send(_)
         | Event::RequestTimeout { .. }
         | Event::Call { .. }
-        | Event::HoldTimeout { .. }
+        | Event::HoldTimeout(_)
         | Event::EndpointDue(_)
         | Event::FaultStart(_)
         | Event::FaultEnd(_) => None,
--- a/components/model/src/simulation/endpoints.rs
+++ b/components/model/src/simulation/endpoints.rs
@@ -2,15 +2,28 @@
 
 use std::net::SocketAddr;
 
-use guard::{Answer, Call, CallKind, Event as AgentEvent, Heartbeat, HeartbeatState, Rejection};
+use guard::{
+    Answer, Call, CallKind, Event as AgentEvent, Heartbeat, HeartbeatState, Rejection, RunOutcome,
+};
 use mesh::{EndpointInfo, RunKey};
 use rand::RngExt;
 
-use super::{Event, HEARTBEAT_MS, Hold, Host, Simulation, address};
+use super::{Event, HEARTBEAT_MS, Host, PendingCall, Simulation, address};
 use crate::{endpoint::Endpoint, load::SERVICE, report::Violation};
 
 /// Memory of an endpoint, in MB.
 const MEMORY_MB: u32 = 1_000_000;
+/// Longest delay of a slow answer, in ms; shorter than the timeout of a call.
+const MAX_ANSWER_DELAY_MS: u64 = 70;
+/// Longest time until a copy of a start fails beside its run, in ms.
+const MAX_FAILURE_DELAY_MS: u64 = 20;
+
+/// What happens to a start in place of its execution.
+#[derive(Debug, Clone, Copy)]
+enum StartFault {
+    Reject(Rejection),
+    Unsent,
+}
 
 impl Simulation {
     pub(super) fn on_heartbeat(&mut self, agent: usize) {
@@ -38,42 +51,53 @@
     pub(super) fn call(&mut self, agent: usize, id: u64, call: Call) {
         self.report.calls += 1;
         let generation = self.generations[agent];
-        let late = self.late_calls > 0.0 && self.rng.random_bool(self.late_calls);
+        let late = self.draw(self.call_faults.late);
         let answered = !late && !self.endpoints[agent].partitioned;
+        let expiry = self.now + guard::CALL_TIMEOUT_MS + max_wait(&call.kind);
         if !answered {
-            let limit = guard::CALL_TIMEOUT_MS + max_wait(&call.kind);
             let answer = Answer::Unknown;
-            self.push(self.now + limit, Event::Answer { agent, generation, id, answer });
+            self.push(expiry, Event::Answer { agent, generation, id, answer });
         }
         let delay = if late { self.rng.random_range(2_000..12_000) } else { 0 };
-        self.push(self.now + delay, Event::Call { agent, generation, id, call, answered });
+        let pending = PendingCall { agent, generation, id, expiry };
+        self.push(self.now + delay, Event::Call { pending, call, answered });
     }
 
-    pub(super) fn on_call(
-        &mut self,
-        agent: usize,
-        generation: u64,
-        id: u64,
-        call: &Call,
-        answered: bool,
-    ) {
-        let endpoint = &mut self.endpoints[agent];
-        if endpoint.partitioned {
+    pub(super) fn on_call(&mut self, pending: PendingCall, call: &Call, answered: bool) {
+        let agent = pending.agent;
+        if self.endpoints[agent].partitioned {
             return;
         }
+        let fault = self.draw_start_fault(&call.kind);
+        let is_copy = self.is_copy(agent, &call.kind);
+        let endpoint = &mut self.endpoints[agent];
         let answer = if !endpoint.alive {
             Answer::Unsent
         } else if endpoint.instance.to_string() != *call.instance {
             Answer::Rejected(Rejection::Instance)
         } else {
-            endpoint.call(self.now, call.fencing_token, &call.kind, &self.needs)
+            match (fault, &call.kind) {
+                (Some(StartFault::Reject(rejection)), CallKind::Start { lease, .. }) => {
+                    endpoint.reject(self.now, *lease, rejection)
+                }
+                (Some(StartFault::Unsent), _) => Answer::Unsent,
+                (Some(StartFault::Reject(_)) | None, _) => {
+                    endpoint.call(self.now, call.fencing_token, &call.kind, &self.needs)
+                }
+            }
         };
         if let CallKind::Start { key, .. } | CallKind::Stop { key } = &call.kind {
             self.trace(key.job, || format!("endpoint {agent}: {:?}: {answer:?}", call.kind));
         }
         if let (CallKind::Start { key, .. }, Answer::Accepted { .. }) = (&call.kind, &answer) {
             self.ran.insert(key.job);
+            if is_copy {
+                self.fail_copy(agent, *key);
+            } else {
+                self.record_start(agent, *key);
+            }
         }
+        self.record_acknowledged(agent);
         self.check_endpoint(agent);
         if !answered {
             return;
@@ -81,22 +105,84 @@
         let wait = max_wait(&call.kind);
         let ended = self.endpoints[agent].has_unacknowledged_ends();
         if matches!(answer, Answer::Seen(_)) && wait > 0 && !ended {
-            self.holds.push(Hold { agent, generation, id });
-            self.push(self.now + wait, Event::HoldTimeout { agent, generation, id });
+            self.holds.push(pending);
+            self.push(self.now + wait, Event::HoldTimeout(pending));
             return;
         }
-        self.push(self.now, Event::Answer { agent, generation, id, answer });
+        self.answer(pending, answer);
+    }
+
+    /// Delivers the answer to a call, unless it is lost.
+    fn answer(&mut self, pending: PendingCall, answer: Answer) {
+        let PendingCall { agent, generation, id, expiry } = pending;
+        if answer != Answer::Unsent && self.draw(self.call_faults.lost) {
+            let breaks = self.rng.random_bool(0.5);
+            let at = if breaks { self.now + self.rng.random_range(0..=1) } else { expiry };
+            self.push(at, Event::Answer { agent, generation, id, answer: Answer::Unknown });
+            return;
+        }
+        let delay = match self.call_faults.slow {
+            true => self.rng.random_range(1..=MAX_ANSWER_DELAY_MS),
+            false => 0,
+        };
+        self.push(self.now + delay, Event::Answer { agent, generation, id, answer });
+    }
+
+    fn draw(&mut self, share: f64) -> bool {
+        share > 0.0 && self.rng.random_bool(share)
+    }
+
+    fn draw_start_fault(&mut self, kind: &CallKind) -> Option<StartFault> {
+        let CallKind::Start { .. } = kind else { return None };
+        if self.draw(self.call_faults.unsent) {
+            return Some(StartFault::Unsent);
+        }
+        let (share, rejection) = self.call_faults.rejected?;
+        self.draw(share).then_some(StartFault::Reject(rejection))
+    }
+
+    /// Whether a call starts a run that is in progress.
+    fn is_copy(&mut self, agent: usize, kind: &CallKind) -> bool {
+        let CallKind::Start { key, .. } = kind else { return false };
+        self.endpoints[agent].advance(self.now);
+        self.endpoints[agent].runs().any(|it| it == *key)
+    }
+
+    fn fail_copy(&mut self, agent: usize, key: RunKey) {
+        if self.draw(self.call_faults.failed) {
+            let at = self.now + self.rng.random_range(1..=MAX_FAILURE_DELAY_MS);
+            self.endpoints[agent].fail_copy(at, key);
+        }
+    }
+
+    fn record_start(&mut self, agent: usize, key: RunKey) {
+        let sends = self.callers.open.get(&key.job).map(|it| it.sends);
+        if self.history.record_start(self.now, key, sends) {
+            let description = format!("{key} starts on endpoint {agent} after it was done");
+            self.report.repeats.push(Violation { at: self.now, description });
+        }
+    }
+
+    fn record_acknowledged(&mut self, agent: usize) {
+        for end in self.endpoints[agent].take_acknowledged() {
+            let (key, outcome) = (end.row.key, end.row.outcome);
+            self.trace(key.job, || format!("endpoint {agent}: {key} {outcome:?}: acknowledged"));
+            if outcome == RunOutcome::Done && !end.lapsed && self.history.record_done(end.at, key) {
+                let description = format!("{key} was done on endpoint {agent} and started again");
+                self.report.repeats.push(Violation { at: self.now, description });
+            }
+        }
     }
 
-    pub(super) fn on_hold_timeout(&mut self, agent: usize, generation: u64, id: u64) {
-        let is_same = |it: &Hold| it.agent == agent && it.generation == generation && it.id == id;
-        if let Some(position) = self.holds.iter().position(is_same) {
+    pub(super) fn on_hold_timeout(&mut self, pending: PendingCall) {
+        let agent = pending.agent;
+        if let Some(position) = self.holds.iter().position(|it| *it == pending) {
             self.holds.swap_remove(position);
             let answer = match self.endpoints[agent].alive {
                 true => Answer::Seen(self.endpoints[agent].snapshot(self.now)),
                 false => Answer::Unknown,
             };
-            self.push(self.now, Event::Answer { agent, generation, id, answer });
+            self.answer(pending, answer);
         }
     }
 
@@ -106,9 +192,9 @@
         self.endpoints[agent].advance(self.now);
         if self.endpoints[agent].has_unacknowledged_ends() && !self.endpoints[agent].partitioned {
             let waiting: Vec<_> = self.holds.extract_if(.., |it| it.agent == agent).collect();
-            for Hold { agent, generation, id } in waiting {
+            for pending in waiting {
                 let answer = Answer::Seen(self.endpoints[agent].snapshot(self.now));
-                self.push(self.now, Event::Answer { agent, generation, id, answer });
+                self.answer(pending, answer);
             }
         }
         if let Some(due) = self.endpoints[agent].next_end()
--- a/components/model/src/simulation/faults.rs
+++ b/components/model/src/simulation/faults.rs
@@ -35,8 +35,15 @@
             FaultKind::LoseReceived(agent) => {
                 self.lost_to.insert(agent);
             }
-            FaultKind::LateCalls(share) => self.late_calls = share,
+            FaultKind::LateCalls(share) => self.call_faults.late = share,
             FaultKind::Loss(share) => self.loss = share,
+            FaultKind::LoseAnswers(share) => self.call_faults.lost = share,
+            FaultKind::SlowAnswers => self.call_faults.slow = true,
+            FaultKind::RejectStarts(share, rejection) => {
+                self.call_faults.rejected = Some((share, rejection));
+            }
+            FaultKind::UnsentStarts(share) => self.call_faults.unsent = share,
+            FaultKind::FailCopies(share) => self.call_faults.failed = share,
         }
     }
 
@@ -57,8 +64,13 @@
             FaultKind::LoseReceived(agent) => {
                 self.lost_to.remove(&agent);
             }
-            FaultKind::LateCalls(_) => self.late_calls = 0.0,
+            FaultKind::LateCalls(_) => self.call_faults.late = 0.0,
             FaultKind::Loss(_) => self.loss = 0.0,
+            FaultKind::LoseAnswers(_) => self.call_faults.lost = 0.0,
+            FaultKind::SlowAnswers => self.call_faults.slow = false,
+            FaultKind::RejectStarts(..) => self.call_faults.rejected = None,
+            FaultKind::UnsentStarts(_) => self.call_faults.unsent = 0.0,
+            FaultKind::FailCopies(_) => self.call_faults.failed = 0.0,
         }
     }
 
