Test that one copy of a start does not speak for the others

Either kind of fault alone breaks no promise, which a sixth test shows: lost or slow answers, rejections, and copies that fail.

The reading of SEED and SCHEDULES moves into functions that both random tests share; the schedules of the existing tests are the same.

--- a/components/model/tests/promises.rs
+++ b/components/model/tests/promises.rs
@@ -1,7 +1,10 @@
 //! The invariants hold on random schedules of faults, and are violated without the mechanisms
 //! that enforce them.
 
-use model::{Fault, FaultKind, Kind, Load, Report, Simulation, SimulationOptions};
+use std::ops::Range;
+
+use guard::Rejection;
+use model::{Fault, FaultKind, Kind, Load, Report, Simulation, SimulationOptions, Violation};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
 /// Default number of random schedules.
@@ -10,6 +13,9 @@
 const LENGTH: u64 = 12_000;
 const ENTRIES: usize = 2;
 const AGENTS: usize = 4;
+/// Rejections that say nothing of another copy of the same start.
+const REJECTIONS: [Rejection; 4] =
+    [Rejection::Unhealthy, Rejection::Room, Rejection::Late, Rejection::Invalid];
 
 fn load() -> Load {
     let kind = |name: &str, rate, width, run_time| Kind {
@@ -25,8 +31,17 @@
     Load { kinds, spread: 0.4, estimate_spread: 0.4, bursts: Vec::new() }
 }
 
+/// Tasks that end before their start is sent a second time.
+fn short_load() -> Load {
+    let mut load = load();
+    load.kinds.truncate(1);
+    load.kinds[0].rate = 25.0;
+    load.kinds[0].run_time = 4.0;
+    load
+}
+
 fn options(seed: u64, faults: Vec<Fault>) -> SimulationOptions {
-    let trace = std::env::var("TRACE").ok().and_then(|it| it.parse().ok()).map(mesh::JobId);
+    let trace = number("TRACE").map(mesh::JobId);
     let options = SimulationOptions::new(seed, ENTRIES, vec![1_000; AGENTS], load(), LENGTH);
     SimulationOptions { faults, trace, ..options }
 }
@@ -64,6 +79,85 @@
     faults
 }
 
+/// A random schedule of faults, and one to three faults of calls that overlap.
+fn random_call_faults(seed: u64) -> Vec<Fault> {
+    let mut rng = SmallRng::seed_from_u64(!seed);
+    let mut kinds = vec![
+        FaultKind::LoseAnswers(0.3),
+        FaultKind::SlowAnswers,
+        FaultKind::RejectStarts(0.5, REJECTIONS[rng.random_range(0..REJECTIONS.len())]),
+        FaultKind::UnsentStarts(0.5),
+        FaultKind::FailCopies(0.5),
+    ];
+    let mut faults = random_faults(seed);
+    let first = rng.random_range(0..LENGTH - 2_000);
+    for _ in 0..rng.random_range(1..4) {
+        let kind = kinds.swap_remove(rng.random_range(0..kinds.len()));
+        let at = first + rng.random_range(0..1_000);
+        faults.push(Fault { at, length: rng.random_range(1_000..6_000), kind });
+    }
+    faults
+}
+
+fn number(name: &str) -> Option<u64> {
+    std::env::var(name).ok().and_then(|it| it.parse().ok())
+}
+
+/// The seed in `SEED`, or all below `count`.
+fn seeds(count: u64) -> Range<u64> {
+    number("SEED").map_or(0..count, |seed| seed..seed + 1)
+}
+
+/// A simulation that broke a promise.
+#[derive(Debug, Clone, PartialEq)]
+struct Failure {
+    seed: u64,
+    faults: Vec<FaultKind>,
+    /// Number of violations, or of tasks that started again after they were done.
+    count: usize,
+    first: Violation,
+}
+
+/// Simulates faults of calls without any other fault, by seed.
+fn simulate_calls<'a>(
+    faults: &'a [FaultKind],
+    load: &'a Load,
+) -> impl Iterator<Item = (u64, Report)> + use<'a> {
+    seeds(10).map(move |seed| {
+        let schedule = faults.iter().map(|it| Fault { at: 500, length: LENGTH, kind: *it });
+        let options = SimulationOptions { load: load.clone(), ..options(seed, schedule.collect()) };
+        let report = Simulation::new(options).run();
+        print_trace(seed, faults, &report);
+        (seed, report)
+    })
+}
+
+fn print_trace(seed: u64, faults: &[FaultKind], report: &Report) {
+    for line in &report.trace {
+        eprintln!("seed {seed}, {faults:?}: {line}");
+    }
+}
+
+/// Simulations in which faults of calls, without any other fault, violate an invariant.
+fn failures_with(faults: &[FaultKind], load: &Load) -> Vec<Failure> {
+    let failure = |(seed, report): (u64, Report)| {
+        let first = report.violations.first()?.clone();
+        Some(Failure { seed, faults: faults.to_vec(), count: report.violations.len(), first })
+    };
+    simulate_calls(faults, load).filter_map(failure).collect()
+}
+
+/// Faults that leave a copy of a start without an answer for a while, or for good.
+fn silent_calls() -> [FaultKind; 2] {
+    [FaultKind::LoseAnswers(0.3), FaultKind::SlowAnswers]
+}
+
+/// Faults that answer a copy of a start in place of the endpoint.
+fn rejected_starts() -> impl Iterator<Item = FaultKind> {
+    let reject = |it| FaultKind::RejectStarts(0.5, it);
+    REJECTIONS.into_iter().map(reject).chain([FaultKind::UnsentStarts(0.5)])
+}
+
 /// Whether a combination of faults, repeated three times, violates an invariant on any of 20
 /// seeds of a changed deployment.
 ///
@@ -85,9 +179,7 @@
 
 #[test]
 fn no_promise_breaks_on_random_schedules_of_faults() {
-    let number = |name: &str| std::env::var(name).ok().and_then(|it| it.parse::<u64>().ok());
-    let schedules = number("SCHEDULES").unwrap_or(SCHEDULES);
-    for seed in number("SEED").map_or(0..schedules, |seed| seed..seed + 1) {
+    for seed in seeds(number("SCHEDULES").unwrap_or(SCHEDULES)) {
         let report = simulate(seed);
 
         if !report.violations.is_empty() {
@@ -160,3 +252,85 @@
     assert!(violates(&faults, 1_250, change));
     assert!(!violates(&faults, 1_250, |_| {}));
 }
+
+// Guards against runs that are refused, or ended, on the word of one copy of their start while
+// another copy runs: issue 24, with every other fault beside it.
+#[test]
+fn no_promise_breaks_on_random_schedules_with_faults_of_calls() {
+    let failure = |seed| {
+        let schedule = random_call_faults(seed);
+        let faults: Vec<_> = schedule.iter().map(|it| it.kind).collect();
+        let report = Simulation::new(options(seed, schedule)).run();
+        print_trace(seed, &faults, &report);
+        let first = report.violations.first()?.clone();
+        Some(Failure { seed, faults, count: report.violations.len(), first })
+    };
+    let seeds = seeds(number("SCHEDULES").unwrap_or(SCHEDULES));
+    let failures: Vec<_> = seeds.filter_map(failure).collect();
+
+    assert_eq!(failures, vec![], "{} schedules fail", failures.len());
+}
+
+// Guards against failures of the tests below by a single fault, which they don't name.
+#[test]
+fn no_promise_breaks_with_one_fault_of_calls_alone() {
+    for fault in
+        silent_calls().into_iter().chain(rejected_starts()).chain([FaultKind::FailCopies(0.5)])
+    {
+        for load in [load(), short_load()] {
+            assert_eq!(failures_with(&[fault], &load), vec![]);
+        }
+    }
+}
+
+// Guards against a task that is placed elsewhere, or whose job is refused, because one copy of its
+// start was rejected while another copy runs (issue 24, H1).
+#[test]
+fn a_rejected_copy_of_a_start_does_not_speak_for_the_run() {
+    let mut failures = Vec::new();
+    for silence in silent_calls() {
+        for rejection in rejected_starts() {
+            failures.extend(failures_with(&[silence, rejection], &load()));
+        }
+    }
+
+    assert_eq!(failures, vec![]);
+}
+
+// Guards against a task that runs elsewhere because one copy of its start has failed while
+// another copy goes on (issue 24, H2).
+#[test]
+fn a_failed_copy_of_a_start_does_not_end_the_run() {
+    let failures =
+        silent_calls().map(|it| failures_with(&[it, FaultKind::FailCopies(0.5)], &load()));
+
+    assert_eq!(failures.concat(), vec![]);
+}
+
+// Guards against a start under a third number, beside the run under the second, because a copy
+// under the first number is answered `Old` after the number was raised.
+#[test]
+fn an_answer_to_an_earlier_number_does_not_start_another_run() {
+    let failures = [load(), short_load()].map(|it| failures_with(&silent_calls(), &it));
+
+    assert_eq!(failures.concat(), vec![]);
+}
+
+// Guards against a task that runs again after it was done, because a later copy of its start is
+// answered `Old` (issue 24, H4).
+#[test]
+fn a_done_task_does_not_run_again_for_a_late_copy_of_its_start() {
+    let [lost, slow] = silent_calls();
+    let mut failures = Vec::new();
+    for faults in [&[lost][..], &[slow], &[lost, slow]] {
+        for load in [load(), short_load()] {
+            for (seed, report) in simulate_calls(faults, &load) {
+                let Some(first) = report.repeats.first().cloned() else { continue };
+                let count = report.repeats.len();
+                failures.push(Failure { seed, faults: faults.to_vec(), count, first });
+            }
+        }
+    }
+
+    assert_eq!(failures, vec![]);
+}
