Ignore late frames of a peer's earlier incarnation

What callers would see: a task that runs twice at the same time, and jobs that wait until their deadline for runs that were never ordered.

Cause: a frame of an earlier incarnation that arrived after one of the newer incarnation looked like another restart. The entry took the runs at the living agent for lost and placed their tasks again after 550 ms, the wait for a process that is gone; its stop was dropped when the next frame looked like a restart again. From then on its items were numbered from 1, which the agent takes for duplicates and acknowledges: later orders and stops vanished.

Change: a channel remembers the incarnations that were replaced and ignores their frames. Incarnations are random and never come back. The messages are the same.

The test of the entry ended with runs 1 and 2 of a task at two agents, the test of the channel delivered the item of the earlier incarnation; both failed before.

--- a/components/broker/tests/broker/agents.rs
+++ b/components/broker/tests/broker/agents.rs
@@ -3,7 +3,7 @@
 use broker::{AGENT_RETENTION_MS, AGENT_SILENCE_MS, Event, PROBE_MS, RUN_EXPIRY_MS, Reply};
 use mesh::{Channel, Health};
 
-use crate::fixture::{Fixture, address, step, submission};
+use crate::fixture::{CAPACITY, Fixture, address, step, submission};
 
 /// Sets whether an agent responds.
 fn set_responds(fixture: &mut Fixture, last: u8, responds: bool) {
@@ -105,6 +105,28 @@
     assert_eq!(fixture.runs()[0].1.run, 2);
 }
 
+/// The run was taken for lost, and its task placed elsewhere while the run went on.
+#[test]
+fn keeps_the_runs_of_a_restarted_agent_when_a_late_frame_of_its_earlier_process_arrives() {
+    let mut fixture = Fixture::new(2);
+    let now = fixture.now;
+    let mut late = Vec::new();
+    for agent in fixture.agents.values_mut() {
+        late.push(agent.frame(now));
+        agent.channel = Channel::new(500);
+    }
+    fixture.advance(200);
+    fixture.submit(submission(1, vec![step(1, CAPACITY)]));
+    let runs = fixture.runs();
+
+    for (last, frame) in (1..).zip(late) {
+        fixture.event(Event::Frame { from: address(last), frame });
+    }
+    fixture.advance(1_000);
+
+    assert_eq!((runs.len(), fixture.runs()), (1, runs));
+}
+
 #[test]
 fn gives_up_at_once_a_job_whose_lost_task_cannot_run_again_in_time() {
     let mut fixture = Fixture::new(1);
--- a/components/mesh/src/channel.rs
+++ b/components/mesh/src/channel.rs
@@ -28,6 +28,8 @@
     own: u64,
     /// Incarnation of the peer, 0 before its first frame.
     peer: u64,
+    /// Earlier incarnations of the peer.
+    replaced: Vec<u64>,
     /// Number of the first item in `outgoing`.
     first: u64,
     /// Items that have not been acknowledged.
@@ -57,7 +59,8 @@
     pub items: Vec<I>,
     /// The peer has restarted and has lost the items that were sent to it before.
     pub restarted: bool,
-    /// The frame names this incarnation as its receiver, or names none.
+    /// The frame names this incarnation as its receiver, or names none, and is not a late one of an
+    /// earlier incarnation of the peer.
     pub current: bool,
     /// The frame names this incarnation as its receiver.
     pub known: bool,
@@ -69,6 +72,7 @@
         Channel {
             own,
             peer: 0,
+            replaced: Vec::new(),
             first: 1,
             outgoing: VecDeque::new(),
             received: 0,
@@ -126,6 +130,9 @@
 
     /// Handles a frame from the peer.
     pub fn accept<S>(&mut self, now: Uptime, frame: Frame<I, S>) -> Accepted<I> {
+        if self.replaced.contains(&frame.sender) {
+            return Accepted { items: Vec::new(), restarted: false, current: false, known: false };
+        }
         let restarted = self.peer != 0 && self.peer != frame.sender;
         if self.peer != frame.sender {
             self.reset(frame.sender);
@@ -168,13 +175,13 @@
     ///
     /// Items queued before the first contact are kept; after a restart they are discarded.
     fn reset(&mut self, peer: u64) {
-        let first_contact = self.peer == 0;
-        self.peer = peer;
-        self.received = 0;
-        self.announce = true;
-        if !first_contact {
+        if self.peer != 0 {
+            self.replaced.push(self.peer);
             self.first = 1;
             self.outgoing.clear();
         }
+        self.peer = peer;
+        self.received = 0;
+        self.announce = true;
     }
 }
--- a/components/mesh/tests/channel.rs
+++ b/components/mesh/tests/channel.rs
@@ -62,6 +62,29 @@
     assert_eq!(accepted.items, vec![]);
 }
 
+/// The delayed frame looked like another restart: items in flight were dropped, and later ones were
+/// taken for duplicates.
+#[test]
+fn ignores_a_late_frame_of_an_earlier_incarnation() {
+    let (mut left, mut right) = connected();
+    right.push(7);
+    let late = right.frame(Uptime(5), ());
+    let mut restarted = ChannelEnd::new(3);
+    left.accept(NOW, restarted.frame(Uptime(20), ()));
+    left.push(1);
+    restarted.accept(NOW, left.frame(Uptime(21), ()));
+    left.accept(NOW, restarted.frame(Uptime(22), ()));
+
+    let accepted = left.accept(NOW, late);
+    let current = left.accept(NOW, restarted.frame(Uptime(24), ()));
+    left.push(2);
+    let delivered = restarted.accept(NOW, left.frame(Uptime(25), ()));
+
+    assert_eq!((accepted.items, accepted.restarted, accepted.current), (vec![], false, false));
+    assert!(!current.restarted);
+    assert_eq!(delivered.items, vec![2]);
+}
+
 #[test]
 fn measures_how_long_an_item_has_been_unacknowledged() {
     let (mut left, mut right) = connected();
