Add failing tests of a start whose copy is rejected

The agent sends a start again when its answer is lost; if the copy is rejected, it refuses the whole run, and the entry starts the task elsewhere although the first copy runs.

The test of the real programs loses the answer to the first copy of each start and rejects the second with 503.

A second soak adds overlapping series of lost answers, rejected starts and delayed calls to the plans of the first, which are unchanged. The soak now runs all seeds and fails at the end, so one run shows every seed that fails.

--- a/hostd/tests/processes/main.rs
+++ b/hostd/tests/processes/main.rs
@@ -8,12 +8,13 @@
 
 use std::time::Duration;
 
+use hyper::StatusCode;
 use nix::sys::signal::Signal;
-use platform_standin::job_text;
+use platform_standin::{StartFault, job_text};
 
 use crate::{
     deployment::{Deployment, submit},
-    invariants::overlaps,
+    invariants::{ObservedJob, overlaps, violations},
 };
 
 /// Duration of short tasks, in ms.
@@ -78,6 +79,23 @@
     assert_eq!(overlaps(&deployment.spans()), Vec::<String>::new());
 }
 
+/// Guards against a rejected copy that is taken for a run that never started.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_task_runs_once_if_its_start_is_unanswered_and_the_copy_rejected() {
+    let deployment = Deployment::start([10, 11], 2).await;
+    for executor in &deployment.executors {
+        let rejected = StartFault::Rejected(StatusCode::SERVICE_UNAVAILABLE);
+        executor.set_start_faults(&[StartFault::AnswerLost, rejected]);
+    }
+
+    let answer = submit(&deployment, 1, 1, LONG_MS).await;
+
+    let spans = deployment.spans();
+    let job = ObservedJob { id: 1, tasks: 1, answers: vec![answer], finished: true };
+    assert!(spans.iter().any(|it| !it.is_empty()), "the task never ran");
+    assert_eq!(violations(&spans, &[job]), Vec::<String>::new());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_new_configuration_is_in_force_and_survives_an_outage_of_the_store() {
     let deployment = Deployment::start([10, 5], 1).await;
--- a/hostd/tests/processes/soak/mod.rs
+++ b/hostd/tests/processes/soak/mod.rs
@@ -9,6 +9,7 @@
 
 use std::{env, time::Duration};
 
+use hyper::StatusCode;
 use nix::sys::signal::Signal;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -26,6 +27,8 @@
 const CI_SEEDS: [u64; 2] = [1, 2];
 /// Seeds that have failed before, each with its cause.
 const FAILED_SEEDS: [(u64, &str); 0] = [];
+/// Seeds that have failed with call faults.
+const FAILED_CALL_FAULT_SEEDS: [(u64, &str); 0] = [];
 /// Number of deployments that run at a time if `SOAK_TOGETHER` is not set.
 const DEFAULT_PARALLEL: u64 = 2;
 const ENTRIES: usize = 2;
@@ -43,43 +46,59 @@
 /// Timeout of the caller of such a job, in ms.
 const FINAL_TIMEOUT_MS: u64 = 3_000;
 
+/// Generates the steps of a seed for numbers of entries and agents.
+type Plan = fn(u64, usize, usize) -> Vec<(Duration, Step)>;
+
 /// `SOAK_SEEDS` is the number of seeds to run and `SOAK_FIRST` the first of them (default: 1000).
 /// Without `SOAK_SEEDS`, the seeds of CI and all that have failed before are run. `SOAK_TOGETHER`
 /// is the number of deployments that run at a time.
 #[tokio::test(flavor = "multi_thread")]
 async fn invariants_hold_under_random_faults() {
+    run_seeds(&FAILED_SEEDS, 20, plan::generate).await;
+}
+
+/// Guards against a rejected copy of a start that is taken for the run; options as above.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_task_runs_twice_while_answers_are_lost_and_starts_rejected() {
+    run_seeds(&FAILED_CALL_FAULT_SEEDS, 40, plan::generate_with_call_faults).await;
+}
+
+/// Runs the chosen seeds on addresses from `127.{first_net}.*` on.
+async fn run_seeds(failed: &[(u64, &str)], first_net: u8, plan: Plan) {
     let number = |name: &str| env::var(name).ok().and_then(|it| it.parse::<u64>().ok());
     let first = number("SOAK_FIRST").unwrap_or(1_000);
     let seeds: Vec<u64> = match number("SOAK_SEEDS") {
         Some(count) => (first..first + count).collect(),
-        None => CI_SEEDS.into_iter().chain(FAILED_SEEDS.map(|it| it.0)).collect(),
+        None => CI_SEEDS.into_iter().chain(failed.iter().map(|it| it.0)).collect(),
     };
 
     let parallel = number("SOAK_TOGETHER").unwrap_or(DEFAULT_PARALLEL).clamp(1, 20) as usize;
 
+    let mut failures = Vec::new();
     for (round, seeds) in seeds.chunks(parallel).enumerate() {
         let round = u8::try_from(round % 100).expect("a small number");
-        let runs = seeds
-            .iter()
-            .zip(0..)
-            .map(|(seed, position)| tokio::spawn(run_seed(*seed, [20 + position, round])));
+        let runs = seeds.iter().zip(0..).map(|(seed, position)| {
+            tokio::spawn(run_seed(*seed, [first_net + position, round], plan))
+        });
         let runs: Vec<_> = runs.collect();
-        for run in runs {
-            if let Err(err) = run.await {
-                std::panic::resume_unwind(err.into_panic());
+        for (seed, run) in seeds.iter().zip(runs) {
+            if run.await.is_err() {
+                failures.push(*seed);
             }
         }
     }
+    assert!(failures.is_empty(), "seeds {failures:?} have failed");
 }
 
 /// Runs a deployment with the faults of one seed.
-async fn run_seed(seed: u64, net: [u8; 2]) {
+async fn run_seed(seed: u64, net: [u8; 2], plan: Plan) {
     let layout =
         Layout { entries: ENTRIES, agents: AGENTS, target: TARGET_MS, proxies: Some(seed) };
     let mut deployment = Deployment::start_with(net, layout).await;
-    let steps = plan::generate(seed, ENTRIES, AGENTS);
+    let steps = plan(seed, ENTRIES, AGENTS);
     for (executor, rate) in deployment.executors.iter().zip(plan::clock_rates(seed)) {
         executor.set_rate(rate);
+        executor.set_seed(seed);
     }
     let traffic = Traffic::start(seed, deployment.caller(), ENTRIES);
     let started = Instant::now();
@@ -160,6 +179,13 @@
         Step::Fails(agent, fails) => deployment.executors[*agent].set_fails(*fails),
         Step::Silent(agent, silent) => deployment.executors[*agent].set_silent(*silent),
         Step::Late(agent, late) => deployment.executors[*agent].set_late(*late),
+        Step::LosesAnswers(agent, fraction) => {
+            deployment.executors[*agent].set_loses_answers(*fraction);
+        }
+        Step::Rejects(agent, fraction, status) => {
+            deployment.executors[*agent].set_rejects(*fraction, *status);
+        }
+        Step::Delays(agent, max) => deployment.executors[*agent].set_delays(*max),
         Step::Crash(agent, instance) => deployment.executors[*agent].crash(instance),
         Step::StoreFault(fault, on) => match fault {
             StoreFault::Down => deployment.store.set_down(*on),
@@ -188,6 +214,9 @@
                 executor.set_fails(false);
                 executor.set_silent(false);
                 executor.set_late(false);
+                executor.set_loses_answers(0.0);
+                executor.set_rejects(0.0, StatusCode::SERVICE_UNAVAILABLE);
+                executor.set_delays(Duration::ZERO);
             }
         }
     }
--- a/hostd/tests/processes/soak/plan.rs
+++ b/hostd/tests/processes/soak/plan.rs
@@ -2,6 +2,7 @@
 
 use std::{ops::Range, time::Duration};
 
+use hyper::StatusCode;
 use nix::sys::signal::Signal;
 use rand::{Rng, RngExt, SeedableRng, rngs::SmallRng};
 
@@ -20,6 +21,18 @@
 /// Rates of the executors' clocks, in parts per thousand.
 const CLOCK_RATES: Range<u64> = 980..1_021;
 
+/// Changes the seed of a plan to that of its call faults.
+const CALL_FAULTS_SEED: u64 = 0xca11;
+/// Number of series of call faults in a plan.
+const CALL_SERIES: Range<usize> = 8..16;
+/// Number of consecutive call faults in a series.
+const CALL_FAULTS_PER_SERIES: Range<u64> = 2..6;
+/// Probability that a call fault affects an executor.
+const CALL_FAULT_SPREAD: f64 = 0.7;
+/// Statuses of rejected starts.
+const REJECTIONS: [StatusCode; 3] =
+    [StatusCode::SERVICE_UNAVAILABLE, StatusCode::TOO_MANY_REQUESTS, StatusCode::CONFLICT];
+
 /// One change to the deployment.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) enum Step {
@@ -40,6 +53,12 @@
     Silent(usize, bool),
     /// Whether an agent's executor delays calls and does not answer them.
     Late(usize, bool),
+    /// Fraction of calls whose answers an agent's executor loses.
+    LosesAnswers(usize, f64),
+    /// Fraction of starts that an agent's executor rejects, and the status.
+    Rejects(usize, f64, StatusCode),
+    /// Maximum delay of calls and answers of an agent's executor.
+    Delays(usize, Duration),
     /// Restarts an agent's executor as this instance.
     Crash(usize, String),
     /// Fault of the store itself, and whether it is on.
@@ -75,6 +94,49 @@
             }));
         }
     }
+    in_order(steps)
+}
+
+/// Generates the steps of a seed, and overlapping series of faults of calls to the executors.
+pub(crate) fn generate_with_call_faults(
+    seed: u64,
+    entries: usize,
+    agents: usize,
+) -> Vec<(Duration, Step)> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ CALL_FAULTS_SEED);
+    let mut steps = Vec::new();
+    for _ in 0..rng.random_range(CALL_SERIES) {
+        let kind = rng.random_range(0..3);
+        let gap = rng.random_range(100..2_000);
+        let start = rng.random_range(0..START_WINDOW_MS);
+        for repeat in 0..rng.random_range(CALL_FAULTS_PER_SERIES) {
+            let at = start + repeat * gap;
+            let until = at + rng.random_range(FAULT_MS);
+            let fraction = rng.random_range(0.1..0.7);
+            let status = REJECTIONS[rng.random_range(0..REJECTIONS.len())];
+            let delay = Duration::from_millis(rng.random_range(5..150));
+            for agent in 0..agents {
+                if rng.random_bool(CALL_FAULT_SPREAD) {
+                    let (begin, end) = match kind {
+                        0 => (Step::LosesAnswers(agent, fraction), Step::LosesAnswers(agent, 0.0)),
+                        1 => (
+                            Step::Rejects(agent, fraction, status),
+                            Step::Rejects(agent, 0.0, status),
+                        ),
+                        _ => (Step::Delays(agent, delay), Step::Delays(agent, Duration::ZERO)),
+                    };
+                    steps.extend([(at, begin), (until, end)]);
+                }
+            }
+        }
+    }
+    let mut steps = in_order(steps);
+    steps.extend(generate(seed, entries, agents));
+    steps.sort_by_key(|it| it.0);
+    steps
+}
+
+fn in_order(mut steps: Vec<(u64, Step)>) -> Vec<(Duration, Step)> {
     steps.sort_by_key(|it| it.0);
     steps.into_iter().map(|(at, step)| (Duration::from_millis(at), step)).collect()
 }
