Do not send a start again after the host was suspended

What callers would see: a task runs on two endpoints at the same time.

Cause: an agent that was suspended while a start was in flight handles the missing answer first and sends the start again, with a new lease, however long ago its order was decided. A start rejected because of its fencing token or as old was sent again likewise. Only queued runs were refused after a suspension.

Change: after a suspension runs whose start is not confirmed are stopped, and reported as lost once the stop is confirmed.

--- a/components/guard/src/guard.rs
+++ b/components/guard/src/guard.rs
@@ -271,17 +271,22 @@
         self.doubtful_runs
     }
 
-    /// Refuses the queued runs if the host was suspended: their orders may be stale.
+    /// Refuses the queued runs and stops those being started if the host was suspended: their
+    /// orders may be stale, and the start must not be sent again.
     fn check_suspended(&mut self, now: Uptime) {
         let gap = now.since(self.last_event);
         self.last_event = now;
         if gap < SUSPENDED_MS {
             return;
         }
-        log::warn!(gap_ms = gap; "the host was suspended; queued runs are refused");
-        let queued: Vec<_> = self.runs.queued().collect();
-        for slot in queued {
-            self.refuse(now, slot, Refusal::Stale);
+        log::warn!(gap_ms = gap; "the host was suspended; queued runs are refused, those being started are stopped");
+        let slots: Vec<_> = self.runs.iter().map(|(slot, run)| (slot, run.phase)).collect();
+        for (slot, phase) in slots {
+            match phase {
+                Phase::Queued { .. } => self.refuse(now, slot, Refusal::Stale),
+                Phase::Starting => self.stop_run(now, slot, End::Lost),
+                Phase::Running | Phase::Stopping { .. } => {}
+            }
         }
     }
 
--- a/components/guard/tests/guard/starts.rs
+++ b/components/guard/tests/guard/starts.rs
@@ -31,6 +31,23 @@
     assert_eq!(fixture.notices, vec![refused]);
 }
 
+// Guards against a start that is sent seconds after its order, when the task runs elsewhere.
+#[test]
+fn does_not_send_a_start_again_after_the_host_was_suspended() {
+    let answers =
+        [Answer::Unknown, Answer::Rejected(Rejection::Fence), Answer::Rejected(Rejection::Old)];
+    for answer in answers {
+        let mut fixture = Fixture::open();
+        fixture.order(vec![key(1)], 100);
+
+        fixture.now = fixture.now + SUSPENDED_MS;
+        fixture.answer(is_start, answer.clone());
+
+        assert_eq!(fixture.started(), vec![], "{answer:?}");
+        assert_eq!(fixture.unanswered(is_stop).len(), 1, "{answer:?}");
+    }
+}
+
 #[test]
 fn sends_a_start_without_an_answer_again_under_the_same_number() {
     let mut fixture = Fixture::open();
