Send no start again while a stop is unconfirmed

What callers would see: a task runs on two endpoints at the same time, if a stop does not reach the endpoint of the first.

Cause: each start extends the lease of all runs of the endpoint. New starts wait while a stop is unconfirmed, the endpoint silent or about to leave, but hedges and starts sent again after a missing answer or a rejection did not. The run to be stopped ended later than the 1023 ms of docs/DESIGN-HOSTS.md: by reading up to 100 ms, and longer if the fencing token is rejected again and again.

Evidence: a test of the core, red before.

Change: a start is sent again only when a new one may be sent. Otherwise the run is refused, or stopped if a copy is not answered; a hedge waits.

--- a/components/guard/src/guard/answers.rs
+++ b/components/guard/src/guard/answers.rs
@@ -166,7 +166,12 @@
         }
     }
 
+    /// Sends a start, or refuses its run while no lease may be extended.
     pub(super) fn send_start(&mut self, now: Uptime, slot: RunSlot) {
+        if !self.may_start(now) {
+            self.refuse(now, slot, Refusal::Closed);
+            return;
+        }
         let Some(run) = self.runs.get(slot) else { return };
         let key = RunKey { run: run.number, ..run.key };
         let spec = Arc::clone(&run.work.spec);
@@ -194,6 +199,9 @@
     ///
     /// The first copy may have been lost, and starts are idempotent.
     pub(super) fn hedge_starts(&mut self, now: Uptime) {
+        if !self.may_start(now) {
+            return;
+        }
         let overdue = |run: &Run| {
             run.phase == Phase::Starting
                 && run.start_timeouts == 0
--- a/components/guard/tests/guard/lease.rs
+++ b/components/guard/tests/guard/lease.rs
@@ -1,9 +1,9 @@
 //! Leases are renewed while the endpoint answers and no stop is unconfirmed.
 
-use guard::{Answer, CallKind, LEASE_MS};
+use guard::{Answer, CallKind, LEASE_MS, Rejection};
 use mesh::{End, Notice};
 
-use crate::fixture::{Fixture, is_poll, is_stop, key, running};
+use crate::fixture::{Fixture, is_poll, is_start, is_stop, key, running};
 
 /// Lease that the newest poll in flight renews.
 fn renewed(fixture: &Fixture) -> Option<u64> {
@@ -42,6 +42,25 @@
     assert_eq!(renewed(&fixture), None);
 }
 
+// Guards against a start that extends the lease of a run which must end with it.
+#[test]
+fn sends_no_start_again_while_a_stop_is_unconfirmed() {
+    let answers =
+        [Answer::Unknown, Answer::Rejected(Rejection::Fence), Answer::Rejected(Rejection::Old)];
+    for answer in answers {
+        let mut fixture = fixture_with_run();
+        fixture.order(vec![key(2)], 100);
+        fixture.stop(vec![key(1)]);
+        fixture.answer(is_stop, Answer::Unknown);
+
+        fixture.advance(30);
+        assert_eq!(fixture.started(), vec![key(2)], "{answer:?}");
+        fixture.answer(is_start, answer.clone());
+
+        assert_eq!(fixture.started(), vec![], "{answer:?}");
+    }
+}
+
 #[test]
 fn renews_the_lease_again_after_one_unanswered_poll() {
     let mut fixture = fixture_with_run();
