Keep a listed end as done when another copy of the run ends otherwise

What callers would see: a task that is done runs again.

Cause: a run that is listed as done and in progress is stopped first. An end that the endpoint listed for it meanwhile as failed or lapsed replaced the end as done. Only the other order, done after a failure, was handled.

Evidence: a test of the core, red before.

Change: an end as done goes before any other end that is listed for the run.

--- a/components/guard/src/guard/polls.rs
+++ b/components/guard/src/guard/polls.rs
@@ -223,6 +223,9 @@
             },
             RunOutcome::Lapsed => End::Lost,
         };
+        // Another copy has completed the task.
+        let was_done = matches!(run.phase, Phase::Stopping { end: End::Done, .. });
+        let end = if was_done { End::Done } else { end };
         if may_run {
             self.doubtful_runs += 1;
             self.stop_ended_run(now, slot, end);
--- a/components/guard/tests/guard/copies.rs
+++ b/components/guard/tests/guard/copies.rs
@@ -160,6 +160,21 @@
     assert!(matches!(fixture.notices[..], [Notice::Ended { end: End::Failed, .. }]));
 }
 
+// Guards against a second run of a task that is done, when another copy of its start fails later.
+#[test]
+fn a_task_is_done_if_another_copy_of_its_run_is_listed_with_another_end_later() {
+    for outcome in [RunOutcome::Failed, RunOutcome::Stopped, RunOutcome::Lapsed] {
+        let mut fixture = fixture_with_unanswered_copy();
+        fixture.answer_poll(ended_and_running(RunOutcome::Done));
+
+        fixture.answer_poll(ended(2, &[(key(1), outcome)]));
+        confirm_stop(&mut fixture);
+
+        let done = matches!(fixture.notices[..], [Notice::Ended { end: End::Done, .. }]);
+        assert!(done, "{outcome:?}: {:?}", fixture.notices);
+    }
+}
+
 // Guards against a second run of a task of which one copy failed and another was completed.
 #[test]
 fn a_task_is_done_if_one_copy_of_its_run_failed_and_another_completed() {
