Give no run number twice while a run of the task is in progress

What callers would see: a run ends with the outcome of another run of its task, or has its resources released while it goes on.

Cause: an agent dropped the last number of a task 15 s after any run of it had ended, even if a later one was in progress. A run that was rejected as old got the number after its own, which a later run of the task may have.

Evidence: two tests of the core, red before.

Change: the numbers of a task are dropped 15 s after its last run has ended, and a run that is rejected as old is numbered after all others.

--- a/components/guard/src/runs.rs
+++ b/components/guard/src/runs.rs
@@ -90,6 +90,17 @@
 /// Task and run number, by which the endpoint identifies a run.
 type EndpointKey = (JobId, u16, u16, u32);
 
+/// Run numbers of a task.
+#[derive(Debug, Default)]
+struct Numbers {
+    /// Highest number given to a run.
+    last: u32,
+    /// Number of runs that hold resources.
+    active: u32,
+    /// Time at which the numbers are dropped if no run holds resources.
+    expiry: Uptime,
+}
+
 /// All runs of one instance of the endpoint.
 #[derive(Debug, Default)]
 pub(crate) struct Runs {
@@ -98,9 +109,8 @@
     by_entry_key: HashMap<(SocketAddrV4, RunKey), RunSlot>,
     /// Queued runs, ordered by the time at which they are refused.
     queue: BTreeMap<(Uptime, RunSlot), ()>,
-    /// Highest run number given to each task.
-    last_numbers: HashMap<TaskKey, u32>,
-    /// Times at which the numbers of tasks are dropped.
+    numbers: HashMap<TaskKey, Numbers>,
+    /// Times at which the numbers of tasks may be dropped.
     expiries: VecDeque<(Uptime, TaskKey)>,
     allocated: Resources,
 }
@@ -172,27 +182,29 @@
         let Phase::Queued { refuse_at } = run.phase else { return };
         self.queue.remove(&(refuse_at, slot));
         let task = (run.key.job, run.key.step, run.key.index);
-        let last = self.last_numbers.get(&task).copied().unwrap_or(0);
-        run.number = run.key.run.max(last + 1);
+        let numbers = self.numbers.entry(task).or_default();
+        numbers.last = run.key.run.max(numbers.last + 1);
+        numbers.active += 1;
+        run.number = numbers.last;
         run.phase = Phase::Starting;
         run.started = now;
         run.last_progress = now;
         self.allocated.cpu += run.work.cpu;
         self.allocated.memory += run.work.memory;
         self.allocated.gpus += run.work.gpus;
-        self.last_numbers.insert(task, run.number);
         self.by_endpoint_key.insert((task.0, task.1, task.2, run.number), slot);
     }
 
-    /// Gives the next number to a run that the endpoint has not started.
+    /// Gives the next number of its task to a run that the endpoint has not started.
     pub(crate) fn raise_number(&mut self, slot: RunSlot) {
         let Some(run) = self.runs.get_mut(slot) else { return };
         let task = (run.key.job, run.key.step, run.key.index);
         self.by_endpoint_key.remove(&(task.0, task.1, task.2, run.number));
-        run.number += 1;
+        let numbers = self.numbers.entry(task).or_default();
+        numbers.last += 1;
+        run.number = numbers.last;
         run.number_retries += 1;
         run.copies = Copies::default();
-        self.last_numbers.insert(task, run.number);
         self.by_endpoint_key.insert((task.0, task.1, task.2, run.number), slot);
     }
 
@@ -205,7 +217,12 @@
         } else {
             let task = (run.key.job, run.key.step, run.key.index);
             self.by_endpoint_key.remove(&(task.0, task.1, task.2, run.number));
-            self.expiries.push_back((now + RUN_NUMBER_EXPIRY_MS, task));
+            let expiry = now + RUN_NUMBER_EXPIRY_MS;
+            if let Some(numbers) = self.numbers.get_mut(&task) {
+                numbers.active -= 1;
+                numbers.expiry = expiry;
+            }
+            self.expiries.push_back((expiry, task));
             self.allocated.cpu -= run.work.cpu;
             self.allocated.memory -= run.work.memory;
             self.allocated.gpus -= run.work.gpus;
@@ -219,7 +236,10 @@
             && at <= now
         {
             self.expiries.pop_front();
-            self.last_numbers.remove(&task);
+            let is_expired = |it: &Numbers| it.active == 0 && it.expiry <= now;
+            if self.numbers.get(&task).is_some_and(is_expired) {
+                self.numbers.remove(&task);
+            }
         }
     }
 
--- a/components/guard/tests/guard/starts.rs
+++ b/components/guard/tests/guard/starts.rs
@@ -1,6 +1,6 @@
 //! Starts that are stale, rejected or not answered.
 
-use guard::{Answer, CallKind, Event, Rejection, RunOutcome, SUSPENDED_MS};
+use guard::{Answer, CallKind, Event, Rejection, RunOutcome, SUSPENDED_MS, Snapshot};
 use mesh::{Command, End, Notice, Refusal, RunKey};
 
 use crate::fixture::{CAPACITY, Fixture, TOKEN, ended, is_start, is_stop, key, order, running};
@@ -88,6 +88,41 @@
     assert!(matches!(fixture.notices[..], [Notice::Ended { key: it, .. }] if it == key(1)));
 }
 
+// Guards against two runs with one number, of which the end of one is taken for that of the other.
+#[test]
+fn numbers_a_run_after_one_in_progress_though_the_number_of_an_earlier_one_has_expired() {
+    let mut fixture = Fixture::open();
+    fixture.order(vec![key(1)], 100);
+    fixture.accept_start();
+    fixture.answer_poll(ended(1, &[(key(1), RunOutcome::Failed)]));
+    fixture.advance_connected(14_000, &Snapshot::default());
+    let second = RunKey { run: 2, ..key(1) };
+    fixture.order(vec![second], 100);
+    fixture.accept_start();
+    for percent in 1..=20 {
+        fixture.advance_connected(100, &running(&[(second, percent)]));
+    }
+
+    fixture.order(vec![key(1)], 100);
+
+    assert_eq!(fixture.started(), vec![RunKey { run: 3, ..key(1) }]);
+}
+
+// Guards against two runs with one number, of which the end of one is taken for that of the other.
+#[test]
+fn numbers_a_run_that_is_rejected_as_old_after_a_later_one_in_progress() {
+    let mut fixture = Fixture::open();
+    let second = RunKey { run: 2, ..key(1) };
+    fixture.order(vec![key(1)], 100);
+    fixture.order(vec![second], 100);
+    fixture.accept_start();
+    assert_eq!(fixture.started(), vec![key(1)]);
+
+    fixture.answer(is_start, Answer::Rejected(Rejection::Old));
+
+    assert_eq!(fixture.started(), vec![RunKey { run: 3, ..key(1) }]);
+}
+
 #[test]
 fn raises_its_fencing_token_above_a_higher_one() {
     let mut fixture = Fixture::open();
