Don't run a cancelled job for a late copy of its request

What callers would see: a job whose cancel was answered with 200 runs after all.

Cause: the entry kept one answer, Cancelled, for jobs that were cancelled on request and for those whose caller disconnected. The latter must run when they are sent again, so a copy of the request that arrived after the cancel started the job as well.

Change: a job whose caller disconnected is recorded as given up, and a copy of a cancelled job is answered like a copy of one that has ended.

Evidence: found by reading. The test submits a job, cancels it and submits it again; before, it ran and the copy was not answered.

--- a/components/broker/src/broker/jobs.rs
+++ b/components/broker/src/broker/jobs.rs
@@ -32,7 +32,7 @@
         }
         let earlier = self.answered.get(&id).copied();
         if let Some(Answered { reply, .. }) = earlier
-            && matches!(reply, Reply::Completed | Reply::Failed)
+            && matches!(reply, Reply::Completed | Reply::Failed | Reply::Cancelled)
         {
             log::info!(job:% = id, request = submission.request.as_str(), reply:? = reply; "duplicate submission of an answered job");
             self.effects.push(Effect::Answer { request_number, reply });
@@ -139,8 +139,9 @@
         let Some(job) = self.jobs.get_mut(key) else { return };
         job.request_numbers.retain(|it| *it != request_number);
         if job.request_numbers.is_empty() {
-            log::info!(job:% = job.submission.job, waited_ms = now.since(job.arrived); "a job is cancelled: its caller disconnected");
-            self.answer(now, key, Reply::Cancelled);
+            log::info!(job:% = job.submission.job, waited_ms = now.since(job.arrived); "a job is given up: its caller disconnected");
+            // Unlike a cancelled job, it runs if its caller sends it again.
+            self.answer(now, key, Reply::GivenUp);
         }
     }
 
--- a/components/broker/tests/broker/jobs.rs
+++ b/components/broker/tests/broker/jobs.rs
@@ -99,6 +99,19 @@
     assert_eq!(fixture.answer(third), Some(Reply::Completed));
 }
 
+/// A copy of the request that arrived after the cancel started the job again.
+#[test]
+fn does_not_run_a_cancelled_job_for_a_late_copy_of_its_request() {
+    let mut fixture = Fixture::new(1);
+    fixture.submit(submission(1, vec![step(1, 100)]));
+    fixture.event(Event::Cancel { job: JobId(1) });
+
+    let copy = fixture.submit(submission(1, vec![step(1, 100)]));
+
+    assert_eq!(fixture.answer(copy), Some(Reply::Cancelled));
+    assert!(fixture.runs().is_empty());
+}
+
 #[test]
 fn ignores_notices_of_an_earlier_submission() {
     let mut fixture = Fixture::new(2);
