Say "not run" for a delegate's refusal to the owner alone

What callers would see: 503 with the verdict not_run for an id that runs afterwards.

Cause: an agent that holds a request as the delegate of its owner attached a call of an entry with the same id to it, which happens when the entry's table of owners differs from the owner's. When the delegate refused, both got its refusal, which covers this one attempt. The owner knows that and places the request elsewhere; the entry takes the refusal for the owner's and passes it to the caller.

Change: calls of entries that wait for a delegate's request are kept apart and get a refusal with the verdict may_have_run. An outcome is passed on as before.

Evidence: found by reading. The messages are the same.

--- a/components/agent/src/lifecycle.rs
+++ b/components/agent/src/lifecycle.rs
@@ -23,7 +23,7 @@
 impl Agent {
     /// Handles a request from an entry.
     pub(crate) fn on_run(&mut self, from: ReplyTo, run: Run) {
-        if self.attach(from, run.id) {
+        if self.attach_entry(from, run.id) {
             return;
         }
         let Some(config) = self.state.config.clone() else {
@@ -122,6 +122,7 @@
             origin,
             stage: Stage::Queued,
             waiters: vec![from],
+            entry_waiters: Vec::new(),
             tried: Vec::new(),
             started: Timestamp::ZERO,
         };
@@ -136,9 +137,26 @@
             return false;
         };
         request.waiters.push(from);
+        self.record_attach(id);
+        true
+    }
+
+    /// Like [`Agent::attach`], for a call from an entry.
+    fn attach_entry(&mut self, from: ReplyTo, id: RequestId) -> bool {
+        let Some(request) = self.by_id.get(&id).and_then(|key| self.requests.get_mut(*key)) else {
+            return false;
+        };
+        match request.origin {
+            Origin::Owner | Origin::Idempotent => request.waiters.push(from),
+            Origin::Delegate => request.entry_waiters.push(from),
+        }
+        self.record_attach(id);
+        true
+    }
+
+    fn record_attach(&mut self, id: RequestId) {
         let detail = "The id is queued or running here already.";
         self.record_decision(Decision::new(id, Step::Attach, detail).with_node(self.options.node));
-        true
     }
 
     /// Records the outcome of a request and answers its waiters.
@@ -203,6 +221,14 @@
             let reply = RunReply { outcome: outcome.clone(), ran_on, run_time, load };
             self.reply(*to, Reply::Run(reply));
         }
+        let outcome = match outcome {
+            Outcome::Done(answer) => Outcome::Done(answer),
+            Outcome::Refused(refusal) => Outcome::Refused(refusal.weaken()),
+        };
+        for to in &request.entry_waiters {
+            let reply = RunReply { outcome: outcome.clone(), ran_on, run_time, load };
+            self.reply(*to, Reply::Run(reply));
+        }
     }
 
     fn repeat_outcome(&mut self, to: ReplyTo, id: RequestId, outcome: Outcome) {
--- a/components/agent/src/request.rs
+++ b/components/agent/src/request.rs
@@ -55,6 +55,9 @@
     pub stage: Stage,
     /// Calls that wait for its outcome.
     pub waiters: Vec<ReplyTo>,
+    /// Calls of entries that wait for the outcome of a request of another owner; a refusal tells
+    /// them nothing, as the owner may place the request elsewhere.
+    pub entry_waiters: Vec<ReplyTo>,
     /// Nodes that declined it or could not be reached.
     pub tried: Vec<NodeId>,
     /// Time at which the answer is due.
