Don't let a delegate say that a cancelled id never runs

What callers would see: a cancel is answered with not_run, and the request runs.

Cause: an agent that has queued a request as a delegate answered a cancel as if it were the owner of the id, with the proof that the owner has not started it and never will. The owner hears of the refusal of one attempt and places the request elsewhere. An entry asks a delegate if its table of owners differs from the owner's; the owner itself ignores the answer.

Evidence: found by reading; the test cancels a request that a delegate has queued, and the answer was not_run before.

--- a/components/agent/src/lifecycle.rs
+++ b/components/agent/src/lifecycle.rs
@@ -312,13 +312,16 @@
                 self.queue.remove(key);
                 self.record_cancel(id, "The request was still queued.");
                 self.finish_refused(key, Reason::Cancelled, CANCELLED_MESSAGE.to_owned(), None);
-                if origin == Origin::Owner {
-                    self.ledger.cancel(id, self.now);
-                }
-                self.reply(
-                    from,
-                    Reply::Status(Status::Ended(Outcome::Refused(cancelled_refusal()))),
-                );
+                let status = match origin {
+                    Origin::Owner => {
+                        self.ledger.cancel(id, self.now);
+                        Status::Ended(Outcome::Refused(cancelled_refusal()))
+                    }
+                    Origin::Idempotent => Status::Ended(Outcome::Refused(cancelled_refusal())),
+                    // The owner decides, and may place the request elsewhere.
+                    Origin::Delegate => Status::Running,
+                };
+                self.reply(from, Reply::Status(status));
             }
             Stage::Running => {
                 self.record_cancel(id, "The request runs already and will finish.");
--- a/components/agent/tests/delegate.rs
+++ b/components/agent/tests/delegate.rs
@@ -7,7 +7,7 @@
 use node::{Effect, Event, ReplyTo};
 use register::{Record, State};
 use verdict::{Outcome, Verdict};
-use wire::{Call, CallId, Reply, Run, Status};
+use wire::{Call, CallId, Cancel, Reply, Run, Status};
 
 const NOW: Timestamp = Timestamp::from_millis(1_790_000_000_000);
 const INVENTORY: &str = include_str!("../../../scenarios/yard.toml");
@@ -88,3 +88,14 @@
     assert_eq!(verdicts(to_owner, OWNER), vec![Verdict::NotRun]);
     assert_eq!(verdicts(effects, ENTRY), vec![Verdict::MayHaveRun]);
 }
+
+/// The owner places the request elsewhere after all.
+#[test]
+fn a_delegate_does_not_say_that_a_cancelled_request_will_not_run() {
+    let run = run();
+    let mut agent = delegate(&run);
+
+    let effects = agent.handle(NOW, call(ENTRY, Call::Cancel(Cancel { id: run.id })));
+
+    assert_eq!(verdicts(effects, ENTRY), vec![]);
+}
