--- a/components/guard/src/guard/polls.rs
+++ b/components/guard/src/guard/polls.rs
@@ -6,7 +6,7 @@
 
 use super::{Guard, Heartbeat, HeartbeatState, IDLE_POLL_MS, Pending, PendingPoll, RETRY_POLL_MS};
 use crate::{
-    call::{Answer, Call, CallKind, Rejection, RunOutcome, Snapshot},
+    call::{Answer, Call, CallKind, EndedRun, Rejection, RunOutcome, Snapshot},
     endpoint::Endpoint,
     health::HealthTracker,
     limits::{ENDPOINT_SILENCE_MS, HEDGE_MS, ORPHAN_POLL_MS, RENEW_MS, STALL_MS},
@@ -179,10 +179,14 @@
         if let Some(last) = snapshot.ended.iter().map(|it| it.number).max() {
             endpoint.processed = seen.max(last);
         }
-        for row in &snapshot.ended {
-            if row.number > seen
-                && let Some(slot) = self.runs.by_endpoint_key(row.key)
-            {
+        // If one copy of a run has failed and another has completed the task, the task is done.
+        let (done, others): (Vec<&EndedRun>, Vec<_>) = snapshot
+            .ended
+            .iter()
+            .filter(|it| it.number > seen)
+            .partition(|it| it.outcome == RunOutcome::Done);
+        for row in done.into_iter().chain(others) {
+            if let Some(slot) = self.runs.by_endpoint_key(row.key) {
                 let in_progress = snapshot.running.iter().any(|it| it.key == row.key);
                 self.on_outcome(now, slot, row.outcome, in_progress);
             }
--- a/components/guard/tests/guard/copies.rs
+++ b/components/guard/tests/guard/copies.rs
@@ -186,3 +186,17 @@
 
     assert!(matches!(fixture.notices[..], [Notice::Ended { end: End::Done, .. }]));
 }
+
+// Guards against a second run of a task whose failed and completed copies are listed together.
+#[test]
+fn a_task_is_done_if_its_run_is_listed_as_failed_and_as_done_in_one_snapshot() {
+    let mut fixture = Fixture::open();
+    fixture.order(vec![key(1)], 100);
+    fixture.accept_start();
+
+    let rows = [(key(1), RunOutcome::Failed), (key(1), RunOutcome::Done)];
+    fixture.answer_poll(ended(1, &rows));
+    fixture.probe();
+
+    assert!(matches!(fixture.notices[..], [Notice::Ended { end: End::Done, .. }]));
+}
