Count a poll that the endpoint rejects as unanswered

What callers would see: jobs that wait until their deadline, and an agent that uses up its processor time.

Cause: a poll that was rejected for another reason than the fencing token or the instance was ignored. The next one followed at once, the endpoint never counted as silent, and the runs whose lease had lapsed there were never reported as over.

Evidence: a test of the core, red before.

--- a/components/guard/src/guard/polls.rs
+++ b/components/guard/src/guard/polls.rs
@@ -154,10 +154,19 @@
                 self.first_unanswered = None;
                 self.on_snapshot(now, sent, acknowledged, &snapshot);
             }
-            Answer::Unsent | Answer::Unknown => {
-                self.on_unanswered_poll(now, &answer);
+            Answer::Rejected(Rejection::Fence | Rejection::Instance) => {
+                self.on_any_answer(now, &answer);
             }
-            Answer::Accepted { .. } | Answer::Rejected(_) => self.on_any_answer(now, &answer),
+            Answer::Rejected(
+                Rejection::Old
+                | Rejection::Late
+                | Rejection::Room
+                | Rejection::Unhealthy
+                | Rejection::Invalid,
+            )
+            | Answer::Accepted { .. }
+            | Answer::Unsent
+            | Answer::Unknown => self.on_unanswered_poll(now, &answer),
         }
     }
 
@@ -292,7 +301,7 @@
         }
     }
 
-    /// Handles a poll that was not answered.
+    /// Handles a poll that was not answered with a snapshot.
     pub(super) fn on_unanswered_poll(&mut self, now: Uptime, answer: &Answer) {
         let since = *self.first_unanswered.get_or_insert(now);
         if now.since(since) >= ENDPOINT_SILENCE_MS
--- a/components/guard/tests/guard/lease.rs
+++ b/components/guard/tests/guard/lease.rs
@@ -109,3 +109,25 @@
     fixture.advance(30);
     assert_eq!(fixture.unanswered(is_poll).len(), 1);
 }
+
+// Guards against runs that never end for their entry, and polls without a pause, at an endpoint that
+// answers no poll with a snapshot.
+#[test]
+fn takes_an_endpoint_that_rejects_every_poll_for_silent() {
+    let mut fixture = fixture_with_run();
+    for _ in 0..(LEASE_MS / 10) {
+        for _ in 0..10 {
+            if !fixture.unanswered(is_poll).is_empty() {
+                fixture.answer(is_poll, Answer::Rejected(Rejection::Unhealthy));
+            }
+        }
+        assert_eq!(fixture.unanswered(is_poll), vec![]);
+        fixture.advance(10);
+        fixture.probe();
+    }
+    fixture.advance(30);
+    fixture.probe();
+
+    assert_eq!(fixture.report.health, mesh::Health::Closed);
+    assert!(matches!(fixture.notices[..], [Notice::Ended { end: End::Lost, .. }]));
+}
