Take the silence of one owner for no verdict on a cancelled id

What callers would see: a cancel or a query is answered with not_run for an id that runs in another service.

Cause: an id does not name its service, so the entry asks its owner in each. An agent that may not decide for the id, for example while a shard changes hands, answers that it knows nothing of it. The entry counted that for nothing and passed on the refusal of the owner in a service where the id was never submitted.

Change: a refusal is weakened to may_have_run if any node that was asked does not know the id, as it already was if a node was not reached.

Evidence: found by reading.

--- a/components/entry/src/query.rs
+++ b/components/entry/src/query.rs
@@ -38,6 +38,8 @@
     subject: Subject,
     pending: usize,
     failed: usize,
+    /// Nodes that know nothing of the id or may not decide for it.
+    unknown: usize,
     best: Answer,
 }
 
@@ -131,7 +133,8 @@
         call: &Call,
     ) {
         let pending = nodes.len();
-        let query = Query { token, id, subject, pending, failed: 0, best: Answer::Unknown };
+        let best = Answer::Unknown;
+        let query = Query { token, id, subject, pending, failed: 0, unknown: 0, best };
         let key = self.queries.insert(query);
         for node in nodes {
             self.call(Pending::Query { query: key }, node, call.clone(), QUERY_TIMEOUT);
@@ -146,7 +149,10 @@
         let Some(query) = self.queries.get_mut(key) else { return };
         query.pending -= 1;
         let answer = match reply {
-            Ok(Reply::Status(Status::Unknown)) => Answer::Unknown,
+            Ok(Reply::Status(Status::Unknown)) => {
+                query.unknown += 1;
+                Answer::Unknown
+            }
             Ok(Reply::Status(Status::Running)) => Answer::Running(None),
             Ok(Reply::Status(Status::Ended(outcome))) => Answer::from(outcome),
             Ok(Reply::Run(run)) => Answer::from(run.outcome),
@@ -173,7 +179,8 @@
             Answer::Done(outcome) => ended_reply(query.subject, id, outcome),
             Answer::Running(status) => running_reply(query.subject, id, status),
             Answer::Refused(refusal) => {
-                let refusal = if failed > 0 { refusal.weaken() } else { refusal };
+                let certain = failed == 0 && query.unknown == 0;
+                let refusal = if certain { refusal } else { refusal.weaken() };
                 ended_reply(query.subject, id, Outcome::Refused(refusal))
             }
             Answer::Unknown => {
