End a run whose stop is never confirmed with its lease

What callers would see: an endpoint gets no work any more, and the job of the run no answer until its deadline.

Cause: a run whose stop is rejected or not answered ends when the endpoint lists its end. A run that was never started there is not listed. While its stop is unconfirmed no lease is renewed and nothing started; the endpoint answers polls, so it isn't taken for silent either. Runs with a rejected copy of their start are stopped since, so this can follow from an endpoint that rejects starts and stops.

Evidence: a test of the core, red before.

Change: such a run ends once every lease that was sent has expired by the slowest clock; a start that arrives later is rejected as late.

--- a/components/guard/src/guard/polls.rs
+++ b/components/guard/src/guard/polls.rs
@@ -361,10 +361,27 @@
         self.poll = id.map(|id| PendingPoll { id, sent: now, wait });
     }
 
-    /// Ends all runs of an endpoint that is gone or silent once every lease sent to it has expired.
+    /// Once every lease sent to the endpoint has expired, ends all its runs if it is gone or
+    /// silent, and else those whose stop is unconfirmed.
     pub(super) fn check_leases(&mut self, now: Uptime) {
         let Some(endpoint) = &self.endpoint else { return };
-        if !endpoint.leases_expired(now) || !(endpoint.gone || self.is_silent(now)) {
+        if !endpoint.leases_expired(now) {
+            return;
+        }
+        if !endpoint.gone && !self.is_silent(now) {
+            let unconfirmed: Vec<_> = self
+                .runs
+                .iter()
+                .filter(|(slot, _)| self.unconfirmed_stops.contains(slot))
+                .filter_map(|(slot, run)| match run.phase {
+                    Phase::Stopping { end, .. } => Some((slot, end)),
+                    Phase::Queued { .. } | Phase::Starting | Phase::Running => None,
+                })
+                .collect();
+            for (slot, end) in unconfirmed {
+                log::warn!(end:? = end; "a run whose stop is not confirmed has ended with its lease");
+                self.end_run(now, slot, end);
+            }
             return;
         }
         if self.runs.has_active() {
--- a/components/guard/tests/guard/lease.rs
+++ b/components/guard/tests/guard/lease.rs
@@ -1,6 +1,6 @@
 //! Leases are renewed while the endpoint answers and no stop is unconfirmed.
 
-use guard::{Answer, CallKind, LEASE_MS, Rejection};
+use guard::{Answer, CallKind, LEASE_MS, Rejection, Snapshot};
 use mesh::{End, Notice};
 
 use crate::fixture::{Fixture, is_poll, is_start, is_stop, key, running};
@@ -95,6 +95,31 @@
     assert!(matches!(fixture.notices[..], [Notice::Ended { end: End::Lost, .. }]));
 }
 
+// Guards against an endpoint that gets no work any more because it rejects a stop for ever.
+#[test]
+fn a_run_whose_stop_is_always_rejected_ends_with_its_lease() {
+    let mut fixture = Fixture::open();
+    fixture.order(vec![key(1)], 100);
+    fixture.answer(is_start, Answer::Unknown);
+    fixture.answer(is_start, Answer::Rejected(Rejection::Unhealthy));
+    let mut lost_after = None;
+
+    for step in 1..=20 {
+        while !fixture.unanswered(is_stop).is_empty() {
+            fixture.answer(is_stop, Answer::Rejected(Rejection::Unhealthy));
+        }
+        fixture.advance_connected(50, &Snapshot::default());
+        if lost_after.is_none() && !fixture.notices.is_empty() {
+            lost_after = Some(step * 50);
+        }
+    }
+
+    assert!(lost_after.is_some_and(|it| it >= LEASE_MS), "{lost_after:?}");
+    assert!(matches!(fixture.notices[..], [Notice::Ended { end: End::Lost, .. }]));
+    fixture.order(vec![key(2)], 100);
+    assert_eq!(fixture.started(), vec![key(2)]);
+}
+
 #[test]
 fn waits_between_polls_of_an_endpoint_that_refuses_connections() {
     let mut fixture = fixture_with_run();
