Take the runs of a restarted agent for lost whichever entry its report is for

What callers would see: a job gets no answer until its deadline.

Cause: the first report of an agent's new incarnation was dropped if it named another incarnation of the entry as its receiver, as after a late datagram of that one. The channel reports a restart only once, so the runs of the earlier incarnation were never taken for lost.

Evidence: a test of the entry's core, red before.

Change: a restart is handled before the receiver is checked.

--- a/components/broker/src/broker/runs.rs
+++ b/components/broker/src/broker/runs.rs
@@ -40,9 +40,14 @@
         let Some(agent) = self.agents.get_mut(&from) else { return };
         let report = frame.state.clone();
         let accepted = agent.channel.accept(now, frame);
+        if accepted.restarted {
+            log::warn!(agent:% = from; "an agent restarted; its runs are lost");
+            self.mark_lost(now, from, now + RESTART_EXPIRY_MS);
+        }
         if !accepted.current {
             return;
         }
+        let Some(agent) = self.agents.get_mut(&from) else { return };
         if agent.unreachable {
             log::info!(agent:% = from; "an agent is heard");
             agent.unreachable = false;
@@ -59,10 +64,6 @@
         agent.has_offered |= report.cpu > 0;
         agent.report = report;
         self.placement_due = true;
-        if accepted.restarted {
-            log::warn!(agent:% = from; "an agent restarted; its runs are lost");
-            self.mark_lost(now, from, now + RESTART_EXPIRY_MS);
-        }
         for notice in accepted.items {
             match notice {
                 Notice::Refused { key, refusal } => {
--- a/components/broker/tests/broker/agents.rs
+++ b/components/broker/tests/broker/agents.rs
@@ -1,7 +1,7 @@
 //! Tests with agents that stop responding, come back or restart.
 
 use broker::{AGENT_RETENTION_MS, AGENT_SILENCE_MS, Event, PROBE_MS, RUN_EXPIRY_MS, Reply};
-use mesh::{Channel, Health};
+use mesh::{Channel, Command, EntryState, Health, Notice, RunKey};
 
 use crate::fixture::{CAPACITY, Fixture, address, step, submission};
 
@@ -61,6 +61,28 @@
     assert_eq!(fixture.agents[&address(2)].runs.len(), 2);
 }
 
+// Guards against a task that waits for a run that is gone, as its agent restarted and heard an
+// earlier incarnation of the entry first.
+#[test]
+fn the_runs_of_an_agent_that_restarted_are_lost_though_its_first_report_is_for_an_earlier_entry() {
+    let mut fixture = Fixture::new(2);
+    fixture.submit(submission(1, vec![step(1, 500)]));
+    let (now, (at, key)) = (fixture.now, fixture.runs()[0]);
+    let agent = fixture.agents.get_mut(&at).expect("an agent");
+    agent.channel = Channel::new(200);
+    agent.runs.clear();
+    let state = EntryState { probe: true, waiting: 0, heard: now };
+    let mut earlier = Channel::<Command, Notice>::new(99);
+    agent.channel.accept(now, earlier.frame(now, state));
+    let frame = agent.frame(now);
+
+    fixture.event(Event::Frame { from: at, frame });
+    fixture.advance(1_000);
+
+    let rerun = RunKey { run: key.run + 1, ..key };
+    assert!(fixture.runs().iter().any(|(_, it)| *it == rerun), "{:?}", fixture.runs());
+}
+
 #[test]
 fn reruns_lost_tasks_only_once_their_runs_have_ended() {
     let mut fixture = Fixture::new(2);
