Count accepted copies when a run is listed as failed

What callers would see: a task runs on two endpoints at the same time, or its failure is reported late.

Cause: a failure was confirmed by a stop if a copy of the start was not answered. If two copies were accepted one may have failed while the other works just as well. If the only copy was in flight, its failure was the end of the run, but was stopped all the same.

Evidence: two tests of the core, red before.

Change: a failure is confirmed by a stop if more than one copy of the start may have been carried out.

--- a/components/guard/src/guard/answers.rs
+++ b/components/guard/src/guard/answers.rs
@@ -80,7 +80,7 @@
         self.on_any_answer(now, &answer);
         let Some(run) = self.runs.get_mut(slot) else { return };
         if run.number == number {
-            run.copies.settle(!matches!(answer, Answer::Unknown | Answer::Seen(_)));
+            run.copies.settle(&answer);
         }
         log_start_answer(run, number, &answer);
         if run.phase != Phase::Starting || run.number != number {
--- a/components/guard/src/guard/polls.rs
+++ b/components/guard/src/guard/polls.rs
@@ -207,12 +207,13 @@
     fn on_outcome(&mut self, now: Uptime, slot: RunSlot, outcome: RunOutcome, in_progress: bool) {
         let Some(run) = self.runs.get(slot) else { return };
         // Only one of several copies may have failed.
-        let copy_failed = outcome == RunOutcome::Failed && run.copies.unresolved() > 0;
+        let copy_failed = outcome == RunOutcome::Failed && run.copies.not_rejected() > 1;
         let may_run = in_progress || copy_failed;
         if may_run {
             log::warn!(
                 run:% = run.key, number = run.number, outcome:? = outcome,
-                in_progress = in_progress, unanswered = run.copies.unanswered;
+                in_progress = in_progress, copies = run.copies.sent,
+                unanswered = run.copies.unanswered;
                 "a run that is listed as ended may still run and is stopped"
             );
         }
--- a/components/guard/src/runs.rs
+++ b/components/guard/src/runs.rs
@@ -9,7 +9,7 @@
 use mesh::{End, EndpointInfo, JobId, RunKey, Uptime};
 use slotmap::{SlotMap, new_key_type};
 
-use crate::limits::RUN_NUMBER_EXPIRY_MS;
+use crate::{call::Answer, limits::RUN_NUMBER_EXPIRY_MS};
 
 new_key_type! {
     /// Slot of a run in the table.
@@ -57,6 +57,8 @@
     pub(crate) sent: u32,
     /// Sent and neither answered nor timed out.
     pub(crate) in_flight: u32,
+    /// Accepted.
+    pub(crate) accepted: u32,
     /// Timed out; the endpoint may have started the run, or may yet.
     pub(crate) unanswered: u32,
     /// A copy was rejected.
@@ -130,13 +132,20 @@
     }
 
     /// Counts the answer to a copy, or that there is none.
-    pub(crate) fn settle(&mut self, answered: bool) {
+    pub(crate) fn settle(&mut self, answer: &Answer) {
         self.in_flight = self.in_flight.saturating_sub(1);
-        if !answered {
-            self.unanswered += 1;
+        match answer {
+            Answer::Accepted { .. } => self.accepted += 1,
+            Answer::Unknown | Answer::Seen(_) => self.unanswered += 1,
+            Answer::Rejected(_) | Answer::Unsent => {}
         }
     }
 
+    /// Copies that may have been carried out.
+    pub(crate) fn not_rejected(self) -> u32 {
+        self.accepted + self.unresolved()
+    }
+
     /// Copies that may have started the run without an answer that says so.
     pub(crate) fn unresolved(self) -> u32 {
         self.in_flight + self.unanswered
--- a/components/guard/tests/guard/copies.rs
+++ b/components/guard/tests/guard/copies.rs
@@ -160,6 +160,35 @@
     assert!(matches!(fixture.notices[..], [Notice::Ended { end: End::Failed, .. }]));
 }
 
+// Guards against a second run elsewhere while one of two accepted copies of a start runs.
+#[test]
+fn a_failure_is_reported_after_a_stop_if_two_copies_of_the_start_were_accepted() {
+    let mut fixture = Fixture::open();
+    fixture.order(vec![key(1)], 100);
+    fixture.advance(20);
+    fixture.accept_start();
+    fixture.accept_start();
+
+    fixture.answer_poll(ended(1, &[(key(1), RunOutcome::Failed)]));
+    fixture.probe();
+
+    assert_eq!(fixture.notices, vec![]);
+    confirm_stop(&mut fixture);
+    assert!(matches!(fixture.notices[..], [Notice::Ended { end: End::Failed, .. }]));
+}
+
+// Guards against a delay of the failure of a run of which only one copy was sent.
+#[test]
+fn a_failure_is_reported_at_once_if_the_only_copy_of_the_start_is_in_flight() {
+    let mut fixture = Fixture::open();
+    fixture.order(vec![key(1)], 100);
+
+    fixture.answer_poll(ended(1, &[(key(1), RunOutcome::Failed)]));
+    fixture.probe();
+
+    assert!(matches!(fixture.notices[..], [Notice::Ended { end: End::Failed, .. }]));
+}
+
 // Guards against a second run of a task that is done, when another copy of its start fails later.
 #[test]
 fn a_task_is_done_if_another_copy_of_its_run_is_listed_with_another_end_later() {
