Test a start that is late and whose hedge is rejected, and rejections without a meaning

The test of the real programs loses the answer to the first call of a task's start, or delays it until after the hedge, and rejects the next one; the job must be completed. The soak also rejects starts with status 500, after which a start is unanswered.

--- a/hostd/tests/processes/main.rs
+++ b/hostd/tests/processes/main.rs
@@ -21,6 +21,8 @@
 const SHORT_MS: &str = "40";
 /// Duration of long tasks, in ms.
 const LONG_MS: &str = "700";
+/// Delay of a start that is answered after its hedge and before the timeout of its call.
+const START_DELAY: Duration = Duration::from_millis(60);
 
 #[tokio::test(flavor = "multi_thread")]
 async fn serves_jobs_and_answers_each_once_it_has_ended() {
@@ -79,21 +81,20 @@
     assert_eq!(overlaps(&deployment.spans()), Vec::<String>::new());
 }
 
-/// Guards against a rejected copy that is taken for a run that never started.
+/// Guards against a rejected copy of a start that is taken for the run.
 #[tokio::test(flavor = "multi_thread")]
-async fn a_task_runs_once_if_its_start_is_unanswered_and_the_copy_rejected() {
+async fn a_task_never_runs_twice_if_its_start_is_unanswered_and_the_copy_rejected() {
     let deployment = Deployment::start([10, 11], 2).await;
-    for executor in &deployment.executors {
-        let rejected = StartFault::Rejected(StatusCode::SERVICE_UNAVAILABLE);
-        executor.set_start_faults(&[StartFault::AnswerLost, rejected]);
-    }
 
-    let answer = submit(&deployment, 1, 1, LONG_MS).await;
+    submit_with_rejected_copy(&deployment, StartFault::AnswerLost).await;
+}
 
-    let spans = deployment.spans();
-    let job = ObservedJob { id: 1, tasks: 1, answers: vec![answer], finished: true };
-    assert!(spans.iter().any(|it| !it.is_empty()), "the task never ran");
-    assert_eq!(violations(&spans, &[job]), Vec::<String>::new());
+/// Guards against a rejected hedge that is taken for the run while the first copy is on its way.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_task_never_runs_twice_if_its_start_is_late_and_the_hedge_rejected() {
+    let deployment = Deployment::start([10, 12], 2).await;
+
+    submit_with_rejected_copy(&deployment, StartFault::Delayed(START_DELAY)).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -159,6 +160,20 @@
     deployment.wait_until_jobs_run().await;
 }
 
+/// Submits a job of one task; the first start at each executor has `fault`, and its copy is rejected.
+async fn submit_with_rejected_copy(deployment: &Deployment, fault: StartFault) {
+    for executor in &deployment.executors {
+        let rejected = StartFault::Rejected(StatusCode::SERVICE_UNAVAILABLE);
+        executor.set_start_faults(&[fault, rejected]);
+    }
+
+    let answer = submit(deployment, 1, 1, LONG_MS).await;
+
+    let job = ObservedJob { id: 1, tasks: 1, answers: vec![answer.clone()], finished: true };
+    assert_eq!(violations(&deployment.spans(), &[job]), Vec::<String>::new());
+    assert_eq!(answer, (200, r#"{"state":"completed"}"#.to_owned()));
+}
+
 #[test]
 fn missing_settings_fail_the_start_with_the_reason() {
     let output = process::run_without_settings();
--- a/hostd/tests/processes/soak/plan.rs
+++ b/hostd/tests/processes/soak/plan.rs
@@ -30,8 +30,12 @@
 /// Probability that a call fault affects an executor.
 const CALL_FAULT_SPREAD: f64 = 0.7;
 /// Statuses of rejected starts.
-const REJECTIONS: [StatusCode; 3] =
-    [StatusCode::SERVICE_UNAVAILABLE, StatusCode::TOO_MANY_REQUESTS, StatusCode::CONFLICT];
+const REJECTIONS: [StatusCode; 4] = [
+    StatusCode::SERVICE_UNAVAILABLE,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::CONFLICT,
+    StatusCode::INTERNAL_SERVER_ERROR,
+];
 
 /// One change to the deployment.
 #[derive(Debug, Clone, PartialEq)]
