Record the seeds that failed with call faults

Two runs of a task overlapped in 14 of them, and in seven an executor ran 6 tasks with room for 5; before each overlap one of the two runs was refused after a rejection of a copy of its start. The same seeds without the rejections (a trial: lost answers and delays alone) all passed.

The soak plays four deployments at a time instead of two.

--- a/hostd/tests/processes/soak/mod.rs
+++ b/hostd/tests/processes/soak/mod.rs
@@ -27,10 +27,28 @@
 const CI_SEEDS: [u64; 2] = [1, 2];
 /// Seeds that have failed before, each with its cause.
 const FAILED_SEEDS: [(u64, &str); 0] = [];
-/// Seeds that have failed with call faults.
-const FAILED_CALL_FAULT_SEEDS: [(u64, &str); 0] = [];
+/// Seeds that have failed with call faults, each with its cause.
+const FAILED_CALL_FAULT_SEEDS: [(u64, &str); 15] = [
+    (5000, REJECTED_COPY),
+    (5001, REJECTED_COPY),
+    (5002, REJECTED_COPY),
+    (5003, REJECTED_COPY),
+    (5005, REJECTED_COPY),
+    (5006, REJECTED_COPY),
+    (5008, REJECTED_COPY),
+    (5009, REJECTED_COPY),
+    (5010, REJECTED_COPY),
+    (5011, REJECTED_COPY),
+    (5012, REJECTED_COPY),
+    (5014, REJECTED_COPY),
+    (5015, REJECTED_COPY),
+    (5016, REJECTED_COPY),
+    (5018, REJECTED_COPY),
+];
+/// Cause of issue 24.
+const REJECTED_COPY: &str = "a rejected copy of a start was taken for the run";
 /// Number of deployments that run at a time if `SOAK_TOGETHER` is not set.
-const DEFAULT_PARALLEL: u64 = 2;
+const DEFAULT_PARALLEL: u64 = 4;
 const ENTRIES: usize = 2;
 const AGENTS: usize = 4;
 /// Latency objective of jobs beyond twice their work, in ms.
