Refuse orders that reach an agent after their entry has timed out

What callers would see: a task runs on two endpoints at the same time, for seconds.

Cause: an agent stops the runs of an entry once, 420 ms after the newest report that the entry has acknowledged, but took orders that were decided on reports of up to 450 ms. A run that started in between was stopped by nothing and its lease renewed until its end, though its entry may be gone and its caller send the job again.

Change: orders decided on reports older than 410 ms are refused.

--- a/components/guard/src/limits.rs
+++ b/components/guard/src/limits.rs
@@ -25,7 +25,10 @@
 pub(crate) const ENDPOINT_SILENCE_MS: u64 = 150;
 /// Maximum age of the report on which an order was decided, in ms; one of the limits in
 /// [`Timing`].
-pub const MAX_ORDER_AGE_MS: u64 = 450;
+///
+/// Must stay below [`ENTRY_SILENCE_MS`]: the runs of an entry are stopped once, when it times out,
+/// and a run that starts later would go on for as long as the entry stays silent.
+pub const MAX_ORDER_AGE_MS: u64 = 410;
 /// Gap between two events from which the host is considered to have been suspended, in ms; a
 /// tick of the event loop comes every 10 ms.
 pub const SUSPENDED_MS: u64 = 300;
--- a/components/guard/tests/guard/entries.rs
+++ b/components/guard/tests/guard/entries.rs
@@ -1,9 +1,9 @@
 //! Runs of entries that time out, receive no reports or restart, and offers to waiting entries.
 
 use guard::{Answer, ENTRY_EXPIRY_MS, ENTRY_SILENCE_MS, RunOutcome, Snapshot};
-use mesh::{Channel, End, Notice};
+use mesh::{Channel, Command, End, Notice};
 
-use crate::fixture::{Fixture, ended, is_stop, key, running};
+use crate::fixture::{Fixture, ended, is_start, is_stop, key, order, running};
 
 /// An agent with one run that its endpoint has confirmed.
 fn fixture_with_run() -> Fixture {
@@ -60,6 +60,20 @@
     assert_eq!(fixture.unanswered(is_stop).len(), 1);
 }
 
+// Guards against a run that nothing stops, as it starts after its entry has timed out.
+#[test]
+fn refuses_an_order_that_arrives_after_its_entry_has_timed_out() {
+    let mut fixture = Fixture::open();
+    fixture.probe();
+    let decided = fixture.report.now;
+    fixture.advance(ENTRY_SILENCE_MS);
+
+    fixture.entry.push(Command::Start(order(vec![key(1)], 100, decided)));
+    fixture.frame(decided);
+
+    assert_eq!(fixture.unanswered(is_start), vec![]);
+}
+
 #[test]
 fn repeats_a_stop_that_is_not_answered() {
     let mut fixture = fixture_with_run();
