Repeat an answered stop at intervals, not at each tick

What callers would see: nothing; the endpoint gets a stop every 10 ms for each run that is still listed 240 ms after its stop was answered.

Cause: the time of the repeat was recorded, but only that of the answer was looked at.

Evidence: a test of the core, red before (17 stops in 400 ms).

Change: the later of the two times counts.

--- a/components/guard/src/guard/answers.rs
+++ b/components/guard/src/guard/answers.rs
@@ -226,7 +226,7 @@
                 Phase::Stopping { requested, answered, .. } => {
                     let unconfirmed = self.unconfirmed_stops.contains(&slot);
                     let pause = if unconfirmed { UNCONFIRMED_STOP_RETRY_MS } else { STOP_RETRY_MS };
-                    let last = answered.unwrap_or(requested);
+                    let last = answered.map_or(requested, |it| it.max(requested));
                     (now.since(last) >= pause).then_some(slot)
                 }
                 Phase::Queued { .. } | Phase::Starting | Phase::Running => None,
--- a/components/guard/tests/guard/entries.rs
+++ b/components/guard/tests/guard/entries.rs
@@ -84,6 +84,19 @@
     assert_eq!(fixture.unanswered(is_stop).len(), 1);
 }
 
+// Guards against a flood of stops for a run that is still listed after its stop was answered.
+#[test]
+fn repeats_an_answered_stop_at_intervals() {
+    let mut fixture = fixture_with_run();
+    fixture.stop(vec![key(1)]);
+    let clock = fixture.clock();
+    fixture.answer(is_stop, Answer::Accepted { clock });
+
+    fixture.advance_connected(400, &running(&[(key(1), 1)]));
+
+    assert_eq!(fixture.unanswered(is_stop).len(), 1);
+}
+
 #[test]
 fn reports_the_end_of_a_stopped_run_once_it_is_gone() {
     let mut fixture = fixture_with_run();
