--- a/components/broker/src/broker/runs.rs
+++ b/components/broker/src/broker/runs.rs
@@ -102,11 +102,8 @@
         let job = &mut self.jobs[job_key];
         job.maybe_ran = true;
         let task = &mut job.tasks[position];
-        match end {
-            End::Stopped | End::Stalled | End::Lost => {
-                log::info!(run:% = key, agent:% = agent, end:? = end, took_ms = took; "a run is over and its task waits again");
-            }
-            End::Done | End::Failed => {}
+        if matches!(end, End::Stopped | End::Stalled | End::Lost) {
+            log::info!(run:% = key, agent:% = agent, end:? = end, took_ms = took; "a run is over and its task waits again");
         }
         match end {
             End::Done => {
--- a/components/guard/src/guard.rs
+++ b/components/guard/src/guard.rs
@@ -136,12 +136,12 @@
 struct PendingCall {
     /// Instance of the endpoint that is called.
     instance: Arc<str>,
-    purpose: Pending,
+    purpose: Purpose,
 }
 
 /// Purpose of a call that is in flight.
 #[derive(Debug, Clone, Copy)]
-enum Pending {
+enum Purpose {
     Start { slot: RunSlot, number: u32 },
     Stop(RunSlot),
     StopOrphan,
@@ -394,7 +394,7 @@
         }
     }
 
-    fn call_endpoint(&mut self, purpose: Pending, kind: CallKind) -> Option<u64> {
+    fn call_endpoint(&mut self, purpose: Purpose, kind: CallKind) -> Option<u64> {
         let endpoint = self.endpoint.as_ref()?;
         let call = Call {
             instance: Arc::clone(&endpoint.instance),
@@ -405,7 +405,7 @@
         Some(self.call(purpose, call))
     }
 
-    fn call(&mut self, purpose: Pending, call: Call) -> u64 {
+    fn call(&mut self, purpose: Purpose, call: Call) -> u64 {
         self.next_call += 1;
         let id = self.next_call;
         let instance = Arc::clone(&call.instance);
--- a/components/guard/src/guard/answers.rs
+++ b/components/guard/src/guard/answers.rs
@@ -4,7 +4,7 @@
 
 use mesh::{End, Refusal, RunKey, Uptime};
 
-use super::{Guard, Pending, PendingCall, STOP_RETRY_MS, UNCONFIRMED_STOP_RETRY_MS};
+use super::{Guard, PendingCall, Purpose, STOP_RETRY_MS, UNCONFIRMED_STOP_RETRY_MS};
 use crate::{
     call::{Answer, CallKind, Rejection},
     limits::{HEDGE_MS, MAX_NUMBER_RETRIES, MAX_START_TIMEOUTS, TOKEN_STEP_MS},
@@ -14,25 +14,25 @@
 impl Guard {
     pub(super) fn on_answer(&mut self, now: Uptime, id: u64, answer: Answer) {
         let Some(PendingCall { instance, purpose }) = self.pending.remove(&id) else { return };
-        let current = self.endpoint.as_ref().is_some_and(|it| it.instance == instance);
+        let is_current = self.endpoint.as_ref().is_some_and(|it| it.instance == instance);
         match purpose {
-            Pending::Announced => self.on_announced_answer(now, instance, answer),
-            Pending::Poll { sent, acknowledged } => {
+            Purpose::Announced => self.on_announced_answer(now, instance, answer),
+            Purpose::Poll { sent, acknowledged } => {
                 let newest = self.poll.as_ref().is_some_and(|it| it.id == id);
                 if newest {
                     self.poll = None;
                 }
                 // A superseded poll may still report ended runs, but its timeout does not mean
                 // that the endpoint is silent.
-                if current && (newest || matches!(answer, Answer::Seen(_))) {
+                if is_current && (newest || matches!(answer, Answer::Seen(_))) {
                     self.on_poll_answer(now, sent, acknowledged, answer);
                 }
             }
             // What an earlier instance answers says nothing about the present one.
-            Pending::Start { .. } | Pending::Stop(_) | Pending::StopOrphan if !current => {}
-            Pending::Start { slot, number } => self.on_start_answer(now, slot, number, answer),
-            Pending::Stop(slot) => self.on_stop_answer(now, slot, answer),
-            Pending::StopOrphan => self.on_any_answer(now, &answer),
+            Purpose::Start { .. } | Purpose::Stop(_) | Purpose::StopOrphan if !is_current => {}
+            Purpose::Start { slot, number } => self.on_start_answer(now, slot, number, answer),
+            Purpose::Stop(slot) => self.on_stop_answer(now, slot, answer),
+            Purpose::StopOrphan => self.on_any_answer(now, &answer),
         }
     }
 
@@ -182,8 +182,8 @@
                 if let Some(run) = self.runs.get_mut(slot) {
                     run.copies.send();
                 }
-                let pending = Pending::Start { slot, number: key.run };
-                self.call_endpoint(pending, CallKind::Start { key, spec, lease });
+                let purpose = Purpose::Start { slot, number: key.run };
+                self.call_endpoint(purpose, CallKind::Start { key, spec, lease });
             }
             None => self.refuse(now, slot, Refusal::Closed),
         }
@@ -192,7 +192,7 @@
     pub(super) fn send_stop(&mut self, slot: RunSlot) {
         let Some(run) = self.runs.get(slot) else { return };
         let key = RunKey { run: run.number, ..run.key };
-        self.call_endpoint(Pending::Stop(slot), CallKind::Stop { key });
+        self.call_endpoint(Purpose::Stop(slot), CallKind::Stop { key });
     }
 
     /// Sends starts a second time that were not answered within [`HEDGE_MS`].
--- a/components/guard/src/guard/polls.rs
+++ b/components/guard/src/guard/polls.rs
@@ -4,7 +4,7 @@
 
 use mesh::{End, Health, RunKey, Uptime};
 
-use super::{Guard, Heartbeat, HeartbeatState, IDLE_POLL_MS, Pending, PendingPoll, RETRY_POLL_MS};
+use super::{Guard, Heartbeat, HeartbeatState, IDLE_POLL_MS, PendingPoll, Purpose, RETRY_POLL_MS};
 use crate::{
     call::{Answer, Call, CallKind, EndedRun, Rejection, RunOutcome, Snapshot},
     endpoint::Endpoint,
@@ -50,7 +50,7 @@
             fencing_token: self.fencing_token,
             kind,
         };
-        self.call(Pending::Announced, call);
+        self.call(Purpose::Announced, call);
     }
 
     pub(super) fn on_left(&mut self, instance: &str) {
@@ -135,7 +135,7 @@
             return;
         }
         for row in &snapshot.running {
-            self.call_endpoint(Pending::StopOrphan, CallKind::Stop { key: row.key });
+            self.call_endpoint(Purpose::StopOrphan, CallKind::Stop { key: row.key });
         }
     }
 
@@ -357,8 +357,8 @@
         if overdue {
             self.on_unanswered_poll(now, &Answer::Unknown);
         }
-        let pending = Pending::Poll { sent: now, acknowledged };
-        let id = self.call_endpoint(pending, kind);
+        let purpose = Purpose::Poll { sent: now, acknowledged };
+        let id = self.call_endpoint(purpose, kind);
         self.poll = id.map(|id| PendingPoll { id, sent: now, wait });
     }
 
@@ -375,12 +375,12 @@
                 .iter()
                 .filter(|(slot, _)| self.unconfirmed_stops.contains(slot))
                 .filter_map(|(slot, run)| match run.phase {
-                    Phase::Stopping { end, .. } => Some((slot, end)),
+                    Phase::Stopping { end, .. } => Some((slot, run.key, end)),
                     Phase::Queued { .. } | Phase::Starting | Phase::Running => None,
                 })
                 .collect();
-            for (slot, end) in unconfirmed {
-                log::warn!(end:? = end; "a run whose stop is not confirmed has ended with its lease");
+            for (slot, key, end) in unconfirmed {
+                log::warn!(run:% = key, end:? = end; "a run whose stop is not confirmed has ended with its lease");
                 self.end_run(now, slot, end);
             }
             return;
