Run no job for a caller who was gone before its request was read

What callers would see: a task runs on two endpoints at the same time, for some ms.

Cause: a job was handed over as soon as its request was read. An entry that stands still for longer than a caller waits, or whose request is held up, reads the request together with the end of its connection. The caller may have sent the job to another entry by then. The job was started, and stopped once the connection was looked at again.

Evidence: a test of the real programs in which an entry is stopped while ten callers send a job and leave.

Change: the connection gets two passes before, one for the end of the body and one for its own end, which drops the request.

--- a/hostd/src/callers.rs
+++ b/hostd/src/callers.rs
@@ -20,7 +20,7 @@
     SubmissionError, caller_headers, decode_submission, parse_job_id, pending_body, status_body,
 };
 use ractor::ActorRef;
-use tokio::{sync::oneshot, time::timeout};
+use tokio::{sync::oneshot, task::yield_now, time::timeout};
 
 use crate::{
     config::CurrentConfig,
@@ -140,6 +140,7 @@
                 return unavailable(&feature.to_string(), RETRY_AFTER_S);
             }
         };
+        notice_disconnect().await;
         let request_number = self.shared.next_request.fetch_add(1, Ordering::Relaxed);
         let (sender, receiver) = oneshot::channel();
         let message =
@@ -195,6 +196,16 @@
     }
 }
 
+/// Lets the connection notice that its caller has closed it, which drops the calling future.
+///
+/// The caller of a request that was read late may have sent its job to another entry since.
+async fn notice_disconnect() {
+    // The connection takes one pass for the end of the body, and one for its own end.
+    for _ in 0..2 {
+        yield_now().await;
+    }
+}
+
 /// Host name from the `Host` header, without the port.
 fn host(request: &Request<Incoming>) -> &str {
     let header = request.headers().get(HOST).and_then(|it| it.to_str().ok()).unwrap_or_default();
--- a/hostd/tests/processes/deployment.rs
+++ b/hostd/tests/processes/deployment.rs
@@ -18,7 +18,11 @@
 use platform_standin::{
     DEADLINE_HEADER, Executor, HostSettings, Span, Store, config_text, job_text,
 };
-use tokio::time::{Instant, sleep};
+use tokio::{
+    io::AsyncWriteExt,
+    net::TcpStream,
+    time::{Instant, sleep},
+};
 
 use crate::{
     process::Process,
@@ -354,6 +358,17 @@
         self.request(entry, Method::POST, &format!("/q/{job:016x}"), timeout, body).await
     }
 
+    /// Sends a job and closes the connection at once.
+    pub(crate) async fn submit_and_leave(&self, entry: usize, job: u64, body: &str) {
+        let mut stream = TcpStream::connect(self.callers[entry]).await.expect("a connection");
+        let request = format!(
+            "POST /q/{job:016x} HTTP/1.1\r\nhost: {HOST}\r\n{DEADLINE_HEADER}: {DEFAULT_TIMEOUT_MS}\r\n\
+             content-length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        stream.write_all(request.as_bytes()).await.expect("a request that fits into the buffer");
+    }
+
     /// Sends a request; returns status and body of the answer, or status 0 if there is none.
     async fn request(
         &self,
--- a/hostd/tests/processes/invariants.rs
+++ b/hostd/tests/processes/invariants.rs
@@ -127,7 +127,7 @@
 }
 
 /// Job id and task index of a task name, `job.occurrence.step.index`.
-fn parse_task_name(task: &str) -> (u64, usize) {
+pub(crate) fn parse_task_name(task: &str) -> (u64, usize) {
     let mut parts = task.split('.');
     let job = parts.next().and_then(|it| u64::from_str_radix(it, 16).ok());
     let index = parts.nth(2).and_then(|it| it.parse().ok());
--- a/hostd/tests/processes/main.rs
+++ b/hostd/tests/processes/main.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     deployment::{Deployment, submit},
-    invariants::{ObservedJob, overlaps, violations},
+    invariants::{ObservedJob, overlaps, parse_task_name, violations},
 };
 
 /// Duration of short tasks, in ms.
@@ -23,6 +23,8 @@
 const LONG_MS: &str = "700";
 /// Delay of a start that is answered after its hedge and before the timeout of its call.
 const START_DELAY: Duration = Duration::from_millis(60);
+/// Time within which a signal has taken effect.
+const SIGNAL_TIME: Duration = Duration::from_millis(50);
 
 #[tokio::test(flavor = "multi_thread")]
 async fn serves_jobs_and_answers_each_once_it_has_ended() {
@@ -97,6 +99,25 @@
     submit_with_rejected_copy(&deployment, StartFault::Delayed(START_DELAY)).await;
 }
 
+/// Guards against a job that runs for a caller who may have sent it to another entry meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_does_not_run_if_its_caller_is_gone_before_it_is_read() {
+    let mut deployment = Deployment::start([10, 13], 2).await;
+    deployment.processes[0].signal(Signal::SIGSTOP);
+    tokio::time::sleep(SIGNAL_TIME).await;
+    for job in 1..=10 {
+        deployment.caller().submit_and_leave(0, job, &job_text(1, LONG_MS)).await;
+    }
+
+    deployment.processes[0].signal(Signal::SIGCONT);
+    deployment.wait_until_jobs_run().await;
+
+    let spans = deployment.spans();
+    let started = spans.iter().flatten().filter(|it| parse_task_name(&it.task).0 <= 10);
+    let started: Vec<_> = started.collect();
+    assert!(started.is_empty(), "{started:#?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_new_configuration_is_in_force_and_survives_an_outage_of_the_store() {
     let deployment = Deployment::start([10, 5], 1).await;
