Accept the end of a run that was taken for lost

Cause: after 400 ms of silence an entry took the runs of an agent for lost and ignored what the agent said of them later. A run that had ended meanwhile was done again, and one that was stopped was waited for until 1,150 ms after the last report, though a notice says that it is over. Change: notices on the newest run of a lost task apply to it. Result: two new tests, red before.

--- a/components/broker/src/broker/runs.rs
+++ b/components/broker/src/broker/runs.rs
@@ -84,8 +84,24 @@
         (job.tasks[position].state == placed).then_some((job_key, position))
     }
 
+    /// Job and position of the task to which a notice on run `key` of `agent` applies.
+    ///
+    /// Besides the task's current run it may be one that was taken for lost while its agent was
+    /// silent: the notice says that this run is over, so there is no need to wait until it must be.
+    fn noticed_task(&self, agent: SocketAddrV4, key: RunKey) -> Option<(JobKey, usize)> {
+        let placed = self.placed_task(agent, key);
+        placed.or_else(|| {
+            let job_key = *self.by_id.get(&key.job)?;
+            let job = self.jobs.get(job_key)?;
+            let position = job.position(key)?;
+            let task = &job.tasks[position];
+            let is_lost = matches!(task.state, TaskState::Lost { .. });
+            (is_lost && task.last_run == key.run).then_some((job_key, position))
+        })
+    }
+
     pub(super) fn on_refused(&mut self, now: Uptime, agent: SocketAddrV4, key: RunKey) {
-        if let Some((job, position)) = self.placed_task(agent, key) {
+        if let Some((job, position)) = self.noticed_task(agent, key) {
             self.requeue(now, job, position);
         }
     }
@@ -98,9 +114,15 @@
         end: End,
         took: u32,
     ) {
-        let Some((job_key, position)) = self.placed_task(agent, key) else { return };
+        let Some((job_key, position)) = self.noticed_task(agent, key) else { return };
         let job = &mut self.jobs[job_key];
         job.maybe_ran = true;
+        if let TaskState::Lost { expiry } = job.tasks[position].state {
+            log::info!(
+                run:% = key, agent:% = agent, end:? = end, early_ms = expiry.since(now);
+                "the end of a run that was taken for lost is known"
+            );
+        }
         let task = &mut job.tasks[position];
         if matches!(end, End::Stopped | End::Stalled | End::Lost) {
             log::info!(run:% = key, agent:% = agent, end:? = end, took_ms = took; "a run is over and its task waits again");
--- a/components/broker/tests/broker/agents.rs
+++ b/components/broker/tests/broker/agents.rs
@@ -113,6 +113,41 @@
     assert_eq!(fixture.runs(), vec![]);
 }
 
+/// Guards against work that is done a second time because its agent was silent when it ended.
+#[test]
+fn a_task_that_ended_while_its_agent_was_silent_does_not_run_again() {
+    let mut fixture = Fixture::new(2);
+    let request = fixture.submit(submission(1, vec![step(1, 100)]));
+    let (at, key) = fixture.runs()[0];
+    let agent = fixture.agents.get_mut(&at).expect("an agent");
+    agent.responds = false;
+    fixture.advance(AGENT_SILENCE_MS + 20);
+
+    fixture.end(at, key, mesh::End::Done);
+    fixture.advance(RUN_EXPIRY_MS);
+
+    assert_eq!(fixture.answer(request), Some(Reply::Completed));
+    assert_eq!(fixture.runs(), vec![]);
+}
+
+/// Guards against a wait of more than a second for a run that is known to be over.
+#[test]
+fn reruns_a_lost_task_as_soon_as_its_run_is_reported_as_stopped() {
+    let mut fixture = Fixture::new(2);
+    fixture.submit(submission(1, vec![step(1, 100)]));
+    let (at, key) = fixture.runs()[0];
+    let agent = fixture.agents.get_mut(&at).expect("an agent");
+    agent.responds = false;
+    fixture.advance(AGENT_SILENCE_MS + 20);
+
+    fixture.agents.get_mut(&at).expect("an agent").responds = true;
+    fixture.end(at, key, mesh::End::Stopped);
+    fixture.advance(50);
+
+    let rerun = RunKey { run: key.run + 1, ..key };
+    assert_eq!(fixture.runs().iter().map(|it| it.1).collect::<Vec<_>>(), vec![rerun]);
+}
+
 #[test]
 fn loses_the_runs_of_an_agent_that_restarted() {
     let mut fixture = Fixture::new(1);
