Refuse starts at an agent whose zone is evacuated

Cause: an agent knew nothing of the operator's evacuation of its zone, so an entry that had not heard of it went on starting tasks there.

Change: a new event carries the state of the agent's zone. Unless the zone is served, the agent's health is Closed, queued runs are refused, and neither a start nor a copy of one is sent. Leases of runs in progress are renewed as before, so may_start is split from may_renew. Refusals in an evacuated zone are counted.

--- a/components/guard/src/guard.rs
+++ b/components/guard/src/guard.rs
@@ -80,6 +80,17 @@
     pub info: EndpointInfo,
 }
 
+/// State of the agent's availability zone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ZoneState {
+    /// Tasks may start.
+    Served,
+    /// Nothing starts until the operator takes the zone back.
+    Evacuated,
+    /// Nothing starts until the process has learned which zones are evacuated.
+    Unknown,
+}
+
 /// Input of the agent's core.
 #[derive(Debug)]
 pub enum Event {
@@ -97,6 +108,8 @@
         /// Commands and state of the entry.
         frame: Frame<Command, EntryState>,
     },
+    /// The state of the agent's zone is known or has changed.
+    Zone(ZoneState),
     /// A call was answered or has timed out.
     Answered {
         /// Number that [`Effect::Call`] gave to the call.
@@ -178,6 +191,9 @@
     /// Instances that have ended; their heartbeats are ignored.
     ended_instances: HashSet<Arc<str>>,
     health_tracker: HealthTracker,
+    zone: ZoneState,
+    /// Number of runs that were refused because the zone is evacuated.
+    evacuation_refusals: u64,
     runs: Runs,
     entries: Entries,
     /// Number of channels to entries that were created, those of forgotten entries included.
@@ -218,6 +234,8 @@
             polling_announced: false,
             ended_instances: HashSet::new(),
             health_tracker: HealthTracker::new(now),
+            zone: ZoneState::Served,
+            evacuation_refusals: 0,
             runs: Runs::default(),
             entries: Entries::new(),
             channels_created: 0,
@@ -245,6 +263,7 @@
             Event::Heartbeat(beat) => self.on_heartbeat(beat),
             Event::Left { instance } => self.on_left(&instance),
             Event::Frame { from, frame } => self.on_frame(now, from, frame),
+            Event::Zone(zone) => self.on_zone(now, zone),
             Event::Answered { id, answer } => self.on_answer(now, id, answer),
             Event::Tick => self.on_tick(now),
             Event::Shutdown => self.on_shutdown(now),
@@ -271,6 +290,11 @@
         self.doubtful_runs
     }
 
+    /// Number of runs that were refused because the agent's zone is evacuated.
+    pub fn evacuation_refusals(&self) -> u64 {
+        self.evacuation_refusals
+    }
+
     /// Refuses the queued runs and stops those being started if the host was suspended: their
     /// orders may be stale, and the start must not be sent again.
     fn check_suspended(&mut self, now: Uptime) {
@@ -336,6 +360,14 @@
         self.refuse_expired(now);
     }
 
+    fn on_zone(&mut self, now: Uptime, zone: ZoneState) {
+        if self.zone != zone {
+            self.zone = zone;
+            self.report_due = true;
+            self.refuse_expired(now);
+        }
+    }
+
     /// Ends every run: the endpoint is gone or all its leases have expired.
     fn end_lost_runs(&mut self, now: Uptime) {
         let slots: Vec<_> = self.runs.iter().map(|it| it.0).collect();
@@ -351,7 +383,8 @@
 
     fn health(&self, now: Uptime) -> Health {
         let ready = self.endpoint.as_ref().is_some_and(Endpoint::is_ready);
-        if !ready || self.is_silent(now) || self.shutdown_since.is_some() {
+        let zone_served = self.zone == ZoneState::Served;
+        if !ready || !zone_served || self.is_silent(now) || self.shutdown_since.is_some() {
             return Health::Closed;
         }
         match self.health_tracker.health(now) {
@@ -360,8 +393,13 @@
         }
     }
 
-    /// Whether runs may be started; each start extends the lease of all runs.
+    /// Whether runs may be started.
     fn may_start(&self, now: Uptime) -> bool {
+        self.zone == ZoneState::Served && self.may_renew(now)
+    }
+
+    /// Whether the lease of all runs may be extended, which each start does as well.
+    fn may_renew(&self, now: Uptime) -> bool {
         let gone = self.endpoint.as_ref().is_none_or(|it| it.gone);
         !gone && !self.is_silent(now) && self.unconfirmed_stops.is_empty()
     }
--- a/components/guard/src/guard/answers.rs
+++ b/components/guard/src/guard/answers.rs
@@ -166,7 +166,7 @@
         }
     }
 
-    /// Sends a start, or refuses its run while no lease may be extended.
+    /// Sends a start, or refuses its run while nothing may be started.
     pub(super) fn send_start(&mut self, now: Uptime, slot: RunSlot) {
         if !self.may_start(now) {
             self.refuse(now, slot, Refusal::Closed);
--- a/components/guard/src/guard/orders.rs
+++ b/components/guard/src/guard/orders.rs
@@ -7,7 +7,7 @@
     Uptime,
 };
 
-use super::{Effect, Guard, LCG_INCREMENT, LCG_MULTIPLIER, OFFER_MS, Offer};
+use super::{Effect, Guard, LCG_INCREMENT, LCG_MULTIPLIER, OFFER_MS, Offer, ZoneState};
 use crate::{
     entries::Entry,
     limits::REPORT_INTERVAL_MS,
@@ -170,6 +170,9 @@
         age: u64,
     ) {
         log::info!(run:% = key, entry:% = entry, refusal:? = refusal, age_ms = age; "a run is refused");
+        if refusal == Refusal::Closed && self.zone == ZoneState::Evacuated {
+            self.evacuation_refusals += 1;
+        }
         if let Some(entry) = self.entries.get_mut(&entry) {
             entry.channel.push(Notice::Refused { key, refusal });
         }
--- a/components/guard/src/guard/polls.rs
+++ b/components/guard/src/guard/polls.rs
@@ -323,7 +323,7 @@
     /// Polls the endpoint if a poll is due; the interval depends on its runs and its last answers.
     pub(super) fn poll_endpoint(&mut self, now: Uptime) {
         let busy = self.runs.has_active();
-        let renews = busy && self.may_start(now) && self.first_unanswered.is_none();
+        let renews = busy && self.may_renew(now) && self.first_unanswered.is_none();
         let silent = self.is_silent(now);
         let unanswered = self.first_unanswered.is_some();
         let Some(endpoint) = &mut self.endpoint else { return };
--- a/components/guard/tests/guard/main.rs
+++ b/components/guard/tests/guard/main.rs
@@ -2,6 +2,7 @@
 
 mod copies;
 mod entries;
+mod evacuation;
 mod fixture;
 mod health;
 mod instances;
