Place nothing in evacuated zones and refuse what only they could serve

Cause: an entry counted the endpoints of a zone that the operator has evacuated as capacity and placed tasks there.

Change: a new event carries the evacuated zones. Their agents provide nothing: no placement, no capacity in admission, no place in the watched subset unless they have runs or commands of the entry. A job that endpoints of evacuated zones alone could serve is refused at once, on arrival, when the evacuation becomes known, or when an agent has refused its order. Readiness counts agents as before, so an entry stays ready while all zones are evacuated.

--- a/components/broker/src/agents.rs
+++ b/components/broker/src/agents.rs
@@ -33,10 +33,17 @@
     providing.filter_map(|it| it.report.endpoint.as_ref()).any(|it| step.can_run_on(it))
 }
 
+/// Whether an endpoint of `service` is in an evacuated zone.
+pub(crate) fn is_evacuated_from(agents: &Agents, service: &str) -> bool {
+    let evacuated = agents.values().filter(|it| it.evacuated && !it.unreachable);
+    evacuated.filter_map(|it| it.report.endpoint.as_ref()).any(|it| it.service == service)
+}
+
 /// Capacity of the endpoints of watched agents that accept work.
 pub(crate) fn watched_capacity(agents: &Agents) -> WatchedCapacity {
     let mut capacity = WatchedCapacity::default();
-    for agent in agents.values().filter(|it| it.watched_since.is_some() && !it.unreachable) {
+    let watched = |it: &&Agent| it.watched_since.is_some() && !it.unreachable && !it.evacuated;
+    for agent in agents.values().filter(watched) {
         if let Some(info) = &agent.report.endpoint
             && agent.report.health == Health::Open
         {
@@ -51,6 +58,8 @@
 #[derive(Debug)]
 pub(crate) struct Agent {
     pub(crate) zone: String,
+    /// Whether its zone is evacuated; no task is placed on it.
+    pub(crate) evacuated: bool,
     pub(crate) channel: Channel<Command, Notice>,
     pub(crate) report: Report,
     /// Time of the newest frame from the agent.
@@ -85,6 +94,7 @@
     pub(crate) fn new(incarnation: u64, now: Uptime, zone: String, weight: u64) -> Agent {
         Agent {
             zone,
+            evacuated: false,
             channel: Channel::new(incarnation),
             report: Report::default(),
             last_heard: Uptime::default(),
@@ -101,6 +111,7 @@
     /// Whether its endpoint takes tasks of `service`, by its last report.
     pub(crate) fn provides(&self, now: Uptime, service: &str) -> bool {
         !self.unreachable
+            && !self.evacuated
             && self.channel.unacknowledged_ms(now) < ACK_TIMEOUT_MS
             && self.report.health != Health::Closed
             && self.report.endpoint.as_ref().is_some_and(|it| it.service == service)
@@ -128,7 +139,7 @@
 
     /// Whether it may be one of the subset of agents to watch.
     pub(crate) fn is_watchable(&self) -> bool {
-        !self.unreachable && self.report.health != Health::Closed
+        !self.unreachable && !self.evacuated && self.report.health != Health::Closed
     }
 
     /// Starts to watch it; the next probe is due at once.
--- a/components/broker/src/broker.rs
+++ b/components/broker/src/broker.rs
@@ -1,11 +1,12 @@
 //! The state machine of an entry, and the order in which it handles an event.
 
+mod evacuation;
 mod jobs;
 mod placement;
 mod runs;
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{BTreeSet, HashMap, VecDeque},
     net::SocketAddrV4,
 };
 
@@ -76,6 +77,11 @@
         /// Content of the datagram.
         frame: Frame<Notice, Report>,
     },
+    /// The set of evacuated availability zones has changed.
+    Evacuated {
+        /// All evacuated zones.
+        zones: BTreeSet<String>,
+    },
     /// Periodic timer.
     Tick,
     /// The process was asked to shut down.
@@ -149,6 +155,8 @@
     options: Options,
     rng: SmallRng,
     agents: Agents,
+    /// Availability zones on whose endpoints no task is placed.
+    evacuated_zones: BTreeSet<String>,
     watch: Watch,
     /// When the agents to watch are chosen again.
     next_watch: Uptime,
@@ -189,6 +197,7 @@
         Broker {
             rng: SmallRng::seed_from_u64(options.seed),
             agents: Agents::new(),
+            evacuated_zones: BTreeSet::new(),
             watch: Watch::new(now, options.policy.min_watched),
             next_watch: now,
             next_wait_notice: now,
@@ -226,6 +235,7 @@
             Event::Cancel { job } => self.on_cancel(now, job),
             Event::Announced { address, zone } => self.on_announced(now, address, zone),
             Event::Frame { from, frame } => self.on_frame(now, from, frame),
+            Event::Evacuated { zones } => self.on_evacuated(now, zones),
             Event::Tick => self.on_tick(now),
             Event::Shutdown => self.on_shutdown(now),
         }
--- a/components/broker/src/broker/jobs.rs
+++ b/components/broker/src/broker/jobs.rs
@@ -84,10 +84,14 @@
         let startable = unheard * own_work / job.waiting_cpu().max(1);
         let capacity = heard + unheard;
         let backlog = Backlog { ahead: work, own, other_entries, startable, capacity };
+        let evacuated = self.is_evacuated(now, &job.submission);
         if backlog.capacity > 0 {
             self.last_available = now;
-        } else if now.since(self.last_available) < DISCOVERY_TIMEOUT_MS {
-            self.settles_at = now + SETTLE_MS;
+        } else if !evacuated && now.since(self.last_available) < DISCOVERY_TIMEOUT_MS {
+            // Agents that never appear must not keep jobs waiting that only evacuated zones serve.
+            if self.evacuated_zones.is_empty() {
+                self.settles_at = now + SETTLE_MS;
+            }
             return;
         }
         let mut steps = job.submission.steps.iter();
@@ -106,7 +110,8 @@
         log::info!(
             job:% = job.submission.job, request = job.submission.request.as_str(),
             route = job.submission.route.name.as_str(), wait_ms:? = wait,
-            longest_wait_ms = longest, slack_ms = slack, capacity = backlog.capacity, fits = fits;
+            longest_wait_ms = longest, slack_ms = slack, capacity = backlog.capacity, fits = fits,
+            evacuated = evacuated;
             "a job is refused: it would not start in time"
         );
         self.answer(now, key, Reply::Refused { retry_after });
@@ -115,8 +120,9 @@
     /// Expected capacity of the known agents that are not heard yet, in thousandths of a core, if
     /// those heard so far provide `heard_capacity`.
     fn unheard_capacity(&self, heard_capacity: u64) -> u64 {
-        let heard = self.agents.values().filter(|it| !it.unreachable).count();
-        let unheard = self.agents.len() - heard;
+        let served = self.agents.values().filter(|it| !it.evacuated);
+        let (heard, unheard): (Vec<_>, Vec<_>) = served.partition(|it| !it.unreachable);
+        let (heard, unheard) = (heard.len(), unheard.len());
         heard_capacity * unheard as u64 / heard.max(1) as u64
     }
 
--- a/components/broker/src/broker/runs.rs
+++ b/components/broker/src/broker/runs.rs
@@ -25,6 +25,7 @@
             let incarnation = self.options.incarnation.wrapping_add(self.channels_created);
             Agent::new(incarnation, now, zone, weight(self.options.incarnation, address))
         });
+        agent.evacuated = self.evacuated_zones.contains(&agent.zone);
         agent.last_announced = now;
         if agent.unreachable {
             agent.next_probe = now;
@@ -103,6 +104,7 @@
     pub(super) fn on_refused(&mut self, now: Uptime, agent: SocketAddrV4, key: RunKey) {
         if let Some((job, position)) = self.noticed_task(agent, key) {
             self.requeue(now, job, position);
+            self.refuse_if_evacuated(now, job);
         }
     }
 
@@ -233,7 +235,7 @@
         let background = self.agents.len().saturating_sub(size) as u64;
         self.background_probe = (background * BACKGROUND_PROBE_SPACING_MS)
             .clamp(MIN_BACKGROUND_PROBE_MS, MAX_BACKGROUND_PROBE_MS);
-        if background == 0 {
+        if background == 0 && self.evacuated_zones.is_empty() {
             self.agents.values_mut().for_each(|it| it.watch(now));
             return;
         }
@@ -243,7 +245,10 @@
         let least = weights.get(size.saturating_sub(1)).copied().unwrap_or(0);
         let busy = self.busy_agents();
         for (address, agent) in &mut self.agents {
-            let in_subset = agent.is_watchable() && agent.weight >= least;
+            let in_subset = match background {
+                0 => !agent.evacuated,
+                _ => agent.is_watchable() && agent.weight >= least,
+            };
             let has_commands = agent.channel.pending().next().is_some();
             if in_subset || has_commands || busy.contains(address) {
                 agent.watch(now);
--- a/components/broker/tests/broker/fixture.rs
+++ b/components/broker/tests/broker/fixture.rs
@@ -97,6 +97,15 @@
     /// Creates an entry that has just started and knows `count` agents with idle endpoints, of
     /// which those for which `responds` is true respond.
     pub(crate) fn starting(count: u8, responds: impl Fn(u8) -> bool) -> Fixture {
+        Fixture::starting_in(count, responds, |_| "north")
+    }
+
+    /// Creates an entry as [`Fixture::starting`] does, with agents in several zones.
+    pub(crate) fn starting_in(
+        count: u8,
+        responds: impl Fn(u8) -> bool,
+        zone: impl Fn(u8) -> &'static str,
+    ) -> Fixture {
         let now = Uptime(10_000);
         let mut fixture = Fixture {
             broker: Broker::new(now, options(7)),
@@ -118,7 +127,7 @@
                 probes: 0,
             };
             fixture.agents.insert(address(last), agent);
-            fixture.event(Event::Announced { address: address(last), zone: "north".to_owned() });
+            fixture.event(Event::Announced { address: address(last), zone: zone(last).to_owned() });
         }
         fixture
     }
@@ -173,6 +182,12 @@
         }
     }
 
+    /// Passes on the evacuated zones.
+    pub(crate) fn evacuate(&mut self, zones: &[&str]) {
+        let zones = zones.iter().map(|it| (*it).to_owned()).collect();
+        self.event(Event::Evacuated { zones });
+    }
+
     /// Submits a job; returns the number of the request.
     pub(crate) fn submit(&mut self, submission: Submission) -> u64 {
         self.next_request += 1;
--- a/components/broker/tests/broker/main.rs
+++ b/components/broker/tests/broker/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod agents;
 mod config;
+mod evacuation;
 mod fixture;
 mod jobs;
 mod placement;
