Add the crate that decides what is known of evacuations and who is told

Cause: processes have to agree on the evacuated zones although they read the operator's log at different times, restart, and may not reach the store.

Change: a state covers a complete prefix of the log, and the one with the higher end replaces the other as a whole. Neither has a clock or a network.

--- /dev/null
+++ b/components/evacuation/src/knowledge.rs
@@ -0,0 +1,98 @@
+//! Newest state of the evacuated zones that a process has read or received.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use mesh::{Evacuations, Uptime};
+
+/// Time after the last evacuation for which members are still told that it has ended, in ms.
+pub const RESEND_AFTER_MS: u64 = 60_000;
+
+/// Newest state that a process knows.
+#[derive(Debug, Clone, Default)]
+pub struct Knowledge {
+    state: Option<Evacuations>,
+    /// Evacuated zones, with the time at which this process learned of it.
+    since: BTreeMap<String, Uptime>,
+    /// Time at which the last zone was taken back.
+    taken_back_at: Option<Uptime>,
+}
+
+/// A zone whose evacuation begins or ends with a newer state.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Change {
+    /// Availability zone.
+    pub zone: String,
+    /// Offset of the record that evacuated the zone.
+    pub offset: u64,
+    /// What has changed.
+    pub kind: ChangeKind,
+}
+
+/// What has changed about a zone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ChangeKind {
+    /// It is evacuated.
+    Evacuated,
+    /// It is taken back.
+    TakenBack {
+        /// Time for which this process knew that it was evacuated, in ms.
+        known_ms: u64,
+    },
+}
+
+impl Knowledge {
+    /// The newest state, if there is any.
+    pub fn state(&self) -> Option<&Evacuations> {
+        self.state.as_ref()
+    }
+
+    /// Offset up to which the log is known.
+    pub fn end(&self) -> u64 {
+        self.state.as_ref().map_or(0, |it| it.end)
+    }
+
+    /// Names of the evacuated zones.
+    pub fn zones(&self) -> BTreeSet<String> {
+        self.since.keys().cloned().collect()
+    }
+
+    /// Whether a zone is evacuated.
+    pub fn is_evacuated(&self, zone: &str) -> bool {
+        self.since.contains_key(zone)
+    }
+
+    /// Whether members are told the state: a zone is evacuated, or was until recently.
+    pub fn is_told(&self, now: Uptime) -> bool {
+        let recent = |at: Uptime| now.since(at) < RESEND_AFTER_MS;
+        !self.since.is_empty() || self.taken_back_at.is_some_and(recent)
+    }
+
+    /// Replaces the state by `other` if that is newer, and returns what has changed.
+    ///
+    /// A state covers a complete prefix of the log, so the one with the higher end holds all that
+    /// the other does. None is returned if `other` is not newer.
+    pub fn merge(&mut self, now: Uptime, other: Evacuations) -> Option<Vec<Change>> {
+        if self.state.as_ref().is_some_and(|it| other.end <= it.end) {
+            return None;
+        }
+        let mut changes = Vec::new();
+        for (zone, offset) in &other.zones {
+            if !self.since.contains_key(zone) {
+                self.since.insert(zone.clone(), now);
+                let (zone, offset) = (zone.clone(), *offset);
+                changes.push(Change { zone, offset, kind: ChangeKind::Evacuated });
+            }
+        }
+        for (zone, offset) in self.state.take().unwrap_or_default().zones {
+            if !other.zones.contains_key(&zone)
+                && let Some(since) = self.since.remove(&zone)
+            {
+                let kind = ChangeKind::TakenBack { known_ms: now.since(since) };
+                changes.push(Change { zone, offset, kind });
+                self.taken_back_at = Some(now);
+            }
+        }
+        self.state = Some(other);
+        Some(changes)
+    }
+}
--- a/components/mesh/src/lib.rs
+++ b/components/mesh/src/lib.rs
@@ -5,12 +5,14 @@
 //! order ([`Channel`]); the rest of a datagram is state, of which only the newest is used.
 
 mod channel;
+mod evacuations;
 mod member;
 mod message;
 mod uptime;
 
 pub use crate::{
     channel::{Accepted, Channel, RETRANSMIT_MS},
+    evacuations::Evacuations,
     member::{Member, Members, Role},
     message::{
         Command, Datagram, DecodeError, End, EndpointInfo, EntryState, Frame, Health, Hello, JobId,
