Evacuate an availability zone by a record in the store

Cause: a zone that the operator had evacuated went on being used.

Change: the reader of the configuration returns evacuations from the same reads. Entries send the state to all members and resend it until it is confirmed; agents read the store at the start and at growing intervals as well. A restarted agent takes no work before it has learned the state, for 1 s at most. Two datagrams follow the existing ones, whose encoding is unchanged. All of it is inactive without bounds.evacuationMs in the settings.

--- a/components/mesh/src/message.rs
+++ b/components/mesh/src/message.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Member, Uptime};
+use crate::{Evacuations, Member, Uptime};
 
 /// Maximum size of an encoded datagram, in bytes.
 pub const MAX_DATAGRAM_BYTES: usize = 60_000;
@@ -221,6 +221,13 @@
     Agent(Frame<Notice, Report>),
     /// Discovery message between any two processes.
     Hello(Hello),
+    /// From an entry to any process: the evacuated zones.
+    Evacuations(Evacuations),
+    /// Confirms evacuated zones.
+    EvacuationsSeen {
+        /// End of the newest state that the sender knows.
+        end: u64,
+    },
 }
 
 /// The datagram has another format version or is damaged.
--- /dev/null
+++ b/components/mesh/tests/message.rs
@@ -0,0 +1,37 @@
+//! Encoding of datagrams.
+
+use mesh::{Datagram, Evacuations, Hello, Member, Role, decode, encode};
+use proptest::prelude::*;
+
+// Guards against a changed encoding of the messages that earlier versions know.
+#[test]
+fn later_messages_leave_the_encoding_of_earlier_ones_unchanged() {
+    let address = "10.0.0.1:7000".parse().expect("an address");
+    let from = Member { address, role: Role::Agent, zone: "n".to_owned() };
+    let hello = Datagram::Hello(Hello { from, members: Vec::new(), ask: true });
+    let state = Evacuations { end: 5, zones: [("n".to_owned(), 4)].into() };
+
+    assert_eq!(encode(&hello), [2, 10, 0, 0, 1, 216, 54, 1, 1, b'n', 0, 1]);
+    assert_eq!(encode(&Datagram::Evacuations(state)), [3, 5, 1, 1, b'n', 4]);
+    assert_eq!(encode(&Datagram::EvacuationsSeen { end: 5 }), [4, 5]);
+}
+
+proptest! {
+    #[test]
+    fn evacuations_are_decoded_as_they_were_sent(
+        end in any::<u64>(),
+        zones in prop::collection::btree_map(".{0,20}", any::<u64>(), 0..5),
+    ) {
+        let datagram = Datagram::Evacuations(Evacuations { end, zones });
+
+        prop_assert_eq!(decode(&encode(&datagram)), Ok(datagram));
+    }
+
+    #[test]
+    fn a_truncated_state_is_rejected(end in any::<u64>(), cut in 1_usize..4) {
+        let state = Evacuations { end, zones: [("north".to_owned(), 3)].into() };
+        let bytes = encode(&Datagram::Evacuations(state));
+
+        prop_assert!(decode(&bytes[..bytes.len() - cut]).is_err());
+    }
+}
--- a/hostd/src/agent.rs
+++ b/hostd/src/agent.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use guard::{Answer, Call, CallKind, Effect, Event, Guard, Heartbeat, Rejection};
+use guard::{Answer, Call, CallKind, Effect, Event, Guard, Heartbeat, Rejection, ZoneState};
 use mesh::{Datagram, Uptime};
 use platform::EndpointClient;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
@@ -19,9 +19,18 @@
     cmd::Input,
     datagrams::DatagramSocket,
     discovery::Discovery,
+    evacuations::{EvacuationTracker, Source},
     metrics::{CallRejection, Metrics, Outcome},
 };
 
+/// Time after its start for which an agent that has not learned of any evacuations takes no work,
+/// in ms.
+///
+/// A restarted agent learns them from the store or an informed entry well within that time; it
+/// must not start tasks in an evacuated zone before. If the store is down and no zone is
+/// evacuated, nobody tells it, and it takes work afterwards.
+const STARTUP_HOLD_MS: u64 = 1_000;
+
 /// Messages of the actor.
 pub(crate) enum Message {
     /// Input common to both roles.
@@ -50,6 +59,11 @@
 pub(crate) struct Dependencies {
     pub(crate) guard: Guard,
     pub(crate) discovery: Discovery,
+    pub(crate) evacuations: EvacuationTracker,
+    /// Set while the settings enable evacuations.
+    pub(crate) follows_evacuations: watch::Sender<bool>,
+    /// Start of the process.
+    pub(crate) started: Uptime,
     pub(crate) datagrams: DatagramSocket,
     pub(crate) endpoint: EndpointClient,
     pub(crate) metrics: Arc<Metrics>,
@@ -59,6 +73,8 @@
 /// State of the actor.
 pub(crate) struct State {
     deps: Dependencies,
+    /// State of the zone that the core knows.
+    zone: ZoneState,
     myself: ActorRef<Message>,
 }
 
@@ -72,7 +88,9 @@
         myself: ActorRef<Message>,
         deps: Dependencies,
     ) -> Result<State, ActorProcessingErr> {
-        Ok(State { deps, myself })
+        let mut state = State { deps, zone: ZoneState::Served, myself };
+        state.apply_evacuations(uptime());
+        Ok(state)
     }
 
     async fn handle(
@@ -105,14 +123,26 @@
             Input::Members(members) => {
                 self.deps.discovery.add_members(now, members);
             }
-            Input::Settings(settings) => self.deps.discovery.update_settings(&settings),
+            Input::Evacuations(state) => {
+                self.deps.evacuations.on_state(now, Source::Store, state);
+                self.apply_evacuations(now);
+            }
+            Input::Settings(settings) => {
+                self.deps.discovery.update_settings(&settings);
+                self.deps.evacuations.update_settings(&settings);
+                self.deps.follows_evacuations.send_replace(self.deps.evacuations.is_active());
+                self.apply_evacuations(now);
+            }
             Input::Tick => {
                 self.deps.discovery.tick(now);
+                self.apply_evacuations(now);
                 self.handle_event(now, Event::Tick);
                 self.deps.metrics.active.set(self.deps.guard.active() as i64);
                 self.deps.metrics.open.set(i64::from(self.deps.guard.accepts_work(now)));
                 let doubtful = &self.deps.metrics.doubtful;
                 doubtful.inc_by(self.deps.guard.doubtful_runs() - doubtful.get());
+                let refusals = &self.deps.metrics.evacuation_refusals;
+                refusals.inc_by(self.deps.guard.evacuation_refusals() - refusals.get());
             }
             Input::Stop => self.handle_event(now, Event::Shutdown),
         }
@@ -127,12 +157,38 @@
             Datagram::Hello(hello) => {
                 self.deps.discovery.on_hello(now, hello);
             }
+            Datagram::Evacuations(state) => {
+                self.deps.discovery.mark_heard(now, from);
+                self.deps.evacuations.on_datagram(now, from, state);
+                self.apply_evacuations(now);
+            }
+            // Agents send no state that could be confirmed.
+            Datagram::EvacuationsSeen { .. } => {}
             Datagram::Agent(_) => {
                 log::warn!(from:% = from; "ignoring a report that another agent sent")
             }
         }
     }
 
+    /// Tells the core whether the zone of this agent is evacuated.
+    fn apply_evacuations(&mut self, now: Uptime) {
+        let evacuations = &self.deps.evacuations;
+        let own = self.deps.discovery.members().own();
+        let is_starting = now.since(self.deps.started) < STARTUP_HOLD_MS;
+        let zone = if evacuations.is_evacuated(&own.zone) {
+            ZoneState::Evacuated
+        } else if evacuations.is_active() && !evacuations.is_known() && is_starting {
+            ZoneState::Unknown
+        } else {
+            ZoneState::Served
+        };
+        if self.zone != zone {
+            log::info!(before:? = self.zone, zone:? = zone; "the zone of this agent has changed");
+            self.zone = zone;
+            self.handle_event(now, Event::Zone(zone));
+        }
+    }
+
     fn handle_event(&mut self, now: Uptime, event: Event) {
         for effect in self.deps.guard.handle(now, event) {
             match effect {
--- a/hostd/src/cmd.rs
+++ b/hostd/src/cmd.rs
@@ -11,7 +11,7 @@
 };
 
 use eyre::{Result, eyre};
-use mesh::{Datagram, Member, Role, Uptime};
+use mesh::{Datagram, Evacuations, Member, Role, Uptime};
 use platform::{HostSettings, Store};
 use tokio::{
     net::TcpListener,
@@ -24,6 +24,7 @@
     clock::uptime,
     datagrams::DatagramSocket,
     discovery::{Discovery, follow_members, register_member},
+    evacuations::EvacuationTracker,
     http::{ConnectionLimits, listen},
     metrics::{Metrics, serve_metrics},
     signals::{SignalAction, Signals},
@@ -71,6 +72,8 @@
     Datagram(SocketAddrV4, Datagram),
     /// Members that are registered in the store.
     Members(Vec<Member>),
+    /// Evacuated zones were read from the store.
+    Evacuations(Evacuations),
     /// The settings have changed.
     Settings(Box<HostSettings>),
     /// Periodic tick.
@@ -143,6 +146,11 @@
         Discovery::new(self.started, own, &self.settings, datagrams, rand::random())
     }
 
+    /// Creates the tracker of evacuated zones.
+    fn evacuations(&self) -> EvacuationTracker {
+        EvacuationTracker::new(&self.settings, self.datagrams.clone(), Arc::clone(&self.metrics))
+    }
+
     /// Listens at an address that the role requires in the settings.
     fn listen(&self, address: Option<SocketAddr>, purpose: &str) -> Result<TcpListener> {
         let name = &self.settings.name;
--- a/hostd/src/cmd/agent.rs
+++ b/hostd/src/cmd/agent.rs
@@ -7,11 +7,12 @@
 use ractor::Actor;
 use tokio::sync::watch;
 
-use super::{INTERNAL_LIMITS, Process};
+use super::{INTERNAL_LIMITS, Input, Process};
 use crate::{
     agent::{AgentActor, Dependencies, Message},
     cli::Arguments,
     clock::unix_ms,
+    evacuations::follow_evacuations,
     heartbeats::HeartbeatService,
     http::serve,
 };
@@ -26,9 +27,13 @@
         fencing_token: unix_ms(),
         timing: Timing::default(),
     };
+    let (follows_evacuations, active) = watch::channel(process.settings.evacuation.is_some());
     let deps = Dependencies {
         guard: Guard::new(process.started, options),
         discovery: process.discovery(),
+        evacuations: process.evacuations(),
+        follows_evacuations,
+        started: process.started,
         datagrams: process.datagrams.clone(),
         endpoint: EndpointClient::new(),
         metrics: process.metrics.clone(),
@@ -38,6 +43,12 @@
         .await
         .context("the actor of the agent cannot be started")?;
 
+    let evacuation_actor = actor.clone();
+    let sink = move |state| {
+        let message = Message::Input(Input::Evacuations(state));
+        evacuation_actor.cast(message).is_ok()
+    };
+    tokio::spawn(follow_evacuations(process.store.clone(), active, sink));
     let service = HeartbeatService::new(actor.clone());
     let handle = move |request| service.clone().handle(request);
     tokio::spawn(serve(heartbeats, INTERNAL_LIMITS, process.closing.clone(), handle));
--- a/hostd/src/cmd/entry.rs
+++ b/hostd/src/cmd/entry.rs
@@ -50,6 +50,7 @@
     let deps = Dependencies {
         broker: Broker::new(process.started, options),
         discovery: process.discovery(),
+        evacuations: process.evacuations(),
         datagrams: process.datagrams.clone(),
         metrics: process.metrics.clone(),
         ready: Arc::clone(&ready),
@@ -60,7 +61,13 @@
         .context("the actor of the entry cannot be started")?;
 
     let reader = ConfigReader::new(process.store.clone());
-    tokio::spawn(follow_config(reader, Arc::clone(&current_config), process.metrics.clone()));
+    let config_actor = actor.clone();
+    let sink = move |state| {
+        // The cast fails only once the actor has stopped, at the end of the process.
+        let _ = config_actor.cast(Message::Input(Input::Evacuations(state)));
+    };
+    let (current, metrics) = (Arc::clone(&current_config), process.metrics.clone());
+    tokio::spawn(follow_config(reader, current, metrics, sink));
 
     let limits = Limits::default();
     let limits = ConnectionLimits {
--- a/hostd/src/config.rs
+++ b/hostd/src/config.rs
@@ -3,7 +3,8 @@
 use std::sync::{Arc, PoisonError, RwLock};
 
 use broker::Config;
-use platform::ConfigReader;
+use mesh::Evacuations;
+use platform::{ConfigReader, OperatorUpdate};
 
 use crate::metrics::Metrics;
 
@@ -24,14 +25,22 @@
     }
 }
 
-/// Applies each newer configuration for as long as the process runs.
+/// Applies each newer configuration, and passes newer evacuations to `sink`, for as long as the
+/// process runs.
 pub(crate) async fn follow_config(
     mut reader: ConfigReader,
     current: Arc<CurrentConfig>,
     metrics: Arc<Metrics>,
+    mut sink: impl FnMut(Evacuations),
 ) {
     loop {
-        let config = reader.next().await;
+        let config = match reader.next().await {
+            OperatorUpdate::Config(config) => config,
+            OperatorUpdate::Evacuations(state) => {
+                sink(state);
+                continue;
+            }
+        };
         log::info!(
             version = config.version, offset = config.offset, routes = config.routes.len();
             "a configuration is in force"
--- a/hostd/src/discovery.rs
+++ b/hostd/src/discovery.rs
@@ -21,11 +21,11 @@
 /// Time after the start during which [`STARTUP_HELLO_MS`] applies, in ms.
 const STARTUP_MS: u64 = 3_000;
 /// Delay before a call to the store is retried; doubles for each failed registration.
-const RETRY_DELAY: Duration = Duration::from_millis(400);
+pub(crate) const RETRY_DELAY: Duration = Duration::from_millis(400);
 /// Delay before the members are read from the store a second time; doubles with each read.
-const FIRST_READ_DELAY: Duration = Duration::from_millis(300);
+pub(crate) const FIRST_READ_DELAY: Duration = Duration::from_millis(300);
 /// Maximum interval between reads of the members from the store.
-const MAX_READ_INTERVAL: Duration = Duration::from_secs(10);
+pub(crate) const MAX_READ_INTERVAL: Duration = Duration::from_secs(10);
 /// Maximum number of undecodable records that a process logs.
 const MAX_LOGGED_RECORDS: usize = 64;
 /// Maximum delay before a registration in the store is retried.
@@ -58,6 +58,11 @@
         }
     }
 
+    /// Members that were discovered.
+    pub(crate) fn members(&self) -> &Members {
+        &self.members
+    }
+
     /// Replaces the seeds by those of the new settings.
     pub(crate) fn update_settings(&mut self, settings: &HostSettings) {
         self.members.set_seeds(settings.seeds.clone());
--- a/hostd/src/entry.rs
+++ b/hostd/src/entry.rs
@@ -4,7 +4,7 @@
 //! callers that wait for an answer.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     net::SocketAddrV4,
     sync::{
         Arc,
@@ -18,7 +18,12 @@
 use tokio::sync::{oneshot, watch};
 
 use crate::{
-    clock::uptime, cmd::Input, datagrams::DatagramSocket, discovery::Discovery, metrics::Metrics,
+    clock::uptime,
+    cmd::Input,
+    datagrams::DatagramSocket,
+    discovery::Discovery,
+    evacuations::{EvacuationTracker, Source},
+    metrics::Metrics,
 };
 
 /// Messages of the actor.
@@ -51,6 +56,7 @@
 pub(crate) struct Dependencies {
     pub(crate) broker: Broker,
     pub(crate) discovery: Discovery,
+    pub(crate) evacuations: EvacuationTracker,
     pub(crate) datagrams: DatagramSocket,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) ready: Arc<AtomicBool>,
@@ -62,6 +68,8 @@
     deps: Dependencies,
     /// Callers that wait for an answer, by request number.
     callers: HashMap<u64, Caller>,
+    /// Evacuated zones that the core knows.
+    evacuated: BTreeSet<String>,
     stopping: bool,
 }
 
@@ -80,7 +88,7 @@
         _myself: ActorRef<Message>,
         deps: Dependencies,
     ) -> Result<State, ActorProcessingErr> {
-        Ok(State { deps, callers: HashMap::new(), stopping: false })
+        Ok(State { deps, callers: HashMap::new(), evacuated: BTreeSet::new(), stopping: false })
     }
 
     async fn handle(
@@ -128,7 +136,15 @@
                 let new = self.deps.discovery.add_members(now, members);
                 self.add_members(now, new);
             }
-            Input::Settings(settings) => self.deps.discovery.update_settings(&settings),
+            Input::Evacuations(state) => {
+                self.deps.evacuations.on_state(now, Source::Store, state);
+                self.apply_evacuations(now);
+            }
+            Input::Settings(settings) => {
+                self.deps.discovery.update_settings(&settings);
+                self.deps.evacuations.update_settings(&settings);
+                self.apply_evacuations(now);
+            }
             Input::Tick => self.on_tick(now),
             Input::Stop => {
                 self.stopping = true;
@@ -142,20 +158,43 @@
         match datagram {
             Datagram::Agent(frame) => {
                 self.deps.discovery.mark_heard(now, from);
+                self.deps.evacuations.observe(from, frame.sender);
                 self.handle_event(now, Event::Frame { from, frame });
             }
             Datagram::Hello(hello) => {
                 let from = hello.from.clone();
+                if hello.ask {
+                    self.deps.evacuations.on_hello(from.address);
+                }
                 let new = self.deps.discovery.on_hello(now, hello);
                 self.add_members(now, new);
                 self.announce_agent(now, from);
             }
+            Datagram::Evacuations(state) => {
+                self.deps.discovery.mark_heard(now, from);
+                self.deps.evacuations.on_datagram(now, from, state);
+                self.apply_evacuations(now);
+            }
+            Datagram::EvacuationsSeen { end } => {
+                self.deps.discovery.mark_heard(now, from);
+                self.deps.evacuations.on_seen(from, end);
+            }
             Datagram::Entry(_) => {
                 log::warn!(from:% = from; "ignoring an order that another entry sent")
             }
         }
     }
 
+    /// Tells the core and all members of evacuated zones that have changed.
+    fn apply_evacuations(&mut self, now: Uptime) {
+        let zones = self.deps.evacuations.zones();
+        if zones != self.evacuated {
+            self.evacuated = zones.clone();
+            self.handle_event(now, Event::Evacuated { zones });
+        }
+        self.deps.evacuations.tell_members(now, self.deps.discovery.members());
+    }
+
     /// Logs new members and announces agents among them to the core.
     fn add_members(&mut self, now: Uptime, members: Vec<Member>) {
         for member in members {
@@ -174,6 +213,9 @@
 
     fn on_tick(&mut self, now: Uptime) {
         self.deps.discovery.tick(now);
+        let members = self.deps.discovery.members();
+        self.deps.evacuations.tell_members(now, members);
+        self.deps.evacuations.check_zones(now, members);
         self.handle_event(now, Event::Tick);
         let agents = self.deps.broker.available_agents();
         self.deps.ready.store(agents > 0 && !self.stopping, Ordering::Relaxed);
--- /dev/null
+++ b/hostd/src/evacuations.rs
@@ -0,0 +1,213 @@
+//! Evacuated availability zones that a process knows, and its messages about them.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+    net::SocketAddrV4,
+    sync::Arc,
+};
+
+use evacuation::{ChangeKind, Knowledge, Spread};
+use mesh::{Datagram, Evacuations, Members, Role, Uptime};
+use platform::{EvacuationLog, HostSettings, Store, read_evacuations};
+use tokio::{sync::watch, time::sleep};
+
+use crate::{
+    datagrams::DatagramSocket,
+    discovery::{FIRST_READ_DELAY, MAX_READ_INTERVAL, RETRY_DELAY},
+    metrics::Metrics,
+};
+
+/// Time after which an evacuated zone that no member is in is taken for a mistake, in ms; members
+/// are discovered within a few seconds of the start.
+const UNKNOWN_ZONE_MS: u64 = 5_000;
+
+/// Where a state comes from.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Source {
+    /// The operator's log.
+    Store,
+    /// The process at this address.
+    Process(SocketAddrV4),
+}
+
+impl fmt::Display for Source {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Source::Store => f.write_str("store"),
+            Source::Process(address) => write!(f, "{address}"),
+        }
+    }
+}
+
+/// Evacuated zones of a process.
+pub(crate) struct EvacuationTracker {
+    /// Whether the settings enable evacuations.
+    active: bool,
+    knowledge: Knowledge,
+    spread: Spread,
+    /// Evacuated zones in which no member is known, with the time at which each appeared; none once
+    /// it was logged.
+    unknown: BTreeMap<String, Option<Uptime>>,
+    datagrams: DatagramSocket,
+    metrics: Arc<Metrics>,
+}
+
+impl EvacuationTracker {
+    /// Creates a tracker that knows no evacuation.
+    pub(crate) fn new(
+        settings: &HostSettings,
+        datagrams: DatagramSocket,
+        metrics: Arc<Metrics>,
+    ) -> EvacuationTracker {
+        EvacuationTracker {
+            active: settings.evacuation.is_some(),
+            knowledge: Knowledge::default(),
+            spread: Spread::default(),
+            unknown: BTreeMap::new(),
+            datagrams,
+            metrics,
+        }
+    }
+
+    /// Applies new settings.
+    pub(crate) fn update_settings(&mut self, settings: &HostSettings) {
+        self.active = settings.evacuation.is_some();
+        self.set_metrics();
+    }
+
+    /// Whether the settings enable evacuations.
+    pub(crate) fn is_active(&self) -> bool {
+        self.active
+    }
+
+    /// Whether any state was read or received.
+    pub(crate) fn is_known(&self) -> bool {
+        self.knowledge.state().is_some()
+    }
+
+    /// Evacuated zones; empty while the settings do not enable evacuations.
+    pub(crate) fn zones(&self) -> BTreeSet<String> {
+        if self.active { self.knowledge.zones() } else { BTreeSet::new() }
+    }
+
+    /// Whether a zone is evacuated.
+    pub(crate) fn is_evacuated(&self, zone: &str) -> bool {
+        self.active && self.knowledge.is_evacuated(zone)
+    }
+
+    /// Takes a state over if it is newer.
+    pub(crate) fn on_state(&mut self, now: Uptime, source: Source, state: Evacuations) {
+        let end = state.end;
+        for change in self.knowledge.merge(now, state).unwrap_or_default() {
+            let (zone, offset) = (change.zone.as_str(), change.offset);
+            if !self.active {
+                continue;
+            }
+            match change.kind {
+                ChangeKind::Evacuated => {
+                    log::info!(zone = zone, offset = offset, end = end, source:% = source; "a zone is evacuated");
+                    self.unknown.insert(change.zone, Some(now));
+                }
+                ChangeKind::TakenBack { known_ms } => {
+                    log::info!(zone = zone, offset = offset, end = end, source:% = source, known_ms = known_ms; "a zone is taken back");
+                    self.unknown.remove(zone);
+                }
+            }
+        }
+        self.set_metrics();
+    }
+
+    /// Takes over the state that another process sent, and confirms it.
+    pub(crate) fn on_datagram(&mut self, now: Uptime, from: SocketAddrV4, state: Evacuations) {
+        if !self.active {
+            return;
+        }
+        self.spread.confirm(from, state.end);
+        self.on_state(now, Source::Process(from), state);
+        let end = self.knowledge.end();
+        self.datagrams.send(from, &Datagram::EvacuationsSeen { end });
+    }
+
+    /// Records that another process has a state with this end.
+    pub(crate) fn on_seen(&mut self, from: SocketAddrV4, end: u64) {
+        self.spread.confirm(from, end);
+    }
+
+    /// Records the incarnation of a member in its frame.
+    pub(crate) fn observe(&mut self, from: SocketAddrV4, incarnation: u64) {
+        self.spread.observe(from, incarnation);
+    }
+
+    /// Tells a member again that asks for members, as a process does after its start.
+    pub(crate) fn on_hello(&mut self, from: SocketAddrV4) {
+        self.spread.recheck(from);
+    }
+
+    /// Sends the state to the members that are due it.
+    pub(crate) fn tell_members(&mut self, now: Uptime, members: &Members) {
+        let Some(state) = self.knowledge.state().filter(|_| self.active) else { return };
+        if !self.knowledge.is_told(now) {
+            self.spread.clear();
+            return;
+        }
+        let all = [Role::Agent, Role::Entry].into_iter().flat_map(|it| members.with_role(it));
+        let due = self.spread.due(now, state.end, all.map(|it| it.address));
+        if due.is_empty() {
+            return;
+        }
+        let datagram = Datagram::Evacuations(state.clone());
+        for address in due {
+            self.datagrams.send(address, &datagram);
+        }
+    }
+
+    /// Warns of evacuated zones that hold no known member.
+    pub(crate) fn check_zones(&mut self, now: Uptime, members: &Members) {
+        if self.unknown.is_empty() {
+            return;
+        }
+        let all = [Role::Agent, Role::Entry].into_iter().flat_map(|it| members.with_role(it));
+        let named: BTreeSet<_> = all.chain([members.own()]).map(|it| it.zone.as_str()).collect();
+        self.unknown.retain(|zone, _| !named.contains(zone.as_str()));
+        for (zone, since) in &mut self.unknown {
+            if since.take_if(|it| now.since(*it) >= UNKNOWN_ZONE_MS).is_some() {
+                log::warn!(zone = zone.as_str(); "an evacuated zone has no known member; its evacuation has no effect");
+            }
+        }
+    }
+
+    fn set_metrics(&self) {
+        self.metrics.evacuated_zones.set(self.zones().len() as i64);
+        let end = if self.active { self.knowledge.end() } else { 0 };
+        self.metrics.evacuations_offset.set(i64::try_from(end).unwrap_or(i64::MAX));
+    }
+}
+
+/// Reads the evacuated zones from the store while `active` is set, and passes them to `sink`.
+///
+/// An agent normally hears of an evacuation from the entries. These reads are the fallback, at the
+/// same intervals as the reads of the members. Ends when `sink` returns false.
+pub(crate) async fn follow_evacuations(
+    store: Store,
+    mut active: watch::Receiver<bool>,
+    mut sink: impl FnMut(Evacuations) -> bool,
+) {
+    let mut log = EvacuationLog::default();
+    let mut delay = FIRST_READ_DELAY;
+    while active.wait_for(|it| *it).await.is_ok() {
+        match read_evacuations(&store, &mut log).await {
+            Ok(state) => {
+                if state.is_some_and(|it| !sink(it)) {
+                    return;
+                }
+                sleep(delay).await;
+                delay = (delay * 2).min(MAX_READ_INTERVAL);
+            }
+            Err(err) => {
+                log::warn!(error:% = err; "reading the evacuations from the store failed; retrying");
+                sleep(RETRY_DELAY).await;
+            }
+        }
+    }
+}
--- a/hostd/src/main.rs
+++ b/hostd/src/main.rs
@@ -9,6 +9,7 @@
 mod datagrams;
 mod discovery;
 mod entry;
+mod evacuations;
 mod heartbeats;
 mod http;
 mod metrics;
--- a/hostd/src/metrics.rs
+++ b/hostd/src/metrics.rs
@@ -44,6 +44,12 @@
     pub(crate) watched: Gauge,
     /// Version of the configuration in force.
     pub(crate) version: Gauge,
+    /// Evacuated availability zones.
+    pub(crate) evacuated_zones: Gauge,
+    /// Offset up to which the evacuations are known.
+    pub(crate) evacuations_offset: Gauge,
+    /// Runs that were refused because the agent's zone is evacuated.
+    pub(crate) evacuation_refusals: Counter,
     /// Calls to the endpoint, by outcome.
     pub(crate) calls: Family<Outcome, Counter>,
     /// Calls that the endpoint rejected, by operation and reason.
@@ -101,6 +107,9 @@
             agents: Gauge::default(),
             watched: Gauge::default(),
             version: Gauge::default(),
+            evacuated_zones: Gauge::default(),
+            evacuations_offset: Gauge::default(),
+            evacuation_refusals: Counter::default(),
             calls: Family::default(),
             rejections: Family::default(),
             doubtful: Counter::default(),
@@ -124,6 +133,21 @@
             metrics.watched.clone(),
         );
         registry.register("config_version", "Configuration in force", metrics.version.clone());
+        registry.register(
+            "evacuated_zones",
+            "Availability zones that are evacuated",
+            metrics.evacuated_zones.clone(),
+        );
+        registry.register(
+            "evacuations_offset",
+            "Offset up to which the evacuations are known",
+            metrics.evacuations_offset.clone(),
+        );
+        registry.register(
+            "evacuation_refusals",
+            "Runs refused because the zone is evacuated",
+            metrics.evacuation_refusals.clone(),
+        );
         registry.register("endpoint_calls", "Calls of the endpoint", metrics.calls.clone());
         registry.register(
             "endpoint_rejections",
--- a/hostd/tests/processes/deployment.rs
+++ b/hostd/tests/processes/deployment.rs
@@ -35,6 +35,10 @@
 const DEFAULT_TIMEOUT_MS: u64 = 15_000;
 /// Capacity of an executor, in thousandths of a core.
 pub(crate) const EXECUTOR_CPU: u64 = 2_000;
+/// Time after which nothing may start in an evacuated zone, in ms.
+const EVACUATION_MS: u64 = 5_000;
+/// Zones of a deployment without evacuations.
+pub(crate) const ONE_ZONE: [&str; 1] = ["z"];
 /// Service that all executors provide.
 const SERVICE: &str = "desk";
 /// Host name in the requests of callers.
@@ -67,6 +71,9 @@
     pub(crate) target: u64,
     /// Seed of the proxies between all processes; none runs without proxies.
     pub(crate) proxies: Option<u64>,
+    /// Availability zones, to which the hosts belong in turn; evacuations are enabled if there are
+    /// several.
+    pub(crate) zones: &'static [&'static str],
 }
 
 /// Proxies between the processes.
@@ -97,13 +104,13 @@
 impl Deployment {
     /// Starts a deployment with one entry and waits until it serves jobs.
     pub(crate) async fn start(net: [u8; 2], agents: usize) -> Deployment {
-        let layout = Layout { entries: 1, agents, target: 5_000, proxies: None };
+        let layout = Layout { entries: 1, agents, target: 5_000, proxies: None, zones: &ONE_ZONE };
         Deployment::start_with(net, layout).await
     }
 
     /// Starts a deployment on the addresses `127.{net}.*` and waits until it serves jobs.
     pub(crate) async fn start_with(net: [u8; 2], layout: Layout) -> Deployment {
-        let Layout { entries, agents, target, proxies: seed } = layout;
+        let Layout { entries, agents, target, proxies: seed, zones } = layout;
         let ip = |host: usize| {
             let host = u8::try_from(host).expect("a host of the deployment");
             Ipv4Addr::new(127, net[0], net[1], host)
@@ -161,6 +168,8 @@
             }
             hosts.push(HostSettings {
                 name: format!("host-{host}"),
+                zone: zones[host % zones.len()].to_owned(),
+                evacuation: (zones.len() > 1).then_some(EVACUATION_MS),
                 ip: ip(host + 1).into(),
                 mesh_port,
                 caller_port,
@@ -313,7 +322,7 @@
         }
     }
 
-    fn kill_all(&mut self) {
+    pub(crate) fn kill_all(&mut self) {
         for process in &mut self.processes {
             process.kill();
         }
--- a/hostd/tests/processes/main.rs
+++ b/hostd/tests/processes/main.rs
@@ -1,6 +1,7 @@
 //! End-to-end tests of the daemon: real processes on loopback with stand-ins of the platform.
 
 mod deployment;
+mod evacuation;
 mod invariants;
 mod process;
 mod proxy;
--- a/hostd/tests/processes/soak/mod.rs
+++ b/hostd/tests/processes/soak/mod.rs
@@ -18,7 +18,7 @@
     traffic::Traffic,
 };
 use crate::{
-    deployment::{Deployment, Layout},
+    deployment::{Deployment, Layout, ONE_ZONE},
     invariants::violations,
     proxy::{DatagramFault, StreamFault},
 };
@@ -110,8 +110,13 @@
 
 /// Runs a deployment with the faults of one seed.
 async fn run_seed(seed: u64, net: [u8; 2], plan: Plan) {
-    let layout =
-        Layout { entries: ENTRIES, agents: AGENTS, target: TARGET_MS, proxies: Some(seed) };
+    let layout = Layout {
+        entries: ENTRIES,
+        agents: AGENTS,
+        target: TARGET_MS,
+        proxies: Some(seed),
+        zones: &ONE_ZONE,
+    };
     let mut deployment = Deployment::start_with(net, layout).await;
     let steps = plan(seed, ENTRIES, AGENTS);
     for (executor, rate) in deployment.executors.iter().zip(plan::clock_rates(seed)) {
