Let tasks wait for the rack of their data by the settings' factor

Placement counted a run away from the rack of its data as 50 % longer whatever the deployment, and a task whose rack was full went elsewhere at once. With bounds.remoteFactor the penalty follows the setting, and a task waits for its rack if it ends sooner there, counted with the delay of the tasks behind it. Tasks that name no rack keep off one in demand while there is room elsewhere. Orders and learned run times take the factor into account, so that endpoints with remote runs don't count as slow.

Without the setting, placement is as before.

--- a/components/broker/src/broker.rs
+++ b/components/broker/src/broker.rs
@@ -22,6 +22,7 @@
         MIN_BACKGROUND_PROBE_MS, SETTLE_MS, SHUTDOWN_MIN_MS, SHUTDOWN_TIMEOUT_MS, SUSPENDED_MS,
         WATCH_INTERVAL_MS,
     },
+    locality::Locality,
     policy::Policy,
     queue::{JobKey, Queue},
     share::Shares,
@@ -39,6 +40,9 @@
     pub seed: u64,
     /// Time since an agent was last heard after which all its runs have ended, in ms.
     pub run_expiry: u64,
+    /// Run time of a task away from the rack of its data, in percent of that on the rack; none if
+    /// the settings do not give it.
+    pub remote_percent: Option<u32>,
     /// Parameters of scheduling and admission.
     pub policy: Policy,
 }
@@ -174,11 +178,14 @@
     /// Mean slowdown of the endpoints, in percent.
     mean_slowdown: u64,
     shares: Shares,
+    locality: Locality,
     answered: HashMap<JobId, Answered>,
     /// When answered jobs are removed from `answered`, in order.
     expirations: VecDeque<(Uptime, JobId)>,
     /// Free capacity or the queue has changed since the last placement.
     placement_due: bool,
+    /// At the last placement, a task waited for the rack of its data only.
+    rack_awaited: bool,
     /// Last time at which an endpoint was available, initially the start.
     last_available: Uptime,
     /// Until when agents that are known and not heard yet count as available.
@@ -210,9 +217,11 @@
             estimates: Estimates::default(),
             mean_slowdown: 100,
             shares: Shares::default(),
+            locality: Locality::new(now, options.remote_percent),
             answered: HashMap::new(),
             expirations: VecDeque::new(),
             placement_due: false,
+            rack_awaited: false,
             last_available: now,
             settles_at: now + SETTLE_MS,
             last_event: now,
@@ -248,6 +257,11 @@
         std::mem::take(&mut self.effects)
     }
 
+    /// Takes the factor of [`Options::remote_percent`] from changed settings.
+    pub fn set_remote_percent(&mut self, remote_percent: Option<u32>) {
+        self.locality.set_remote_percent(remote_percent);
+    }
+
     /// State of a job; none for one that is unknown, was refused or was given up.
     pub fn status(&self, job: JobId) -> Option<Status> {
         if let Some(job) = self.by_id.get(&job).and_then(|key| self.jobs.get(*key)) {
@@ -282,6 +296,15 @@
         (self.jobs.len(), self.queue.len())
     }
 
+    /// Number of tasks that wait for the rack of their data and could run elsewhere.
+    pub fn tasks_waiting_for_rack(&self) -> usize {
+        if !self.rack_awaited {
+            return 0;
+        }
+        let tasks = self.queue.iter().filter_map(|key| self.jobs.get(key)).flat_map(|it| &it.tasks);
+        tasks.filter(|it| it.waits_for_rack.is_some()).count()
+    }
+
     /// Gives up all jobs in progress if the host was suspended since the last event.
     ///
     /// Agents have stopped the runs by then, and callers may have retried at another entry.
@@ -320,6 +343,8 @@
             self.last_available = now;
         }
         self.check_jobs(now);
+        // A task gives up the wait for its rack after some time, also without news of room.
+        self.placement_due |= self.rack_awaited;
         while let Some((at, job)) = self.expirations.front().copied()
             && at <= now
         {
--- a/components/broker/src/broker/jobs.rs
+++ b/components/broker/src/broker/jobs.rs
@@ -51,6 +51,12 @@
             return None;
         }
         self.shares.record_arrival(&job.submission.route.name, job.latest_start.since(now));
+        for step in &job.submission.steps {
+            let route = &job.submission.route;
+            let run_time = self.estimates.expected(&route.name, step.declared);
+            let work = u64::from(step.count) * u64::from(step.cpu) * u64::from(run_time);
+            self.locality.record_arrival(now, &route.service, step, work);
+        }
         let rank = job.rank;
         let key = self.jobs.insert(job);
         self.by_id.insert(id, key);
@@ -63,8 +69,9 @@
     /// Admits a new job, or refuses it if it is predicted to start too late.
     pub(super) fn admit(&mut self, now: Uptime, key: JobKey) {
         let Some(job) = self.jobs.get(key) else { return };
-        self.shares.record_wait(job.is_waiting());
-        if !job.is_waiting() || !job.cannot_have_run() {
+        let waits = job.waits_for_any_room();
+        self.shares.record_wait(waits);
+        if !waits || !job.cannot_have_run() {
             self.record_admission(now, key);
             return;
         }
--- a/components/broker/src/broker/placement.rs
+++ b/components/broker/src/broker/placement.rs
@@ -13,8 +13,9 @@
 use super::Broker;
 use crate::{
     agents::Agents,
-    candidates::Candidates,
-    job::{Job, TaskState},
+    candidates::{Candidates, Choice, OwnUse, Placing},
+    estimate::Estimates,
+    job::{Job, Submission, TaskState},
     limits::{WAIT_NOTICE_AGENTS, WAIT_NOTICE_INTERVAL_MS},
     queue::JobKey,
 };
@@ -23,13 +24,16 @@
     /// Places waiting tasks, job by job in the order of the queue.
     ///
     /// If not all waiting tasks of a job can be placed, later jobs of its service wait behind it:
-    /// there is no backfilling.
+    /// there is no backfilling. Tasks that wait only for the rack of their data hold up no
+    /// other job.
     pub(super) fn place(&mut self, now: Uptime) {
         if !std::mem::take(&mut self.placement_due) || self.queue.is_empty() {
             return;
         }
+        let own_use = self.own_use();
         let mut candidates: HashMap<String, Candidates<'_>> = HashMap::new();
         let mut blocked_services: HashSet<String> = HashSet::new();
+        self.rack_awaited = false;
         let mut placed = Vec::new();
         let mut assignments = Vec::new();
         for key in self.queue.iter() {
@@ -39,19 +43,29 @@
                 continue;
             }
             let candidates = candidates.entry(route.service.clone()).or_insert_with(|| {
-                Candidates::new(&self.agents, now, &route.service, &self.options.zone)
+                Candidates::new(
+                    &self.agents,
+                    now,
+                    &route.service,
+                    &self.options.zone,
+                    &self.locality,
+                )
             });
-            let (complete, mut assigned) = place_job(job, key, candidates, &mut self.rng);
+            let context = Context { now, estimates: &self.estimates, own_use: &own_use };
+            let (outcome, mut assigned) = place_job(job, key, candidates, &context, &mut self.rng);
             if !assigned.is_empty() {
                 log_placed(now, job, &assigned, &self.agents);
             }
             assignments.append(&mut assigned);
-            if complete {
-                placed.push((job.rank, key));
-            } else {
-                blocked_services.insert(route.service.clone());
+            match outcome {
+                Outcome::Complete => placed.push((job.rank, key)),
+                Outcome::WaitsForRack => self.rack_awaited = true,
+                Outcome::NoRoom => {
+                    blocked_services.insert(route.service.clone());
+                }
             }
         }
+        let no_room = !blocked_services.is_empty();
         for (rank, key) in placed {
             self.queue.remove(rank, key);
         }
@@ -59,16 +73,43 @@
             self.send_order(assignment);
         }
         if !self.queue.is_empty() {
-            self.seek_capacity(now);
+            self.seek_capacity(now, no_room);
         }
     }
 
-    /// Widens the subset of watched agents, and tells some of them that jobs wait.
+    /// Capacity that runs of this entry use; empty while no task waits that names a rack, or if the
+    /// settings do not give what it loses elsewhere.
+    fn own_use(&self) -> OwnUse {
+        let mut own_use = OwnUse::new();
+        let mut waiting = self.queue.iter().filter_map(|key| self.jobs.get(key));
+        let names_rack = |job: &Job| job.submission.steps.iter().any(|it| it.rack.is_some());
+        if !self.locality.is_active() || !waiting.any(names_rack) {
+            return own_use;
+        }
+        for job in self.jobs.values() {
+            let Submission { route, steps, .. } = &job.submission;
+            for (agent, run) in job.placed() {
+                let step = &steps[usize::from(run.step)];
+                let Some(report) = self.agents.get(&agent).map(|it| &it.report) else { continue };
+                let remote = report.endpoint.as_ref();
+                let remote = remote.map_or(100, |it| self.locality.run_percent(step, it));
+                let expected = u64::from(self.estimates.expected(&route.name, step.declared));
+                let run_time = expected * u64::from(report.slowness.max(1)) * remote / 10_000;
+                let used = own_use.entry(agent).or_default();
+                used.cpu += f64::from(step.cpu);
+                used.release_rate += f64::from(step.cpu) / run_time.max(1) as f64;
+            }
+        }
+        own_use
+    }
+
+    /// Widens the subset of watched agents if there is `no_room`, and tells some agents that jobs
+    /// wait.
     ///
     /// Agents offer free capacity to the entries whose jobs wait. A job would otherwise get no
     /// offers until the next regular probes.
-    fn seek_capacity(&mut self, now: Uptime) {
-        if self.watch.widen(now) {
+    fn seek_capacity(&mut self, now: Uptime, no_room: bool) {
+        if no_room && self.watch.widen(now) {
             log::info!(waiting = self.queue.len(), known = self.agents.len(); "a job waits, so more agents are watched");
             self.choose_watched(now);
         }
@@ -93,13 +134,18 @@
         };
         let route = &job.submission.route;
         let step = &job.submission.steps[usize::from(step)];
+        let expected = self.estimates.expected(&route.name, step.declared);
+        let run_percent = agent.report.endpoint.as_ref();
+        let run_percent = run_percent.map_or(100, |it| self.locality.run_percent(step, it));
+        // The agent compares the run with this time to judge whether its endpoint is slow.
+        let expected = u64::from(expected) * run_percent / 100;
         agent.channel.push(Command::Start(StartOrder {
             runs,
             spec: job.submission.spec.clone(),
             cpu: step.cpu,
             memory: step.memory,
             gpus: step.gpus,
-            expected: self.estimates.expected(&route.name, step.declared),
+            expected: u32::try_from(expected).unwrap_or(u32::MAX),
             max_wait: self.options.policy.agent_wait,
             decided: agent.report.now,
         }));
@@ -137,15 +183,35 @@
     runs: Vec<RunKey>,
 }
 
-/// Places the tasks of a job for which there is free capacity; returns whether all were placed.
+/// What the placement of a job's tasks depends on, besides the candidates.
+struct Context<'a> {
+    now: Uptime,
+    estimates: &'a Estimates,
+    own_use: &'a OwnUse,
+}
+
+/// Outcome of the placement of a job's waiting tasks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Outcome {
+    /// All were placed.
+    Complete,
+    /// All were placed but for those that wait for the rack of their data.
+    WaitsForRack,
+    /// Some found no room.
+    NoRoom,
+}
+
+/// Places the tasks of a job for which there is free capacity.
 fn place_job(
     job: &mut Job,
     key: JobKey,
     candidates: &mut Candidates<'_>,
+    context: &Context<'_>,
     rng: &mut SmallRng,
-) -> (bool, Vec<Assignment>) {
+) -> (Outcome, Vec<Assignment>) {
     let mut runs_at: BTreeMap<(SocketAddrV4, u16), Vec<RunKey>> = BTreeMap::new();
-    let mut complete = true;
+    let mut outcome = Outcome::Complete;
+    let now = context.now;
     for position in 0..job.tasks.len() {
         let task = &job.tasks[position];
         if task.state != TaskState::Waiting {
@@ -153,13 +219,35 @@
         }
         let step = &job.submission.steps[usize::from(task.step)];
         let full_agents = full_agents(job, task.step, step.per_endpoint);
-        let Some(agent) = candidates.reserve(step, task, &full_agents, rng) else {
-            complete = false;
-            // Tasks of a step have the same requirements, so if one without exclusions fits
-            // nowhere, the others don't either. Exclusions differ from task to task.
-            if task.excluded.is_empty() { break } else { continue }
-        };
+        let expected = context.estimates.expected(&job.submission.route.name, step.declared);
+        let placing = Placing { step, task, expected, own_use: context.own_use };
+        let choice = candidates.reserve(now, &placing, &full_agents, rng);
         let task = &mut job.tasks[position];
+        let agent = match choice {
+            Choice::Endpoint(agent) => agent,
+            Choice::WaitForRack => {
+                if task.waits_for_rack.is_none() {
+                    task.waits_for_rack = Some(now);
+                    log::info!(
+                        job:% = job.submission.job, step = task.step, index = task.index,
+                        rack = step.rack.as_deref().unwrap_or_default(), expected_ms = expected;
+                        "a task waits for the rack of its data"
+                    );
+                }
+                if outcome == Outcome::Complete {
+                    outcome = Outcome::WaitsForRack;
+                }
+                continue;
+            }
+            Choice::NoRoom => {
+                task.waits_for_rack = None;
+                outcome = Outcome::NoRoom;
+                // Tasks of a step have the same requirements, so if one without exclusions fits
+                // nowhere, the others don't either. Exclusions differ from task to task.
+                if task.excluded.is_empty() { break } else { continue }
+            }
+        };
+        task.waits_for_rack = None;
         task.last_run += 1;
         let run = RunKey {
             job: job.submission.job,
@@ -171,7 +259,7 @@
         runs_at.entry((agent, task.step)).or_default().push(run);
     }
     let assignment = |((agent, step), runs)| Assignment { agent, job: key, step, runs };
-    (complete, runs_at.into_iter().map(assignment).collect())
+    (outcome, runs_at.into_iter().map(assignment).collect())
 }
 
 /// Agents that already have as many tasks of a step as one endpoint may run.
--- a/components/broker/src/broker/runs.rs
+++ b/components/broker/src/broker/runs.rs
@@ -135,8 +135,12 @@
                 let step = &job.submission.steps[usize::from(key.step)];
                 // Only the slowdown relative to the other endpoints is divided out. What all
                 // endpoints have in common is an error of the declared run times.
-                let slowdown = self.agents.get(&agent).map_or(100, |it| it.report.slowness.max(1));
-                let normalized = u64::from(took) * self.mean_slowdown / u64::from(slowdown);
+                let report = self.agents.get(&agent).map(|it| &it.report);
+                let slowdown = report.map_or(100, |it| u64::from(it.slowness.max(1)));
+                let info = report.and_then(|it| it.endpoint.as_ref());
+                let run_percent = info.map_or(100, |it| self.locality.run_percent(step, it));
+                let local = u64::from(took) * 100 / run_percent;
+                let normalized = local * self.mean_slowdown / slowdown;
                 let normalized = u32::try_from(normalized).unwrap_or(u32::MAX);
                 self.estimates.record(&job.submission.route.name, step.declared, normalized);
                 if job.is_done() {
--- a/components/broker/src/job.rs
+++ b/components/broker/src/job.rs
@@ -78,6 +78,9 @@
     pub(crate) failures: u32,
     /// Agents at which a run failed or stalled.
     pub(crate) excluded: Vec<SocketAddrV4>,
+    /// Time from which it has waited for the rack of its data while it could run elsewhere; none
+    /// if it does not wait or finds room nowhere.
+    pub(crate) waits_for_rack: Option<Uptime>,
 }
 
 /// Progress of a task.
@@ -100,6 +103,11 @@
     pub(crate) fn can_run_on(&self, info: &EndpointInfo) -> bool {
         self.label.as_ref().is_none_or(|label| info.labels.contains(label)) && info.cpu >= self.cpu
     }
+
+    /// Whether the data of its tasks is on another rack than the endpoint.
+    pub(crate) fn is_remote_at(&self, info: &EndpointInfo) -> bool {
+        self.rack.as_ref().is_some_and(|rack| !info.labels.contains(rack))
+    }
 }
 
 impl Job {
@@ -127,6 +135,7 @@
                 last_run,
                 failures: 0,
                 excluded: Vec::new(),
+                waits_for_rack: None,
             }));
         }
         let latest_start = now + objective.saturating_sub(run_time);
@@ -162,6 +171,12 @@
         self.tasks.iter().any(|it| it.state == TaskState::Waiting)
     }
 
+    /// Whether any task waits for free capacity and not only for that of its rack.
+    pub(crate) fn waits_for_any_room(&self) -> bool {
+        let waits = |it: &Task| it.state == TaskState::Waiting && it.waits_for_rack.is_none();
+        self.tasks.iter().any(waits)
+    }
+
     /// Whether no run can have started: no run has ended or was lost, and no agent has an order
     /// that may still start one.
     pub(crate) fn cannot_have_run(&self) -> bool {
--- a/components/broker/src/lib.rs
+++ b/components/broker/src/lib.rs
@@ -17,6 +17,7 @@
 mod estimate;
 mod job;
 mod limits;
+mod locality;
 mod policy;
 mod queue;
 mod share;
--- a/components/broker/tests/broker/fixture.rs
+++ b/components/broker/tests/broker/fixture.rs
@@ -82,6 +82,7 @@
         zone: "north".to_owned(),
         seed: 1,
         run_expiry: RUN_EXPIRY_MS,
+        remote_percent: None,
         policy: Policy::default(),
     }
 }
--- a/components/broker/tests/broker/main.rs
+++ b/components/broker/tests/broker/main.rs
@@ -6,6 +6,7 @@
 mod evacuation;
 mod fixture;
 mod jobs;
+mod locality;
 mod placement;
 mod shutdown;
 mod watch;
--- a/components/model/src/simulation.rs
+++ b/components/model/src/simulation.rs
@@ -254,6 +254,7 @@
             zone: String::new(),
             seed: self.rng.random(),
             run_expiry: self.options.run_expiry,
+            remote_percent: None,
             policy: self.options.policy,
         };
         let now = Uptime(self.now);
--- a/hostd/src/cmd/entry.rs
+++ b/hostd/src/cmd/entry.rs
@@ -45,6 +45,7 @@
         zone: process.settings.zone.clone(),
         seed: rand::random(),
         run_expiry: RUN_EXPIRY_MS,
+        remote_percent: process.settings.remote_percent,
         policy: Policy::default(),
     };
     let deps = Dependencies {
--- a/hostd/src/entry.rs
+++ b/hostd/src/entry.rs
@@ -144,6 +144,7 @@
                 self.deps.discovery.update_settings(&settings);
                 self.deps.evacuations.update_settings(&settings);
                 self.apply_evacuations(now);
+                self.deps.broker.set_remote_percent(settings.remote_percent);
             }
             Input::Tick => self.on_tick(now),
             Input::Stop => {
@@ -224,6 +225,7 @@
         self.deps.metrics.watched.set(self.deps.broker.watched_agents() as i64);
         self.deps.metrics.jobs.set(jobs as i64);
         self.deps.metrics.waiting.set(waiting as i64);
+        self.deps.metrics.rack_waits.set(self.deps.broker.tasks_waiting_for_rack() as i64);
     }
 
     fn handle_event(&mut self, now: Uptime, event: Event) {
--- a/hostd/src/metrics.rs
+++ b/hostd/src/metrics.rs
@@ -38,6 +38,8 @@
     pub(crate) jobs: Gauge,
     /// Jobs that wait for free capacity.
     pub(crate) waiting: Gauge,
+    /// Tasks that wait for the rack of their data and could run elsewhere.
+    pub(crate) rack_waits: Gauge,
     /// Agents that have an endpoint.
     pub(crate) agents: Gauge,
     /// Agents that are probed often and get tasks.
@@ -104,6 +106,7 @@
             answer_time: histogram(),
             jobs: Gauge::default(),
             waiting: Gauge::default(),
+            rack_waits: Gauge::default(),
             agents: Gauge::default(),
             watched: Gauge::default(),
             version: Gauge::default(),
@@ -126,6 +129,11 @@
         );
         registry.register("jobs", "Jobs in progress", metrics.jobs.clone());
         registry.register("jobs_waiting", "Jobs that wait for room", metrics.waiting.clone());
+        registry.register(
+            "tasks_waiting_for_rack",
+            "Tasks that wait for the rack of their data and could run elsewhere",
+            metrics.rack_waits.clone(),
+        );
         registry.register("agents", "Agents with an endpoint", metrics.agents.clone());
         registry.register(
             "agents_watched",
