Serve with the configuration of another entry while the store is down

An entry that started while the store refused it answered 503 until the store served it, although its neighbours had the configuration.

--- a/components/broker/src/locality.rs
+++ b/components/broker/src/locality.rs
@@ -152,7 +152,8 @@
         demand.copied().unwrap_or(0.0) / DEMAND_WINDOW_MS
     }
 
-    /// Penalty for tasks that do not name `rack`, which may be any label, at its endpoints, in percent of their run time.
+    /// Penalty at the endpoints of `rack`, which may be any label, for tasks that do not name it, in
+    /// percent of their run time.
     ///
     /// It grows with the load that the tasks naming the rack put on it, up to the time that one of
     /// them loses if it finds the rack full. The load follows from the rack's shares of demand and
--- a/components/mesh/src/lib.rs
+++ b/components/mesh/src/lib.rs
@@ -15,8 +15,9 @@
     evacuations::Evacuations,
     member::{Member, Members, Role},
     message::{
-        Command, Datagram, DecodeError, End, EndpointInfo, EntryState, Frame, Health, Hello, JobId,
-        MAX_DATAGRAM_BYTES, Notice, Refusal, Report, RunKey, StartOrder, decode, encode,
+        Command, ConfigPart, Datagram, DecodeError, End, EndpointInfo, EntryState, Frame, Health,
+        Hello, JobId, MAX_DATAGRAM_BYTES, Notice, Refusal, Report, RunKey, StartOrder, decode,
+        encode,
     },
     uptime::Uptime,
 };
--- a/components/mesh/src/message.rs
+++ b/components/mesh/src/message.rs
@@ -211,6 +211,22 @@
     pub ask: bool,
 }
 
+/// Part of an encoded configuration.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct ConfigPart {
+    /// Offset of the configuration in the operator's log.
+    pub offset: u64,
+    /// Version number of the configuration, set by the operator.
+    pub version: u64,
+    /// Number of the part, from 0.
+    pub index: u16,
+    /// Number of parts.
+    pub count: u16,
+    /// Content.
+    pub bytes: Vec<u8>,
+}
+
 /// A datagram between processes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -228,6 +244,13 @@
         /// End of the newest state that the sender knows.
         end: u64,
     },
+    /// Asks an entry for its configuration.
+    ConfigRequest {
+        /// Offset of the sender's configuration, if it has one.
+        known: Option<u64>,
+    },
+    /// Part of an entry's configuration.
+    ConfigPart(ConfigPart),
 }
 
 /// The datagram has another format version or is damaged.
--- a/hostd/src/agent.rs
+++ b/hostd/src/agent.rs
@@ -167,6 +167,9 @@
             Datagram::Agent(_) => {
                 log::warn!(from:% = from; "ignoring a report that another agent sent")
             }
+            Datagram::ConfigRequest { .. } | Datagram::ConfigPart(_) => {
+                log::warn!(from:% = from; "ignoring a message that is meant for an entry")
+            }
         }
     }
 
--- a/hostd/src/callers.rs
+++ b/hostd/src/callers.rs
@@ -88,6 +88,7 @@
 
     async fn respond(&self, request: Request<Incoming>) -> Response {
         let Some(config) = self.shared.current_config.get() else {
+            self.count("no_config");
             log::warn!(path = request.uri().path(); "refusing a request: there is no configuration yet");
             return unavailable("there is no configuration yet", RETRY_AFTER_S);
         };
--- a/hostd/src/cmd/entry.rs
+++ b/hostd/src/cmd/entry.rs
@@ -20,7 +20,7 @@
 use crate::{
     callers::CallerService,
     cli::Arguments,
-    config::{CurrentConfig, follow_config},
+    config::{ConfigExchange, CurrentConfig, follow_config},
     entry::{Dependencies, EntryActor, Message},
     http::{ConnectionLimits, error_response, json_response, serve},
 };
@@ -48,10 +48,18 @@
         remote_percent: process.settings.remote_percent,
         policy: Policy::default(),
     };
+    let reader = ConfigReader::new(process.store.clone());
+    let config_exchange = ConfigExchange::new(
+        Arc::clone(&current_config),
+        reader.answered(),
+        process.datagrams.clone(),
+        process.metrics.clone(),
+    );
     let deps = Dependencies {
         broker: Broker::new(process.started, options),
         discovery: process.discovery(),
         evacuations: process.evacuations(),
+        config_exchange,
         datagrams: process.datagrams.clone(),
         metrics: process.metrics.clone(),
         ready: Arc::clone(&ready),
@@ -61,7 +69,6 @@
         .await
         .context("the actor of the entry cannot be started")?;
 
-    let reader = ConfigReader::new(process.store.clone());
     let config_actor = actor.clone();
     let sink = move |state| {
         // The cast fails only once the actor has stopped, at the end of the process.
--- a/hostd/src/discovery.rs
+++ b/hostd/src/discovery.rs
@@ -5,7 +5,7 @@
 
 use std::{collections::HashSet, net::SocketAddrV4, time::Duration};
 
-use mesh::{Datagram, Hello, Member, Members, Uptime};
+use mesh::{Datagram, Hello, Member, Members, Role, Uptime};
 use platform::{HostSettings, Record, Store};
 use rand::{SeedableRng, rngs::SmallRng};
 use tokio::time::sleep;
@@ -93,6 +93,11 @@
         new
     }
 
+    /// Addresses of the other entries.
+    pub(crate) fn entries(&self) -> Vec<SocketAddrV4> {
+        self.members.with_role(Role::Entry).map(|it| it.address).collect()
+    }
+
     /// Records that a message from a member arrived.
     pub(crate) fn mark_heard(&mut self, now: Uptime, address: SocketAddrV4) {
         self.members.mark_heard(now, address);
--- a/hostd/src/entry.rs
+++ b/hostd/src/entry.rs
@@ -20,6 +20,7 @@
 use crate::{
     clock::uptime,
     cmd::Input,
+    config::ConfigExchange,
     datagrams::DatagramSocket,
     discovery::Discovery,
     evacuations::{EvacuationTracker, Source},
@@ -57,6 +58,7 @@
     pub(crate) broker: Broker,
     pub(crate) discovery: Discovery,
     pub(crate) evacuations: EvacuationTracker,
+    pub(crate) config_exchange: ConfigExchange,
     pub(crate) datagrams: DatagramSocket,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) ready: Arc<AtomicBool>,
@@ -180,6 +182,10 @@
                 self.deps.discovery.mark_heard(now, from);
                 self.deps.evacuations.on_seen(from, end);
             }
+            Datagram::ConfigRequest { known } => {
+                self.deps.config_exchange.on_request(now, from, known)
+            }
+            Datagram::ConfigPart(part) => self.deps.config_exchange.on_part(now, from, part),
             Datagram::Entry(_) => {
                 log::warn!(from:% = from; "ignoring an order that another entry sent")
             }
@@ -217,6 +223,7 @@
         let members = self.deps.discovery.members();
         self.deps.evacuations.tell_members(now, members);
         self.deps.evacuations.check_zones(now, members);
+        self.deps.config_exchange.tick(now, &self.deps.discovery.entries());
         self.handle_event(now, Event::Tick);
         let agents = self.deps.broker.available_agents();
         self.deps.ready.store(agents > 0 && !self.stopping, Ordering::Relaxed);
--- a/hostd/src/metrics.rs
+++ b/hostd/src/metrics.rs
@@ -52,6 +52,11 @@
     pub(crate) evacuations_offset: Gauge,
     /// Runs that were refused because the agent's zone is evacuated.
     pub(crate) evacuation_refusals: Counter,
+    /// Requests for a configuration that were sent to other entries and received from them, by
+    /// outcome.
+    pub(crate) config_requests: Family<Outcome, Counter>,
+    /// Configurations that other entries sent, by outcome.
+    pub(crate) config_answers: Family<Outcome, Counter>,
     /// Calls to the endpoint, by outcome.
     pub(crate) calls: Family<Outcome, Counter>,
     /// Calls that the endpoint rejected, by operation and reason.
@@ -113,6 +118,8 @@
             evacuated_zones: Gauge::default(),
             evacuations_offset: Gauge::default(),
             evacuation_refusals: Counter::default(),
+            config_requests: Family::default(),
+            config_answers: Family::default(),
             calls: Family::default(),
             rejections: Family::default(),
             doubtful: Counter::default(),
@@ -156,6 +163,16 @@
             "Runs refused because the zone is evacuated",
             metrics.evacuation_refusals.clone(),
         );
+        registry.register(
+            "config_requests",
+            "Requests between entries for a configuration",
+            metrics.config_requests.clone(),
+        );
+        registry.register(
+            "config_answers",
+            "Configurations that other entries sent",
+            metrics.config_answers.clone(),
+        );
         registry.register("endpoint_calls", "Calls of the endpoint", metrics.calls.clone());
         registry.register(
             "endpoint_rejections",
--- a/hostd/tests/processes/deployment.rs
+++ b/hostd/tests/processes/deployment.rs
@@ -9,12 +9,13 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::{Method, Request};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
 use nix::sys::signal::Signal;
+use platform::READINESS_PATH;
 use platform_standin::{
     DEADLINE_HEADER, Executor, HostSettings, Span, Store, config_text, job_text,
 };
@@ -284,6 +285,40 @@
         }
     }
 
+    /// Kills an entry and starts it again.
+    pub(crate) fn restart_entry(&mut self, entry: usize) {
+        self.processes[entry].kill();
+        self.processes[entry].start();
+    }
+
+    /// Status and `Retry-After` of the answer to a job at an entry, and its readiness; waits until
+    /// it listens.
+    pub(crate) async fn refusal(&self, entry: usize) -> (StatusCode, Option<String>, StatusCode) {
+        let HostSettings { ip, readiness_port, .. } = &self.hosts[entry];
+        let job = Request::post(format!("http://{}/q/{:016x}", self.callers[entry], 1))
+            .header("host", HOST)
+            .body(Full::new(Bytes::from(job_text(1, "1"))));
+        let readiness = Request::get(format!("http://{ip}:{readiness_port}{READINESS_PATH}"))
+            .body(Full::new(Bytes::new()));
+        let readiness = self.answer(readiness.expect("a request")).await;
+        let answer = self.answer(job.expect("a request")).await;
+        let retry_after = answer.headers().get("retry-after");
+        let retry_after = retry_after.map(|it| it.to_str().expect("a number").to_owned());
+        (answer.status(), retry_after, readiness.status())
+    }
+
+    /// Answer to a request that is repeated until its receiver listens.
+    async fn answer(&self, request: Request<Full<Bytes>>) -> Response<Incoming> {
+        let end = Instant::now() + READY_TIMEOUT;
+        loop {
+            if let Ok(answer) = self.client.request(request.clone()).await {
+                return answer;
+            }
+            assert!(Instant::now() < end, "{} is not answered in {READY_TIMEOUT:?}", request.uri());
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     /// Kills and restarts all processes with a seed address at which nothing listens.
     pub(crate) fn restart_all_without_seeds(&mut self) {
         self.kill_all();
--- a/hostd/tests/processes/main.rs
+++ b/hostd/tests/processes/main.rs
@@ -14,7 +14,7 @@
 use platform_standin::{StartFault, job_text};
 
 use crate::{
-    deployment::{Deployment, submit},
+    deployment::{Deployment, Layout, ONE_ZONE, submit},
     invariants::{ObservedJob, overlaps, parse_task_name, violations},
 };
 
@@ -134,6 +134,39 @@
     deployment.wait_for("/new/", 404).await;
 }
 
+/// Guards against an entry that refuses all jobs after a restart while its neighbours serve.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_restarted_while_the_store_is_down_serves_with_the_configuration_of_another() {
+    let layout = Layout { entries: 2, agents: 1, target: 5_000, proxies: None, zones: &ONE_ZONE };
+    let mut deployment = Deployment::start_with([10, 31], layout).await;
+    deployment.publish(2, &["/q/", "/new/"]);
+    deployment.wait_for("/new/", 200).await;
+    deployment.store.set_down(true);
+
+    deployment.restart_entry(1);
+    deployment.wait_for("/new/", 200).await;
+    let answer = deployment.caller().submit(1, 1, 5_000, &job_text(2, SHORT_MS)).await;
+
+    assert_eq!(answer.0, 200, "{}", answer.1);
+    deployment.store.set_down(false);
+    deployment.publish(3, &["/q/"]);
+    deployment.wait_for("/new/", 404).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn without_any_configuration_jobs_are_refused_at_once_and_the_entry_is_not_ready() {
+    let mut deployment = Deployment::start([10, 32], 1).await;
+    deployment.store.set_down(true);
+
+    deployment.restart_entry(0);
+    let refusal = deployment.refusal(0).await;
+
+    let unavailable = StatusCode::SERVICE_UNAVAILABLE;
+    assert_eq!(refusal, (unavailable, Some("1".to_owned()), unavailable));
+    deployment.store.set_down(false);
+    deployment.wait_for("/q/", 200).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn new_processes_find_each_other_while_the_store_refuses_writes_and_no_seed_lives() {
     let mut deployment = Deployment::start([10, 7], 2).await;
