Count no call to a dead endpoint of the model as one that has reached its successor

An endpoint that is down has the birth time 0, which is that of the first instance, so calls to that one marked the next instance as reached.

--- a/components/model/src/endpoint.rs
+++ b/components/model/src/endpoint.rs
@@ -114,6 +114,7 @@
     /// Starts the next instance, with a clock that begins at 0.
     pub(crate) fn restart(&mut self, now: u64) {
         self.alive = true;
+        self.reached = false;
         self.started = now;
     }
 
--- a/components/model/src/simulation/endpoints.rs
+++ b/components/model/src/simulation/endpoints.rs
@@ -81,7 +81,7 @@
         let fault = self.draw_start_fault(&call.kind);
         let is_copy = self.is_copy(agent, &call.kind);
         let endpoint = &mut self.endpoints[agent];
-        endpoint.reached |= call.instance.born == endpoint.born();
+        endpoint.reached |= endpoint.alive && call.instance.born == endpoint.born();
         let answer = if !endpoint.alive {
             Answer::Unsent
         } else if endpoint.instance.to_string() != *call.instance.id {
