Play evacuations in the model of the deployment

Cause: that nothing starts in an evacuated zone has to hold for any order of messages, restarts and outages of the store, which real processes show for a few orders only.

Change: the model's processes belong to zones, read the store and send each other the state with the shipped crate. A start in an evacuated zone is a violation once its agent has known of the evacuation, in this or an earlier process, or after 5 s. Simulations with one zone draw no further random numbers. The decision that a new agent holds its work back moves to the crate, so that the model plays it too.

--- a/components/evacuation/src/knowledge.rs
+++ b/components/evacuation/src/knowledge.rs
@@ -7,6 +7,13 @@
 /// Time after the last evacuation for which members are still told that it has ended, in ms.
 pub const RESEND_AFTER_MS: u64 = 60_000;
 
+/// Time after its start for which an agent that knows no state takes no work, in ms.
+///
+/// A restarted agent learns the state from the store or an informed entry within that time; it
+/// must not start tasks in an evacuated zone before. If the store is down and no zone is
+/// evacuated, nobody tells it, and it takes work afterwards.
+pub const STARTUP_HOLD_MS: u64 = 1_000;
+
 /// Newest state that a process knows.
 #[derive(Debug, Clone, Default)]
 pub struct Knowledge {
@@ -61,6 +68,11 @@
         self.since.contains_key(zone)
     }
 
+    /// Whether an agent that started at `started` takes no work yet, as it knows no state.
+    pub fn is_awaited(&self, now: Uptime, started: Uptime) -> bool {
+        self.state.is_none() && now.since(started) < STARTUP_HOLD_MS
+    }
+
     /// Whether members are told the state: a zone is evacuated, or was until recently.
     pub fn is_told(&self, now: Uptime) -> bool {
         let recent = |at: Uptime| now.since(at) < RESEND_AFTER_MS;
--- a/components/evacuation/tests/knowledge.rs
+++ b/components/evacuation/tests/knowledge.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use evacuation::{ChangeKind, Knowledge, LogPrefix, RESEND_AFTER_MS};
+use evacuation::{ChangeKind, Knowledge, LogPrefix, RESEND_AFTER_MS, STARTUP_HOLD_MS};
 use mesh::{Evacuations, Uptime};
 use proptest::prelude::*;
 
@@ -67,6 +67,20 @@
     assert!(!knowledge.is_told(Uptime(100 + RESEND_AFTER_MS)));
 }
 
+// Guards against a restarted agent that works in an evacuated zone before it is told, and against
+// one that never works because nobody can tell it.
+#[test]
+fn an_agent_without_any_state_holds_its_work_back_for_a_short_time() {
+    let mut knowledge = Knowledge::default();
+    let started = Uptime(500);
+
+    assert!(knowledge.is_awaited(Uptime(499 + STARTUP_HOLD_MS), started));
+    assert!(!knowledge.is_awaited(Uptime(500 + STARTUP_HOLD_MS), started));
+    knowledge.merge(Uptime(510), state(0, &[]));
+
+    assert!(!knowledge.is_awaited(Uptime(510), started));
+}
+
 proptest! {
     // Guards against processes that disagree after they have heard the same states.
     #[test]
--- a/components/model/src/fault.rs
+++ b/components/model/src/fault.rs
@@ -36,6 +36,12 @@
     FailEndpoint(usize),
     /// Tasks that start on an endpoint take longer by this factor.
     SlowEndpoint(usize, f64),
+    /// The operator evacuates an availability zone, and takes it back at the end of the fault.
+    Evacuate(usize),
+    /// An entry cannot read the store and gets no datagram about evacuations.
+    Uninformed(usize),
+    /// No process can read the store.
+    StoreDown,
     /// All datagrams from an agent are lost.
     LoseSent(usize),
     /// All datagrams to an agent are lost.
--- a/components/model/src/report.rs
+++ b/components/model/src/report.rs
@@ -74,6 +74,8 @@
     /// No agent can prevent these: the endpoint tells calls for its instances apart by nothing, until
     /// the first call with a higher fencing token.
     pub unfenced: Vec<Violation>,
+    /// Time of the last start on each endpoint, in ms after arrivals start.
+    pub last_starts: Vec<u64>,
     /// Number of datagrams sent between processes, including lost ones.
     pub datagrams: u64,
     /// Number of calls to endpoints.
--- a/components/model/src/simulation.rs
+++ b/components/model/src/simulation.rs
@@ -2,6 +2,7 @@
 
 mod callers;
 mod endpoints;
+mod evacuations;
 mod faults;
 
 use std::{
@@ -15,6 +16,7 @@
 use mesh::{Datagram, JobId, RunKey, Uptime};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
+use self::evacuations::EvacuationState;
 use crate::{
     callers::Callers,
     endpoint::Endpoint,
@@ -61,6 +63,10 @@
     pub run_expiry: u64,
     /// Scheduling policy of entries.
     pub policy: Policy,
+    /// Number of availability zones, to which entries and agents belong in turn.
+    pub zones: usize,
+    /// Whether agents learn that their zone is evacuated; tests turn it off.
+    pub agents_evacuate: bool,
     /// Job whose events are recorded in the report.
     pub trace: Option<JobId>,
 }
@@ -79,6 +85,8 @@
             timing: Timing::default(),
             run_expiry: RUN_EXPIRY_MS,
             policy: Policy::default(),
+            zones: 1,
+            agents_evacuate: true,
             trace: None,
         }
     }
@@ -92,16 +100,49 @@
     LateHeartbeat(usize, Box<Heartbeat>),
     Arrive(usize),
     Send(JobId),
-    Submit { entry: usize, job: JobId, token: u64 },
-    Disconnect { entry: usize, token: u64 },
-    RequestTimeout { job: JobId, token: u64 },
-    Datagram { from: Host, to: Host, datagram: Box<Datagram> },
-    Call { pending: PendingCall, call: Call, answered: bool },
+    Submit {
+        entry: usize,
+        job: JobId,
+        token: u64,
+    },
+    Disconnect {
+        entry: usize,
+        token: u64,
+    },
+    RequestTimeout {
+        job: JobId,
+        token: u64,
+    },
+    Datagram {
+        from: Host,
+        to: Host,
+        datagram: Box<Datagram>,
+    },
+    Call {
+        pending: PendingCall,
+        call: Call,
+        answered: bool,
+    },
     HoldTimeout(PendingCall),
-    Answer { agent: usize, generation: u64, id: u64, answer: Answer },
+    Answer {
+        agent: usize,
+        generation: u64,
+        id: u64,
+        answer: Answer,
+    },
     EndpointDue(usize),
     FaultStart(usize),
     FaultEnd(usize),
+    /// A process reads the evacuations from the store.
+    ReadStore {
+        host: Host,
+        started: Uptime,
+    },
+    /// An entry gets the first hello message of a process that has started.
+    Hello {
+        to: Host,
+        from: Host,
+    },
 }
 
 /// A process.
@@ -151,6 +192,7 @@
     /// Jobs with a started run.
     ran: HashSet<JobId>,
     history: History,
+    evacuations: EvacuationState,
     /// Jobs refused on their first request.
     refused: HashSet<JobId>,
     call_faults: CallFaults,
@@ -178,6 +220,7 @@
             violations: Vec::new(),
             repeats: Vec::new(),
             unfenced: Vec::new(),
+            last_starts: vec![0; options.endpoints.len()],
             datagrams: 0,
             calls: 0,
             useful_work: 0,
@@ -205,6 +248,7 @@
             next_job: 1,
             ran: HashSet::new(),
             history: History::default(),
+            evacuations: EvacuationState::new(options.entries, options.endpoints.len()),
             refused: HashSet::new(),
             call_faults: CallFaults::default(),
             loss: 0.0,
@@ -263,7 +307,7 @@
     fn start_entry(&mut self, entry: usize) {
         let options = broker::Options {
             incarnation: self.rng.random(),
-            zone: String::new(),
+            zone: self.zone(Host::Entry(entry)),
             seed: self.rng.random(),
             run_expiry: self.options.run_expiry,
             remote_percent: None,
@@ -272,9 +316,11 @@
         let now = Uptime(self.now);
         self.entries[entry] = Some(Broker::new(now, options));
         for agent in 0..self.agents.len() {
-            let address = address(Host::Agent(agent));
-            self.run_entry(entry, EntryEvent::Announced { address, zone: String::new() });
+            let host = Host::Agent(agent);
+            let (address, zone) = (address(host), self.zone(host));
+            self.run_entry(entry, EntryEvent::Announced { address, zone });
         }
+        self.start_evacuations(Host::Entry(entry));
         self.push(self.now + TICK_MS, Event::Tick(Host::Entry(entry)));
     }
 
@@ -286,6 +332,7 @@
         };
         self.generations[agent] += 1;
         self.agents[agent] = Some(Guard::new(Uptime(self.now), options));
+        self.start_evacuations(Host::Agent(agent));
         self.push(self.now + TICK_MS, Event::Tick(Host::Agent(agent)));
     }
 
@@ -323,10 +370,13 @@
             }
             Event::FaultStart(number) => self.start_fault(self.options.faults[number].kind),
             Event::FaultEnd(number) => self.end_fault(self.options.faults[number].kind),
+            Event::ReadStore { host, started } => self.read_store(host, started),
+            Event::Hello { to, from } => self.on_hello(to, from),
         }
     }
 
     fn on_tick(&mut self, host: Host) {
+        self.tick_evacuations(host);
         match host {
             Host::Entry(entry) if self.entries[entry].is_some() => {
                 self.run_entry(entry, EntryEvent::Tick);
@@ -340,7 +390,14 @@
     }
 
     fn on_datagram(&mut self, from: Host, to: Host, datagram: Datagram) {
+        if let (Host::Entry(entry), Datagram::Agent(frame)) = (to, &datagram) {
+            self.evacuations.entries[entry].spread.observe(address(from), frame.sender);
+        }
         match (to, datagram) {
+            (_, Datagram::Evacuations(state)) => self.on_evacuations(from, to, state),
+            (Host::Entry(entry), Datagram::EvacuationsSeen { end }) => {
+                self.evacuations.entries[entry].spread.confirm(address(from), end);
+            }
             (Host::Agent(agent), Datagram::Entry(frame)) if self.agents[agent].is_some() => {
                 self.run_agent(agent, AgentEvent::Frame { from: address(from), frame });
             }
@@ -357,7 +414,7 @@
         let lost = match (from, to) {
             (Host::Agent(agent), _) => self.lost_from.contains(&agent),
             (_, Host::Agent(agent)) => self.lost_to.contains(&agent),
-            (Host::Entry(_), Host::Entry(_)) => true,
+            (Host::Entry(_), Host::Entry(_)) => false,
         };
         if lost || self.loss > 0.0 && self.rng.random_bool(self.loss) {
             return;
@@ -399,7 +456,10 @@
 /// Process that handles an event; `None` for events outside entries and agents.
 fn host_of(event: &Event) -> Option<Host> {
     match event {
-        Event::Tick(host) | Event::Datagram { to: host, .. } => Some(*host),
+        Event::Tick(host)
+        | Event::ReadStore { host, .. }
+        | Event::Datagram { to: host, .. }
+        | Event::Hello { to: host, .. } => Some(*host),
         Event::Heartbeat(agent) | Event::LateHeartbeat(agent, _) | Event::Answer { agent, .. } => {
             Some(Host::Agent(*agent))
         }
--- a/components/model/src/simulation/endpoints.rs
+++ b/components/model/src/simulation/endpoints.rs
@@ -9,7 +9,7 @@
 use mesh::{EndpointInfo, RunKey};
 use rand::RngExt;
 
-use super::{Event, HEARTBEAT_MS, Host, PendingCall, Simulation, address};
+use super::{Event, HEARTBEAT_MS, Host, PendingCall, Simulation, WARM_UP_MS, address};
 use crate::{endpoint::Endpoint, load::SERVICE, report::Violation};
 
 /// Memory of an endpoint, in MB.
@@ -170,6 +170,8 @@
     }
 
     fn record_start(&mut self, agent: usize, key: RunKey) {
+        self.report.last_starts[agent] = self.now.saturating_sub(WARM_UP_MS);
+        self.check_evacuated(agent, key);
         let sends = self.callers.open.get(&key.job).map(|it| it.sends);
         if self.history.record_start(self.now, key, sends) {
             let description = format!("{key} starts on endpoint {agent} after it was done");
--- a/components/model/src/simulation/faults.rs
+++ b/components/model/src/simulation/faults.rs
@@ -30,6 +30,11 @@
             FaultKind::HangEndpoint(agent) => self.endpoints[agent].hangs = true,
             FaultKind::FailEndpoint(agent) => self.endpoints[agent].fails = true,
             FaultKind::SlowEndpoint(agent, times) => self.endpoints[agent].slowness = times,
+            FaultKind::Evacuate(zone) => self.write_evacuation(zone, true),
+            FaultKind::Uninformed(entry) => {
+                self.evacuations.uninformed.insert(entry);
+            }
+            FaultKind::StoreDown => self.evacuations.store_down = true,
             FaultKind::LoseSent(agent) => {
                 self.lost_from.insert(agent);
             }
@@ -61,6 +66,11 @@
             FaultKind::HangEndpoint(agent) => self.endpoints[agent].hangs = false,
             FaultKind::FailEndpoint(agent) => self.endpoints[agent].fails = false,
             FaultKind::SlowEndpoint(agent, _) => self.endpoints[agent].slowness = 1.0,
+            FaultKind::Evacuate(zone) => self.write_evacuation(zone, false),
+            FaultKind::Uninformed(entry) => {
+                self.evacuations.uninformed.remove(&entry);
+            }
+            FaultKind::StoreDown => self.evacuations.store_down = false,
             FaultKind::LoseSent(agent) => {
                 self.lost_from.remove(&agent);
             }
--- a/hostd/src/agent.rs
+++ b/hostd/src/agent.rs
@@ -23,14 +23,6 @@
     metrics::{CallRejection, Metrics, Outcome},
 };
 
-/// Time after its start for which an agent that has not learned of any evacuations takes no work,
-/// in ms.
-///
-/// A restarted agent learns them from the store or an informed entry well within that time; it
-/// must not start tasks in an evacuated zone before. If the store is down and no zone is
-/// evacuated, nobody tells it, and it takes work afterwards.
-const STARTUP_HOLD_MS: u64 = 1_000;
-
 /// Messages of the actor.
 pub(crate) enum Message {
     /// Input common to both roles.
@@ -179,10 +171,9 @@
     fn apply_evacuations(&mut self, now: Uptime) {
         let evacuations = &self.deps.evacuations;
         let own = self.deps.discovery.members().own();
-        let is_starting = now.since(self.deps.started) < STARTUP_HOLD_MS;
         let zone = if evacuations.is_evacuated(&own.zone) {
             ZoneState::Evacuated
-        } else if evacuations.is_active() && !evacuations.is_known() && is_starting {
+        } else if evacuations.is_awaited(now, self.deps.started) {
             ZoneState::Unknown
         } else {
             ZoneState::Served
--- a/hostd/src/evacuations.rs
+++ b/hostd/src/evacuations.rs
@@ -81,9 +81,9 @@
         self.active
     }
 
-    /// Whether any state was read or received.
-    pub(crate) fn is_known(&self) -> bool {
-        self.knowledge.state().is_some()
+    /// Whether an agent that started at `started` takes no work yet, as it knows no state.
+    pub(crate) fn is_awaited(&self, now: Uptime, started: Uptime) -> bool {
+        self.active && self.knowledge.is_awaited(now, started)
     }
 
     /// Evacuated zones; empty while the settings do not enable evacuations.
