Warn once of evacuated zones without members, and log failed reads once

Cause: the record of a zone that does not exist was logged like any other, and an agent logged each failed read of the store every 400 ms.

Change: a zone to which no known member belongs for 5 s gets one warning. Reads that fail are logged once an outage and repeated after 0.4 to 2 s. Enabling or disabling evacuations by the settings is logged with the zones.

--- a/components/evacuation/src/knowledge.rs
+++ b/components/evacuation/src/knowledge.rs
@@ -14,12 +14,18 @@
 /// evacuated, nobody tells it, and it takes work afterwards.
 pub const STARTUP_HOLD_MS: u64 = 1_000;
 
+/// Time after which an evacuated zone without members is taken for a mistake, in ms; members are
+/// discovered within a few seconds of the start.
+pub const UNKNOWN_ZONE_MS: u64 = 5_000;
+
 /// Newest state that a process knows.
 #[derive(Debug, Clone, Default)]
 pub struct Knowledge {
     state: Option<Evacuations>,
     /// Evacuated zones, with the time at which this process learned of it.
     since: BTreeMap<String, Uptime>,
+    /// Evacuated zones that were returned as unknown.
+    unknown: BTreeSet<String>,
     /// Time at which the last zone was taken back.
     taken_back_at: Option<Uptime>,
 }
@@ -99,12 +105,26 @@
             if !other.zones.contains_key(&zone)
                 && let Some(since) = self.since.remove(&zone)
             {
+                self.unknown.remove(&zone);
+                self.taken_back_at = Some(now);
                 let kind = ChangeKind::TakenBack { known_ms: now.since(since) };
                 changes.push(Change { zone, offset, kind });
-                self.taken_back_at = Some(now);
             }
         }
         self.state = Some(other);
         Some(changes)
     }
+
+    /// Evacuated zones that no member belongs to, each returned once; their evacuation has no
+    /// effect.
+    pub fn unknown_zones(&mut self, now: Uptime, has_member: impl Fn(&str) -> bool) -> Vec<String> {
+        let old = self.since.iter().filter(|(_, since)| now.since(**since) >= UNKNOWN_ZONE_MS);
+        let new: Vec<_> = old
+            .map(|it| it.0)
+            .filter(|zone| !self.unknown.contains(*zone) && !has_member(zone))
+            .cloned()
+            .collect();
+        self.unknown.extend(new.iter().cloned());
+        new
+    }
 }
--- a/components/evacuation/src/lib.rs
+++ b/components/evacuation/src/lib.rs
@@ -11,7 +11,7 @@
 mod spread;
 
 pub use crate::{
-    knowledge::{Change, ChangeKind, Knowledge, RESEND_AFTER_MS, STARTUP_HOLD_MS},
+    knowledge::{Change, ChangeKind, Knowledge, RESEND_AFTER_MS, STARTUP_HOLD_MS, UNKNOWN_ZONE_MS},
     prefix::LogPrefix,
     spread::{RESEND_MS, SLOW_RESEND_MS, Spread},
 };
--- a/components/evacuation/tests/knowledge.rs
+++ b/components/evacuation/tests/knowledge.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use evacuation::{ChangeKind, Knowledge, LogPrefix, RESEND_AFTER_MS, STARTUP_HOLD_MS};
+use evacuation::{
+    ChangeKind, Knowledge, LogPrefix, RESEND_AFTER_MS, STARTUP_HOLD_MS, UNKNOWN_ZONE_MS,
+};
 use mesh::{Evacuations, Uptime};
 use proptest::prelude::*;
 
@@ -67,6 +69,19 @@
     assert!(!knowledge.is_told(Uptime(100 + RESEND_AFTER_MS)));
 }
 
+// Guards against a warning on each check, and against one about a zone whose members are not
+// discovered yet.
+#[test]
+fn a_zone_without_members_is_returned_once_after_a_while() {
+    let mut knowledge = Knowledge::default();
+    knowledge.merge(Uptime(0), state(5, &[("nowhere", 3), ("north", 4)]));
+    let mut unknown = |at| knowledge.unknown_zones(Uptime(at), |zone| zone == "north");
+
+    assert!(unknown(UNKNOWN_ZONE_MS - 1).is_empty());
+    assert_eq!(unknown(UNKNOWN_ZONE_MS), ["nowhere"]);
+    assert!(unknown(2 * UNKNOWN_ZONE_MS).is_empty());
+}
+
 // Guards against a restarted agent that works in an evacuated zone before it is told, and against
 // one that never works because nobody can tell it.
 #[test]
--- a/hostd/src/evacuations.rs
+++ b/hostd/src/evacuations.rs
@@ -1,11 +1,6 @@
 //! Evacuated availability zones that a process knows, and its messages about them.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    fmt,
-    net::SocketAddrV4,
-    sync::Arc,
-};
+use std::{collections::BTreeSet, fmt, net::SocketAddrV4, sync::Arc, time::Duration};
 
 use evacuation::{ChangeKind, Knowledge, Spread};
 use mesh::{Datagram, Evacuations, Members, Role, Uptime};
@@ -18,9 +13,8 @@
     metrics::Metrics,
 };
 
-/// Time after which an evacuated zone that no member is in is taken for a mistake, in ms; members
-/// are discovered within a few seconds of the start.
-const UNKNOWN_ZONE_MS: u64 = 5_000;
+/// Maximum delay before a failed read of the evacuations is repeated.
+const MAX_RETRY_DELAY: Duration = Duration::from_secs(2);
 
 /// Where a state comes from.
 #[derive(Debug, Clone, Copy)]
@@ -46,9 +40,6 @@
     active: bool,
     knowledge: Knowledge,
     spread: Spread,
-    /// Evacuated zones in which no member is known, with the time at which each appeared; none once
-    /// it was logged.
-    unknown: BTreeMap<String, Option<Uptime>>,
     datagrams: DatagramSocket,
     metrics: Arc<Metrics>,
 }
@@ -64,7 +55,6 @@
             active: settings.evacuation.is_some(),
             knowledge: Knowledge::default(),
             spread: Spread::default(),
-            unknown: BTreeMap::new(),
             datagrams,
             metrics,
         }
@@ -72,8 +62,13 @@
 
     /// Applies new settings.
     pub(crate) fn update_settings(&mut self, settings: &HostSettings) {
-        self.active = settings.evacuation.is_some();
-        self.set_metrics();
+        let active = settings.evacuation.is_some();
+        if active != self.active {
+            self.active = active;
+            let zones = self.knowledge.zones();
+            log::info!(active = active, zones:? = zones, end = self.knowledge.end(); "the settings enable or disable evacuations");
+            self.set_metrics();
+        }
     }
 
     /// Whether the settings enable evacuations.
@@ -107,11 +102,9 @@
             match change.kind {
                 ChangeKind::Evacuated => {
                     log::info!(zone = zone, offset = offset, end = end, source:% = source; "a zone is evacuated");
-                    self.unknown.insert(change.zone, Some(now));
                 }
                 ChangeKind::TakenBack { known_ms } => {
                     log::info!(zone = zone, offset = offset, end = end, source:% = source, known_ms = known_ms; "a zone is taken back");
-                    self.unknown.remove(zone);
                 }
             }
         }
@@ -164,16 +157,15 @@
 
     /// Warns of evacuated zones that hold no known member.
     pub(crate) fn check_zones(&mut self, now: Uptime, members: &Members) {
-        if self.unknown.is_empty() {
+        if !self.active {
             return;
         }
-        let all = [Role::Agent, Role::Entry].into_iter().flat_map(|it| members.with_role(it));
-        let named: BTreeSet<_> = all.chain([members.own()]).map(|it| it.zone.as_str()).collect();
-        self.unknown.retain(|zone, _| !named.contains(zone.as_str()));
-        for (zone, since) in &mut self.unknown {
-            if since.take_if(|it| now.since(*it) >= UNKNOWN_ZONE_MS).is_some() {
-                log::warn!(zone = zone.as_str(); "an evacuated zone has no known member; its evacuation has no effect");
-            }
+        let has_member = |zone: &str| {
+            let all = [Role::Agent, Role::Entry].into_iter().flat_map(|it| members.with_role(it));
+            all.chain([members.own()]).any(|it| it.zone == zone)
+        };
+        for zone in self.knowledge.unknown_zones(now, has_member) {
+            log::warn!(zone = zone.as_str(); "an evacuated zone has no known member; its evacuation has no effect");
         }
     }
 
@@ -195,18 +187,25 @@
 ) {
     let mut log = EvacuationLog::default();
     let mut delay = FIRST_READ_DELAY;
+    let mut retry_delay = RETRY_DELAY;
+    let mut has_failed = false;
     while active.wait_for(|it| *it).await.is_ok() {
         match read_evacuations(&store, &mut log).await {
             Ok(state) => {
                 if state.is_some_and(|it| !sink(it)) {
                     return;
                 }
+                (has_failed, retry_delay) = (false, RETRY_DELAY);
                 sleep(delay).await;
                 delay = (delay * 2).min(MAX_READ_INTERVAL);
             }
             Err(err) => {
-                log::warn!(error:% = err; "reading the evacuations from the store failed; retrying");
-                sleep(RETRY_DELAY).await;
+                if !has_failed {
+                    log::warn!(error:% = err; "reading the evacuations from the store failed; they stay as they are");
+                    has_failed = true;
+                }
+                sleep(retry_delay).await;
+                retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
             }
         }
     }
--- a/hostd/tests/processes/deployment.rs
+++ b/hostd/tests/processes/deployment.rs
@@ -38,6 +38,8 @@
 pub(crate) const EXECUTOR_CPU: u64 = 2_000;
 /// Time after which nothing may start in an evacuated zone, in ms.
 const EVACUATION_MS: u64 = 5_000;
+/// Default port of the metrics of a process.
+const METRICS_PORT: u16 = 9_464;
 /// Zones of a deployment without evacuations.
 pub(crate) const ONE_ZONE: [&str; 1] = ["z"];
 /// Service that all executors provide.
@@ -263,6 +265,15 @@
         self.caller().get(0, path).await
     }
 
+    /// Metrics of a process.
+    pub(crate) async fn metrics(&self, process: usize) -> String {
+        let url = format!("http://{}:{METRICS_PORT}/metrics", self.hosts[process].ip);
+        let request = Request::get(url).body(Full::default()).expect("a request");
+        let response = self.client.request(request).await.expect("metrics");
+        let body = response.into_body().collect().await.expect("a body").to_bytes();
+        String::from_utf8_lossy(&body).into_owned()
+    }
+
     /// Runs of each executor.
     pub(crate) fn spans(&self) -> Vec<Vec<Span>> {
         self.executors.iter().map(Executor::spans).collect()
--- a/hostd/tests/processes/evacuation.rs
+++ b/hostd/tests/processes/evacuation.rs
@@ -46,6 +46,15 @@
     }
 }
 
+/// Source in the only log line of a process with this message.
+fn source(deployment: &Deployment, process: usize, message: &str) -> String {
+    let log = std::fs::read_to_string(&deployment.processes[process].log).expect("a log");
+    let lines: Vec<_> = log.lines().filter(|it| it.contains(message)).collect();
+    assert_eq!(lines.len(), 1, "{lines:#?}");
+    let rest = lines[0].split("\"source\":\"").nth(1).expect("a source");
+    rest.split('"').next().unwrap_or_default().to_owned()
+}
+
 // Guards against a zone that is used although only one process can read the record, against one
 // that is used again after processes have restarted while the store is down, and against one that
 // is not used after it was taken back.
@@ -64,12 +73,17 @@
     deployment.executors.iter().for_each(|it| it.clear_spans());
     sleep(Duration::from_millis(1_500)).await;
     let after_restart = starts(&deployment, 0x2000).await;
+    let evacuated_gauge = deployment.metrics(2).await;
+    let informed_by = source(&deployment, 1, "a zone is evacuated");
     deployment.store.take_back("east");
     deployment.store.set_down(false);
 
     assert_eq!(after_restart[0], 0);
     assert!(after_restart[1] > 0);
+    assert!(evacuated_gauge.contains("\nprimrosemux_evacuated_zones 1\n"), "{evacuated_gauge}");
+    assert!(informed_by.starts_with("127.10.21.1:"), "{informed_by}");
     deployment.wait_until_jobs_run().await;
+    assert_eq!(source(&deployment, 0, "a zone is taken back"), "store");
 }
 
 // Guards against a zone that is used while all processes are new and nobody is informed: each
