Let jobs wait for other zones that are silent for a moment

Cause: while a zone was evacuated, a job was refused at once when the agents of the other zones had not acknowledged an order for 100 ms, which without an evacuation it would have waited for.

Change: whether another zone could serve a job is judged by the last reports of agents that are reachable and accept work.

--- a/components/broker/src/agents.rs
+++ b/components/broker/src/agents.rs
@@ -33,6 +33,14 @@
     providing.filter_map(|it| it.report.endpoint.as_ref()).any(|it| step.can_run_on(it))
 }
 
+/// Whether an endpoint of `service` outside evacuated zones could run a task of `step` when idle,
+/// by the last report of its agent, which may be silent for the moment.
+pub(crate) fn may_run(agents: &Agents, service: &str, step: &Step) -> bool {
+    let served = agents.values().filter(|it| it.is_watchable());
+    let endpoints = served.filter_map(|it| it.report.endpoint.as_ref());
+    endpoints.filter(|it| it.service == service).any(|it| step.can_run_on(it))
+}
+
 /// Whether an endpoint of `service` is in an evacuated zone.
 pub(crate) fn is_evacuated_from(agents: &Agents, service: &str) -> bool {
     let evacuated = agents.values().filter(|it| it.evacuated && !it.unreachable);
--- a/components/broker/src/broker/evacuation.rs
+++ b/components/broker/src/broker/evacuation.rs
@@ -6,7 +6,7 @@
 
 use super::Broker;
 use crate::{
-    agents::{can_run, is_evacuated_from},
+    agents::{is_evacuated_from, may_run},
     job::Submission,
     queue::JobKey,
 };
@@ -48,6 +48,6 @@
         let may_appear =
             now < self.settles_at && self.agents.values().any(|it| it.unreachable && !it.evacuated);
         let mut steps = submission.steps.iter();
-        !may_appear && !steps.all(|step| can_run(&self.agents, now, service, step))
+        !may_appear && !steps.all(|step| may_run(&self.agents, service, step))
     }
 }
--- a/components/broker/src/broker/jobs.rs
+++ b/components/broker/src/broker/jobs.rs
@@ -6,7 +6,7 @@
 
 use super::{Answered, Broker, Effect, Reply};
 use crate::{
-    agents::{can_run, total_capacity},
+    agents::{can_run, is_evacuated_from, total_capacity},
     backlog::Backlog,
     job::{Job, Submission, TaskState},
     limits::{
@@ -96,7 +96,7 @@
             self.last_available = now;
         } else if !evacuated && now.since(self.last_available) < DISCOVERY_TIMEOUT_MS {
             // Agents that never appear must not keep jobs waiting that only evacuated zones serve.
-            if self.evacuated_zones.is_empty() {
+            if !is_evacuated_from(&self.agents, &service) {
                 self.settles_at = now + SETTLE_MS;
             }
             return;
--- a/components/broker/tests/broker/evacuation.rs
+++ b/components/broker/tests/broker/evacuation.rs
@@ -108,6 +108,24 @@
     assert_eq!(fixture.runs().len(), 1);
 }
 
+// Guards against jobs that are refused because the agents of the other zone are late for a moment.
+#[test]
+fn a_job_waits_while_the_agents_of_the_other_zone_do_not_acknowledge() {
+    let mut fixture = fixture(2);
+    fixture.evacuate(&["north"]);
+    fixture.agents.get_mut(&address(2)).expect("an agent").responds = false;
+    fixture.submit(submission(1, vec![step(1, 100)]));
+    fixture.advance(150);
+
+    let request = fixture.submit(submission(2, vec![step(1, 100)]));
+    let early = fixture.answer(request);
+    fixture.agents.get_mut(&address(2)).expect("an agent").responds = true;
+    fixture.advance(200);
+
+    assert_eq!(early, None);
+    assert_eq!(fixture.runs().len(), 2);
+}
+
 // Guards against a subset of watched agents that an evacuated zone uses up.
 #[test]
 fn watches_agents_of_other_zones_in_place_of_evacuated_ones() {
