--- a/components/mesh/tests/message.rs
+++ b/components/mesh/tests/message.rs
@@ -16,6 +16,12 @@
     assert_eq!(encode(&Datagram::EvacuationsSeen { end: 5 }), [4, 5]);
 }
 
+// Guards against an earlier version that stops at a message which a later one sends.
+#[test]
+fn messages_of_later_versions_are_rejected() {
+    assert!(decode(&[100, 5, 1]).is_err());
+}
+
 proptest! {
     #[test]
     fn evacuations_are_decoded_as_they_were_sent(
