Tighten the tests of evacuations and drop those that repeat others

Cause: the model allowed 5 s where 1 s is the target, and the process test did not notice an agent whose core is not told of its zone.

Change: the model's limit is 1 s. The process test checks that the restarted agent takes no work.

The process test fails if the agent's core is not told, and both process tests passed ten times in a row. The soak passes (2 tests, 104 s).

--- a/components/mesh/tests/message.rs
+++ b/components/mesh/tests/message.rs
@@ -32,12 +32,4 @@
 
         prop_assert_eq!(decode(&encode(&datagram)), Ok(datagram));
     }
-
-    #[test]
-    fn a_truncated_state_is_rejected(end in any::<u64>(), cut in 1_usize..4) {
-        let state = Evacuations { end, zones: [("north".to_owned(), 3)].into() };
-        let bytes = encode(&Datagram::Evacuations(state));
-
-        prop_assert!(decode(&bytes[..bytes.len() - cut]).is_err());
-    }
 }
--- a/components/model/src/simulation/evacuations.rs
+++ b/components/model/src/simulation/evacuations.rs
@@ -11,8 +11,9 @@
 use super::{Event, Host, Simulation, address};
 use crate::report::Violation;
 
-/// Time after which nothing may start in an evacuated zone, in ms.
-const EVACUATION_MS: u64 = 5_000;
+/// Time after which nothing may start in an evacuated zone, in ms: the target if some process reads
+/// the store, a fifth of what the settings allow.
+const EVACUATION_MS: u64 = 1_000;
 /// Longest time of a read of the store, in ms.
 const MAX_READ_MS: u64 = 40;
 /// Interval at which an entry reads the store; a stand-in for its long polls, in ms.
--- a/hostd/tests/processes/evacuation.rs
+++ b/hostd/tests/processes/evacuation.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use nix::sys::signal::Signal;
 use platform_standin::job_text;
 use tokio::time::{Instant, sleep};
 
@@ -73,14 +72,15 @@
     deployment.executors.iter().for_each(|it| it.clear_spans());
     sleep(Duration::from_millis(1_500)).await;
     let after_restart = starts(&deployment, 0x2000).await;
-    let evacuated_gauge = deployment.metrics(2).await;
+    let metrics = deployment.metrics(2).await;
     let informed_by = source(&deployment, 1, "a zone is evacuated");
     deployment.store.take_back("east");
     deployment.store.set_down(false);
 
     assert_eq!(after_restart[0], 0);
     assert!(after_restart[1] > 0);
-    assert!(evacuated_gauge.contains("\nprimrosemux_evacuated_zones 1\n"), "{evacuated_gauge}");
+    assert!(metrics.contains("\nprimrosemux_evacuated_zones 1\n"), "{metrics}");
+    assert!(metrics.contains("\nprimrosemux_endpoint_open 0\n"), "{metrics}");
     assert!(informed_by.starts_with("127.10.21.1:"), "{informed_by}");
     deployment.wait_until_jobs_run().await;
     assert_eq!(source(&deployment, 0, "a zone is taken back"), "store");
@@ -108,30 +108,3 @@
     deployment.store.take_back("east");
     deployment.wait_until_jobs_run().await;
 }
-
-// Guards against a zone that is used during a rolling restart, in which each process in turn
-// loses what it knows while the others are informed; the store is down.
-#[tokio::test(flavor = "multi_thread")]
-async fn no_task_starts_in_an_evacuated_zone_during_a_rolling_restart_without_the_store() {
-    let mut deployment = start([10, 23]).await;
-    deployment.store.evacuate("east");
-    wait_until_evacuated(&deployment).await;
-    deployment.store.set_down(true);
-
-    let mut in_zone = 0;
-    for agent in 0..2 {
-        deployment.processes[2 + agent].signal(Signal::SIGTERM);
-        sleep(Duration::from_millis(300)).await;
-        deployment.kill_agent(agent);
-        deployment.start_agent(agent);
-        for round in 0..3 {
-            let first_job = 0x5000 + (agent as u64 * 3 + round) * JOBS;
-            in_zone += starts(&deployment, first_job).await[0];
-        }
-    }
-
-    assert_eq!(in_zone, 0);
-    deployment.store.take_back("east");
-    deployment.store.set_down(false);
-    deployment.wait_until_jobs_run().await;
-}
