Measure a rack in demand in the model

The endpoints of the model had no racks, so waits for a rack were only tested with one entry and reports without delay. A load can now have a rack that holds the data of one kind, with the factor on run times elsewhere.

--- a/components/model/src/endpoint.rs
+++ b/components/model/src/endpoint.rs
@@ -32,6 +32,8 @@
     pub(crate) hangs: bool,
     pub(crate) fails: bool,
     pub(crate) slowness: f64,
+    /// Whether it is on the rack of [`HotRack`](crate::HotRack).
+    pub(crate) on_hot_rack: bool,
     /// Highest fencing token received.
     token: u64,
     /// End of the lease, on the endpoint's clock.
@@ -80,6 +82,7 @@
             hangs: false,
             fails: false,
             slowness: 1.0,
+            on_hot_rack: false,
             token: 0,
             lease: 0,
             running: Vec::new(),
@@ -99,6 +102,7 @@
             hangs: self.hangs,
             fails: self.fails,
             slowness: self.slowness,
+            on_hot_rack: self.on_hot_rack,
             ..Endpoint::new(self.capacity, self.announces_birth)
         };
     }
@@ -253,7 +257,8 @@
         if key.run <= last {
             return Answer::Rejected(Rejection::Old);
         }
-        let run_time = (run_time_of(all_needs, key) as f64 * self.slowness) as u64;
+        let run_time = run_time_of(all_needs, key, self.on_hot_rack);
+        let run_time = (run_time as f64 * self.slowness) as u64;
         let needs = all_needs.get(&key.job);
         let failed = self.fails || needs.is_some_and(|it| it.poisoned);
         let end = match (self.hangs, failed) {
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -21,7 +21,7 @@
 
 pub use crate::{
     fault::{Fault, FaultKind},
-    load::{Burst, Kind, Load},
+    load::{Burst, HotRack, Kind, Load},
     report::{KindReport, Report, Violation, WeightedShares},
     simulation::{Simulation, SimulationOptions},
 };
--- a/components/model/src/load.rs
+++ b/components/model/src/load.rs
@@ -38,6 +38,17 @@
     pub times: f64,
 }
 
+/// A rack that holds the data of all jobs of one kind.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct HotRack {
+    /// Index of the kind.
+    pub kind: usize,
+    /// Number of endpoints on the rack; they are the first ones.
+    pub endpoints: usize,
+    /// Factor by which a task of the kind takes longer at the other endpoints.
+    pub remote_factor: f64,
+}
+
 /// Workload of a simulation.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Load {
@@ -49,6 +60,8 @@
     pub estimate_spread: f64,
     /// Periods with a changed arrival rate.
     pub bursts: Vec<Burst>,
+    /// Rack that holds the data of one kind.
+    pub hot_rack: Option<HotRack>,
 }
 
 /// Actual resource needs of a job.
@@ -59,6 +72,8 @@
     pub(crate) run_times: Vec<u64>,
     pub(crate) cpu: u32,
     pub(crate) poisoned: bool,
+    /// Rack of its data, with the factor on its run times elsewhere.
+    pub(crate) rack: Option<HotRack>,
     /// Latency objective, in ms.
     pub(crate) objective: u64,
 }
@@ -101,7 +116,7 @@
             kind("match", 0.33, 4.0, 900.0),
             kind("order", 0.48, 2.0, 200.0),
         ];
-        Load { kinds, spread: SPREAD, estimate_spread: SPREAD, bursts: Vec::new() }
+        Load { kinds, spread: SPREAD, estimate_spread: SPREAD, bursts: Vec::new(), hot_rack: None }
     }
 
     /// Arrival rate of a kind in jobs per second, `at` ms after the start of arrivals.
@@ -139,8 +154,15 @@
             ..Route::default()
         };
         let objective = (OBJECTIVE_FACTOR * longest as f64) as u64 + OBJECTIVE_BASE_MS;
-        let step =
-            Step { count: run_times.len() as u16, cpu, memory: 1, declared, ..Step::default() };
+        let rack = self.hot_rack.filter(|it| it.kind == kind);
+        let step = Step {
+            count: run_times.len() as u16,
+            cpu,
+            memory: 1,
+            declared,
+            rack: rack.map(|_| HOT_RACK.to_owned()),
+            ..Step::default()
+        };
         let submission = Submission {
             job,
             request: String::new(),
@@ -150,17 +172,24 @@
             timeout: rng.random_range(1_900..4_100),
         };
         let poisoned = rng.random_bool(it.poison);
-        (submission, JobNeeds { kind, run_times, cpu, poisoned, objective })
+        (submission, JobNeeds { kind, run_times, cpu, poisoned, rack, objective })
     }
 }
 
+/// Label of the endpoints on the hot rack.
+pub(crate) const HOT_RACK: &str = "rack";
+
 /// Service that all endpoints provide.
 pub(crate) const SERVICE: &str = "service";
 
-/// Actual run time of a run, in ms.
-pub(crate) fn run_time_of(all_needs: &NeedsByJob, key: RunKey) -> u64 {
-    let run_time = all_needs.get(&key.job).and_then(|it| it.run_times.get(usize::from(key.index)));
-    run_time.copied().unwrap_or(1)
+/// Actual run time of a run at an endpoint, in ms.
+pub(crate) fn run_time_of(all_needs: &NeedsByJob, key: RunKey, on_hot_rack: bool) -> u64 {
+    let Some(needs) = all_needs.get(&key.job) else { return 1 };
+    let run_time = needs.run_times.get(usize::from(key.index)).copied().unwrap_or(1);
+    match needs.rack {
+        Some(rack) if !on_hot_rack => (run_time as f64 * rack.remote_factor) as u64,
+        Some(_) | None => run_time,
+    }
 }
 
 /// Samples a log-normal value with the given mean and standard deviation of its logarithm.
--- a/components/model/src/simulation.rs
+++ b/components/model/src/simulation.rs
@@ -67,6 +67,8 @@
     pub zones: usize,
     /// Whether agents learn that their zone is evacuated; tests turn it off.
     pub agents_evacuate: bool,
+    /// Factor of tasks away from their rack that entries know from the settings, in percent.
+    pub remote_percent: Option<u32>,
     /// Job whose events are recorded in the report.
     pub trace: Option<JobId>,
 }
@@ -87,6 +89,7 @@
             policy: Policy::default(),
             zones: 1,
             agents_evacuate: true,
+            remote_percent: None,
             trace: None,
         }
     }
@@ -281,6 +284,8 @@
     }
 
     fn start(&mut self) {
+        let on_rack = self.options.load.hot_rack.map_or(0, |it| it.endpoints);
+        self.endpoints.iter_mut().take(on_rack).for_each(|it| it.on_hot_rack = true);
         for entry in 0..self.entries.len() {
             self.start_entry(entry);
         }
@@ -310,7 +315,7 @@
             zone: self.zone(Host::Entry(entry)),
             seed: self.rng.random(),
             run_expiry: self.options.run_expiry,
-            remote_percent: None,
+            remote_percent: self.options.remote_percent,
             policy: self.options.policy,
         };
         let now = Uptime(self.now);
--- a/components/model/src/simulation/endpoints.rs
+++ b/components/model/src/simulation/endpoints.rs
@@ -10,7 +10,11 @@
 use rand::RngExt;
 
 use super::{Event, HEARTBEAT_MS, Host, PendingCall, Simulation, WARM_UP_MS, address};
-use crate::{endpoint::Endpoint, load::SERVICE, report::Violation};
+use crate::{
+    endpoint::Endpoint,
+    load::{HOT_RACK, SERVICE},
+    report::Violation,
+};
 
 /// Memory of an endpoint, in MB.
 const MEMORY_MB: u32 = 1_000_000;
@@ -40,6 +44,7 @@
             service: SERVICE.to_owned(),
             cpu: endpoint.capacity,
             memory: MEMORY_MB,
+            labels: endpoint.on_hot_rack.then(|| HOT_RACK.to_owned()).into_iter().collect(),
             ..EndpointInfo::default()
         };
         let beat = Heartbeat {
--- a/components/model/tests/evacuation.rs
+++ b/components/model/tests/evacuation.rs
@@ -27,7 +27,7 @@
         poison: 0.0,
     };
     let kinds = vec![kind("short", 8.0, 4.0, 60.0), kind("long", 2.0, 2.0, 600.0)];
-    Load { kinds, spread: 0.4, estimate_spread: 0.4, bursts: Vec::new() }
+    Load { kinds, spread: 0.4, estimate_spread: 0.4, bursts: Vec::new(), hot_rack: None }
 }
 
 /// An evacuation in the middle of the load, with further faults.
--- a/components/model/tests/promises.rs
+++ b/components/model/tests/promises.rs
@@ -28,7 +28,7 @@
         poison: 0.01,
     };
     let kinds = vec![kind("short", 8.0, 4.0, 60.0), kind("long", 4.0, 2.0, 1_200.0)];
-    Load { kinds, spread: 0.4, estimate_spread: 0.4, bursts: Vec::new() }
+    Load { kinds, spread: 0.4, estimate_spread: 0.4, bursts: Vec::new(), hot_rack: None }
 }
 
 /// Tasks that end before their start is sent a second time.
