Stop the runs that cannot end before an announced removal, and fill cold endpoints by degrees

All runs on an endpoint that leaves were lost and placed again only when their leases had ended, although it had announced when it leaves; a started endpoint was filled at once while still slow.

The agent reads `timeRemainingMs` of draining endpoints and `coldRemainingMs`. It judges each run at the notice and at each event after it, by its progress or its expected run time, and stops those that cannot end in time; their tasks are returned as `Stopped`. A cold endpoint takes one task, then a share of its room that rises to the whole.

Without `stop_before_removal` four tests of the agent fail, without the share of a cold endpoint one.

--- a/components/guard/src/endpoint.rs
+++ b/components/guard/src/endpoint.rs
@@ -5,8 +5,11 @@
 use mesh::{EndpointInfo, Uptime};
 
 use crate::{
+    cold::Cold,
     instance::Instance,
     limits::{CALL_TIMEOUT_MS, MAX_HOLD_MS, MIN_CLOCK_RATE},
+    removal::Notice,
+    runs::Resources,
 };
 
 /// An instance of the endpoint (one life of its process).
@@ -19,6 +22,10 @@
     /// A heartbeat of this instance has described it. Until then, `info` is that of the instance
     /// before it, and it gets no work.
     pub(crate) described: bool,
+    /// Newest notice of its removal.
+    pub(crate) notice: Option<Notice>,
+    /// Set while it is cold.
+    pub(crate) cold: Option<Cold>,
     /// Highest sequence number of its heartbeats, if it has a birth time.
     pub(crate) sequence: Option<u64>,
     /// Gets no more leases: it left, crashed, or was replaced by another instance.
@@ -55,6 +62,8 @@
             info,
             draining: false,
             described: true,
+            notice: None,
+            cold: None,
             sequence: None,
             gone: false,
             restarted: false,
@@ -96,6 +105,21 @@
         is_newer
     }
 
+    /// Whether it is slow after its start.
+    pub(crate) fn is_cold(&self, now: Uptime) -> bool {
+        self.cold.is_some_and(|it| it.lasts(now))
+    }
+
+    /// Resources that it provides: all, or a share while it is cold and anything runs on it.
+    pub(crate) fn room(&self, now: Uptime, is_idle: bool) -> Resources {
+        let EndpointInfo { cpu, memory, gpus, .. } = self.info;
+        let whole = Resources { cpu, memory, gpus };
+        match self.cold {
+            Some(cold) if !is_idle => cold.share(now, whole),
+            Some(_) | None => whole,
+        }
+    }
+
     /// Records a reading of its clock; ignores an answer that arrived out of order.
     pub(crate) fn record_clock(&mut self, now: Uptime, clock: u64) {
         if self.min_clock(now).is_none_or(|min_clock| clock >= min_clock) {
--- a/components/guard/src/guard.rs
+++ b/components/guard/src/guard.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod orders;
 mod polls;
+mod removal;
 
 use std::{
     collections::{HashMap, HashSet},
@@ -18,7 +19,7 @@
     health::HealthTracker,
     instance::{EndedInstances, Instance},
     limits::{ENTRY_EXPIRY_MS, SUSPENDED_MS, Timing},
-    runs::{Phase, RunSlot, Runs},
+    runs::{Phase, Resources, RunSlot, Runs},
 };
 
 /// Interval between two polls of an idle endpoint, in ms; keeps the reading of its clock fresh.
@@ -78,6 +79,10 @@
     pub address: SocketAddr,
     /// Whether the endpoint accepts work.
     pub state: HeartbeatState,
+    /// Least time for which a draining endpoint stays, in ms.
+    pub time_remaining: Option<u64>,
+    /// Time for which the endpoint is slow after its start, in ms.
+    pub cold_remaining: Option<u64>,
     /// Service, capacity and other properties that stay fixed for the life of the instance.
     pub info: EndpointInfo,
 }
@@ -214,6 +219,9 @@
     doubtful_runs: u64,
     /// Number of restarts of the endpoint under its id.
     restarts: u64,
+    /// Number of runs that were left to end at a notice of removal, and of those that were stopped.
+    removal_stays: u64,
+    removal_stopped: u64,
     /// Free resources, health or the offer have changed since entries with waiting jobs got a
     /// report.
     report_due: bool,
@@ -251,6 +259,8 @@
             unconfirmed_stops: HashSet::new(),
             doubtful_runs: 0,
             restarts: 0,
+            removal_stays: 0,
+            removal_stopped: 0,
             report_due: false,
             offer: None,
             lcg_state: 0,
@@ -265,7 +275,7 @@
     pub fn handle(&mut self, now: Uptime, event: Event) -> Vec<Effect> {
         self.check_suspended(now);
         match event {
-            Event::Heartbeat(beat) => self.on_heartbeat(beat),
+            Event::Heartbeat(beat) => self.on_heartbeat(now, beat),
             Event::Left { instance } => self.on_left(&instance),
             Event::Frame { from, frame } => self.on_frame(now, from, frame),
             Event::Zone(zone) => self.on_zone(now, zone),
@@ -273,6 +283,7 @@
             Event::Tick => self.on_tick(now),
             Event::Shutdown => self.on_shutdown(now),
         }
+        self.stop_before_removal(now);
         self.start_queued(now);
         self.poll_endpoint(now);
         self.send_frames(now);
@@ -305,6 +316,12 @@
         self.restarts
     }
 
+    /// Number of runs that were left to end at a notice of removal, and of those that were stopped
+    /// because of one.
+    pub fn removal_counts(&self) -> (u64, u64) {
+        (self.removal_stays, self.removal_stopped)
+    }
+
     /// Refuses the queued runs and stops those being started if the host was suspended: their
     /// orders may be stale, and the start must not be sent again.
     fn check_suspended(&mut self, now: Uptime) {
@@ -402,12 +419,23 @@
         if !ready || !zone_served || self.is_silent(now) || self.shutdown_since.is_some() {
             return Health::Closed;
         }
+        let is_idle = !self.runs.has_active();
+        let is_cold = self.endpoint.as_ref().is_some_and(|it| it.is_cold(now));
         match self.health_tracker.health(now) {
-            Health::Trial if self.runs.has_active() => Health::Closed,
+            Health::Trial if !is_idle => Health::Closed,
+            // Its share may have no room for a task, but it takes one if nothing runs.
+            Health::Open if is_cold && is_idle => Health::Trial,
             health => health,
         }
     }
 
+    /// Free resources of the endpoint.
+    fn free(&self, now: Uptime) -> Resources {
+        let is_idle = !self.runs.has_active();
+        let room = self.endpoint.as_ref().map(|it| it.room(now, is_idle));
+        room.map(|it| self.runs.free(it)).unwrap_or_default()
+    }
+
     /// Whether runs may be started.
     fn may_start(&self, now: Uptime) -> bool {
         self.zone == ZoneState::Served && self.may_renew(now)
@@ -427,7 +455,7 @@
         let queued: Vec<_> = self.runs.queued().collect();
         for slot in queued {
             let Some(endpoint) = &self.endpoint else { return };
-            let free = self.runs.free(&endpoint.info);
+            let free = self.free(now);
             let Some(run) = self.runs.get(slot) else { continue };
             let trial = self.health_tracker.health(now) != Health::Open;
             if !endpoint.is_ready() || trial && self.runs.has_active() {
--- a/components/guard/src/guard/orders.rs
+++ b/components/guard/src/guard/orders.rs
@@ -89,6 +89,7 @@
                 phase: Phase::Queued { refuse_at },
                 started: now,
                 progress_percent: 0,
+                listed: now,
                 last_progress: now,
                 number_retries: 0,
                 start_timeouts: 0,
@@ -199,7 +200,7 @@
 
     pub(super) fn report(&self, now: Uptime) -> Report {
         let info = self.endpoint.as_ref().map(|it| it.info.clone());
-        let mut free = info.as_ref().map(|it| self.runs.free(it)).unwrap_or_default();
+        let mut free = self.free(now);
         for slot in self.runs.queued() {
             if let Some(run) = self.runs.get(slot) {
                 free.cpu = free.cpu.saturating_sub(run.work.cpu);
--- a/components/guard/src/guard/polls.rs
+++ b/components/guard/src/guard/polls.rs
@@ -7,16 +7,19 @@
 use super::{Guard, Heartbeat, HeartbeatState, IDLE_POLL_MS, PendingPoll, Purpose, RETRY_POLL_MS};
 use crate::{
     call::{Answer, Call, CallKind, EndedRun, Rejection, RunOutcome, Snapshot},
+    cold::Cold,
     endpoint::Endpoint,
     health::HealthTracker,
     instance::{Age, Instance},
     limits::{ENDPOINT_SILENCE_MS, HEDGE_MS, MAX_HOLD_MS, ORPHAN_POLL_MS, RENEW_MS, STALL_MS},
+    removal::Notice,
     runs::{Phase, Run, RunSlot},
 };
 
 impl Guard {
-    pub(super) fn on_heartbeat(&mut self, beat: Heartbeat) {
+    pub(super) fn on_heartbeat(&mut self, now: Uptime, beat: Heartbeat) {
         let draining = beat.state == HeartbeatState::Draining;
+        let remaining = beat.time_remaining.filter(|_| draining);
         let has_id = |it: &Endpoint| it.instance.id == beat.instance.id;
         let is_announced = self.announced.as_ref().is_some_and(has_id);
         let known = if is_announced { &mut self.announced } else { &mut self.endpoint };
@@ -39,6 +42,14 @@
                         known.info = beat.info;
                         self.report_due = true;
                     }
+                    known.cold = Cold::update(known.cold, now, beat.cold_remaining);
+                    match remaining {
+                        Some(remaining) if is_announced => {
+                            known.notice = Some(Notice::new(now, remaining));
+                        }
+                        Some(remaining) => self.on_removal_notice(now, remaining),
+                        None => {}
+                    }
                     return;
                 }
                 Age::Same | Age::Newer => {}
@@ -51,6 +62,8 @@
         let mut announced = Endpoint::new(beat.instance, beat.address, beat.info);
         announced.accept_sequence(beat.sequence);
         announced.draining = draining;
+        announced.cold = Cold::update(None, now, beat.cold_remaining);
+        announced.notice = remaining.map(|it| Notice::new(now, it));
         self.announce(announced);
     }
 
@@ -367,6 +380,9 @@
         for slot in slots {
             let Some(run) = self.runs.get_mut(slot) else { continue };
             let percent = percents.get(&RunKey { run: run.number, ..run.key });
+            if percent.is_some() {
+                run.listed = now;
+            }
             run.is_confirmed |=
                 percent.is_some() && sent > run.last_copy && run.copies.unresolved() == 0;
             match run.phase {
--- a/components/guard/src/lib.rs
+++ b/components/guard/src/lib.rs
@@ -8,12 +8,14 @@
 //! [`Event`] with the current time and returns [`Effect`]s for the event loop to carry out.
 
 mod call;
+mod cold;
 mod endpoint;
 mod entries;
 mod guard;
 mod health;
 mod instance;
 mod limits;
+mod removal;
 mod runs;
 
 pub use crate::{
--- a/components/guard/src/runs.rs
+++ b/components/guard/src/runs.rs
@@ -6,7 +6,7 @@
     sync::Arc,
 };
 
-use mesh::{End, EndpointInfo, JobId, RunKey, Uptime};
+use mesh::{End, JobId, RunKey, Uptime};
 use slotmap::{SlotMap, new_key_type};
 
 use crate::{call::Answer, limits::RUN_NUMBER_EXPIRY_MS};
@@ -41,6 +41,8 @@
     pub(crate) started: Uptime,
     /// Progress that the endpoint has reported.
     pub(crate) progress_percent: u32,
+    /// Time at which the endpoint last listed the run with that progress.
+    pub(crate) listed: Uptime,
     /// Time of the start, or of the last rise of the progress.
     pub(crate) last_progress: Uptime,
     /// Retries of the start under a higher run number.
@@ -167,12 +169,12 @@
 }
 
 impl Runs {
-    /// Resources of the endpoint that no run holds.
-    pub(crate) fn free(&self, info: &EndpointInfo) -> Resources {
+    /// Resources in `room` that no run holds.
+    pub(crate) fn free(&self, room: Resources) -> Resources {
         Resources {
-            cpu: info.cpu.saturating_sub(self.allocated.cpu),
-            memory: info.memory.saturating_sub(self.allocated.memory),
-            gpus: info.gpus.saturating_sub(self.allocated.gpus),
+            cpu: room.cpu.saturating_sub(self.allocated.cpu),
+            memory: room.memory.saturating_sub(self.allocated.memory),
+            gpus: room.gpus.saturating_sub(self.allocated.gpus),
         }
     }
 
--- a/components/guard/tests/guard/fixture.rs
+++ b/components/guard/tests/guard/fixture.rs
@@ -45,7 +45,15 @@
         memory: 1_000,
         ..EndpointInfo::default()
     };
-    Heartbeat { instance: instance.into(), sequence: None, address, state, info }
+    Heartbeat {
+        instance: instance.into(),
+        sequence: None,
+        address,
+        state,
+        time_remaining: None,
+        cold_remaining: None,
+        info,
+    }
 }
 
 pub(crate) fn order(runs: Vec<RunKey>, cpu: u32, decided: Uptime) -> StartOrder {
--- a/components/guard/tests/guard/main.rs
+++ b/components/guard/tests/guard/main.rs
@@ -7,6 +7,7 @@
 mod health;
 mod instances;
 mod lease;
+mod removal;
 mod resources;
 mod restart;
 mod restarts;
--- a/components/model/src/endpoint.rs
+++ b/components/model/src/endpoint.rs
@@ -24,6 +24,8 @@
     announces_birth: bool,
     /// Whether a call to this very instance has arrived.
     pub(crate) reached: bool,
+    /// Time at which it leaves, once it has announced that.
+    pub(crate) leaves: Option<u64>,
     /// Number of its last heartbeat.
     pub(crate) sequence: u64,
     pub(crate) capacity: u32,
@@ -75,6 +77,7 @@
             started: 0,
             announces_birth,
             reached: false,
+            leaves: None,
             sequence: 0,
             capacity,
             alive: true,
--- a/components/model/src/fault.rs
+++ b/components/model/src/fault.rs
@@ -28,6 +28,9 @@
     CrashEndpoint(usize),
     /// An endpoint crashes, and restarts under its id with a clock that begins at 0.
     RestartEndpoint(usize),
+    /// An endpoint announces its removal and leaves after this time, in ms; another instance starts
+    /// at the end of the fault.
+    RemoveEndpoint(usize, u64),
     /// An endpoint is partitioned from its agent and keeps running.
     PartitionEndpoint(usize),
     /// Tasks that start on an endpoint never end.
--- a/components/model/src/report.rs
+++ b/components/model/src/report.rs
@@ -76,6 +76,8 @@
     pub unfenced: Vec<Violation>,
     /// Time of the last start on each endpoint, in ms after arrivals start.
     pub last_starts: Vec<u64>,
+    /// Runs that were in progress on an endpoint that left after it had announced that.
+    pub removed_runs: u64,
     /// Number of datagrams sent between processes, including lost ones.
     pub datagrams: u64,
     /// Number of calls to endpoints.
--- a/components/model/src/simulation.rs
+++ b/components/model/src/simulation.rs
@@ -57,6 +57,8 @@
     pub faults: Vec<Fault>,
     /// Whether endpoints announce their birth time.
     pub announce_birth: bool,
+    /// Whether draining endpoints announce the time that is left.
+    pub announce_remaining: bool,
     /// Time limits of agents.
     pub timing: Timing,
     /// Silence of an agent after which an entry reruns its tasks, in ms.
@@ -84,6 +86,7 @@
             length,
             faults: Vec::new(),
             announce_birth: false,
+            announce_remaining: true,
             timing: Timing::default(),
             run_expiry: RUN_EXPIRY_MS,
             policy: Policy::default(),
@@ -100,6 +103,7 @@
 enum Event {
     Tick(Host),
     Heartbeat(usize),
+    Remove(usize),
     LateHeartbeat(usize, Box<Heartbeat>),
     Arrive(usize),
     Send(JobId),
@@ -224,6 +228,7 @@
             repeats: Vec::new(),
             unfenced: Vec::new(),
             last_starts: vec![0; options.endpoints.len()],
+            removed_runs: 0,
             datagrams: 0,
             calls: 0,
             useful_work: 0,
@@ -354,6 +359,7 @@
             Event::LateHeartbeat(agent, beat) => {
                 self.run_agent(agent, AgentEvent::Heartbeat(*beat));
             }
+            Event::Remove(agent) => self.on_remove(agent),
             Event::Arrive(kind) => self.on_arrival(kind),
             Event::Send(job) => self.send_job(job),
             Event::Submit { entry, job, token } => self.on_submit(entry, job, token),
@@ -470,6 +476,7 @@
         }
         Event::Submit { entry, .. } | Event::Disconnect { entry, .. } => Some(Host::Entry(*entry)),
         Event::Arrive(_)
+        | Event::Remove(_)
         | Event::Send(_)
         | Event::RequestTimeout { .. }
         | Event::Call { .. }
--- a/components/model/src/simulation/endpoints.rs
+++ b/components/model/src/simulation/endpoints.rs
@@ -35,6 +35,23 @@
 impl Simulation {
     pub(super) fn on_heartbeat(&mut self, agent: usize) {
         self.push(self.now + HEARTBEAT_MS, Event::Heartbeat(agent));
+        self.send_heartbeat(agent);
+    }
+
+    /// Starts the time until an endpoint leaves.
+    pub(super) fn announce_removal(&mut self, agent: usize, remaining: u64) {
+        self.endpoints[agent].leaves = Some(self.now + remaining);
+        self.push(self.now + remaining, Event::Remove(agent));
+        self.send_heartbeat(agent);
+    }
+
+    pub(super) fn on_remove(&mut self, agent: usize) {
+        self.endpoints[agent].advance(self.now);
+        self.report.removed_runs += self.endpoints[agent].runs().count() as u64;
+        self.endpoints[agent].crash();
+    }
+
+    fn send_heartbeat(&mut self, agent: usize) {
         let endpoint = &mut self.endpoints[agent];
         if !endpoint.alive || self.agents[agent].is_none() {
             return;
@@ -51,7 +68,15 @@
             instance: Instance { id: endpoint.instance.to_string().into(), born: endpoint.born() },
             sequence: Some(endpoint.sequence),
             address: SocketAddr::V4(address(Host::Agent(agent))),
-            state: HeartbeatState::Ready,
+            state: match endpoint.leaves {
+                Some(_) => HeartbeatState::Draining,
+                None => HeartbeatState::Ready,
+            },
+            time_remaining: endpoint
+                .leaves
+                .filter(|_| self.options.announce_remaining)
+                .map(|it| it.saturating_sub(self.now)),
+            cold_remaining: None,
             info,
         };
         if self.call_faults.slow_heartbeats {
--- a/components/model/src/simulation/faults.rs
+++ b/components/model/src/simulation/faults.rs
@@ -26,6 +26,7 @@
                 self.endpoints[agent].crash();
             }
             FaultKind::RestartEndpoint(agent) => self.endpoints[agent].crash_under_id(),
+            FaultKind::RemoveEndpoint(agent, remaining) => self.announce_removal(agent, remaining),
             FaultKind::PartitionEndpoint(agent) => self.endpoints[agent].partitioned = true,
             FaultKind::HangEndpoint(agent) => self.endpoints[agent].hangs = true,
             FaultKind::FailEndpoint(agent) => self.endpoints[agent].fails = true,
@@ -62,6 +63,7 @@
             FaultKind::SuspendAgent(agent) => self.resume(Host::Agent(agent)),
             FaultKind::CrashEndpoint(agent) => self.endpoints[agent].alive = true,
             FaultKind::RestartEndpoint(agent) => self.endpoints[agent].restart(self.now),
+            FaultKind::RemoveEndpoint(agent, _) => self.endpoints[agent].alive = true,
             FaultKind::PartitionEndpoint(agent) => self.endpoints[agent].partitioned = false,
             FaultKind::HangEndpoint(agent) => self.endpoints[agent].hangs = false,
             FaultKind::FailEndpoint(agent) => self.endpoints[agent].fails = false,
--- a/components/model/tests/promises.rs
+++ b/components/model/tests/promises.rs
@@ -336,7 +336,8 @@
 }
 
 /// A random schedule of faults, with one to four restarts of endpoints under their ids, each behind
-/// a partition in half of the cases, and with late calls or slow heartbeats in half of them.
+/// a partition in half of the cases, with late calls or slow heartbeats in half of them, and with an
+/// endpoint that announces its removal.
 fn random_restarts(seed: u64) -> Vec<Fault> {
     let mut rng = SmallRng::seed_from_u64(seed ^ 0x1d);
     let mut faults = random_faults(seed);
@@ -351,6 +352,10 @@
             faults.push(Fault { at, length, kind: FaultKind::PartitionEndpoint(agent) });
         }
     }
+    let remaining = rng.random_range(10..2_000);
+    let kind = FaultKind::RemoveEndpoint(rng.random_range(0..AGENTS), remaining);
+    let at = rng.random_range(0..LENGTH);
+    faults.push(Fault { at, length: remaining + rng.random_range(1..1_500), kind });
     for kind in [FaultKind::LateCalls(0.1), FaultKind::SlowHeartbeats, FaultKind::SlowAnswers] {
         if rng.random_bool(0.5) {
             let at = rng.random_range(0..LENGTH / 2);
--- a/hostd/src/agent.rs
+++ b/hostd/src/agent.rs
@@ -135,6 +135,11 @@
                 doubtful.inc_by(self.deps.guard.doubtful_runs() - doubtful.get());
                 let refusals = &self.deps.metrics.evacuation_refusals;
                 refusals.inc_by(self.deps.guard.evacuation_refusals() - refusals.get());
+                let (stays, stopped) = self.deps.guard.removal_counts();
+                let removal = &self.deps.metrics.removal_stays;
+                removal.inc_by(stays - removal.get());
+                let removal = &self.deps.metrics.removal_stopped;
+                removal.inc_by(stopped - removal.get());
                 let restarts = &self.deps.metrics.restarts;
                 restarts.inc_by(self.deps.guard.restarts() - restarts.get());
             }
--- a/hostd/src/metrics.rs
+++ b/hostd/src/metrics.rs
@@ -63,6 +63,10 @@
     pub(crate) rejections: Family<CallRejection, Counter>,
     /// Runs that were rejected or listed as ended while they may still run.
     pub(crate) doubtful: Counter,
+    /// Runs that were left to end at a notice of removal.
+    pub(crate) removal_stays: Counter,
+    /// Runs that were stopped because of a notice of removal.
+    pub(crate) removal_stopped: Counter,
     /// Restarts of the endpoint under its id.
     pub(crate) restarts: Counter,
     /// Duration of a call to the endpoint, in seconds.
@@ -125,6 +129,8 @@
             calls: Family::default(),
             rejections: Family::default(),
             doubtful: Counter::default(),
+            removal_stays: Counter::default(),
+            removal_stopped: Counter::default(),
             restarts: Counter::default(),
             call_time: histogram(),
             active: Gauge::default(),
@@ -187,6 +193,16 @@
             "Runs rejected or listed as ended while they may still run",
             metrics.doubtful.clone(),
         );
+        registry.register(
+            "removal_runs_left",
+            "Runs left to end at a notice of removal",
+            metrics.removal_stays.clone(),
+        );
+        registry.register(
+            "removal_runs_stopped",
+            "Runs stopped because of a notice of removal",
+            metrics.removal_stopped.clone(),
+        );
         registry.register(
             "endpoint_restarts",
             "Restarts of the endpoint under its id",
