Answer a job at once if its returned task cannot end in time

A task whose run its agent had stopped was always placed again, behind all jobs in time, and a job that could no longer be answered kept its caller until the timeout.

The entry now chooses by the time that the task and the steps after it need: it places the task again by the latest start that is left, places it behind the others if the answer can only be late, or answers the job at once. The choice is repeated while the task waits. A test of the entry fails without the answer at once, one without the repeated choice, and one without the new rank.

--- a/components/broker/src/broker.rs
+++ b/components/broker/src/broker.rs
@@ -3,6 +3,7 @@
 mod evacuation;
 mod jobs;
 mod placement;
+mod returned;
 mod runs;
 
 use std::{
@@ -348,6 +349,7 @@
         self.check_jobs(now);
         // A task gives up the wait for its rack after some time, also without news of room.
         self.placement_due |= self.rack_awaited;
+        self.check_returned(now);
         while let Some((at, job)) = self.expirations.front().copied()
             && at <= now
         {
--- a/components/broker/src/broker/runs.rs
+++ b/components/broker/src/broker/runs.rs
@@ -126,7 +126,7 @@
             );
         }
         let task = &mut job.tasks[position];
-        if matches!(end, End::Stopped | End::Stalled | End::Lost) {
+        if matches!(end, End::Stalled | End::Lost) {
             log::info!(run:% = key, agent:% = agent, end:? = end, took_ms = took; "a run is over and its task waits again");
         }
         match end {
@@ -168,7 +168,8 @@
                 task.excluded.push(agent);
                 self.requeue(now, job_key, position);
             }
-            End::Stopped | End::Lost => self.requeue(now, job_key, position),
+            End::Stopped => self.on_returned(now, job_key, position, agent, key),
+            End::Lost => self.requeue(now, job_key, position),
         }
     }
 
--- a/components/broker/src/job.rs
+++ b/components/broker/src/job.rs
@@ -64,6 +64,8 @@
     pub(crate) tasks: Vec<Task>,
     /// Whether a run has ended or was lost, so that some of the job may have run.
     pub(crate) maybe_ran: bool,
+    /// Whether an agent has stopped a run of it.
+    pub(crate) has_returned: bool,
 }
 
 /// A task of a job.
@@ -159,6 +161,7 @@
             deadline: now + submission.timeout,
             tasks,
             maybe_ran: false,
+            has_returned: false,
             submission,
         }
     }
--- a/components/broker/src/lib.rs
+++ b/components/broker/src/lib.rs
@@ -20,6 +20,7 @@
 mod locality;
 mod policy;
 mod queue;
+mod returned;
 mod share;
 mod watch;
 
--- a/components/broker/tests/broker/main.rs
+++ b/components/broker/tests/broker/main.rs
@@ -8,5 +8,6 @@
 mod jobs;
 mod locality;
 mod placement;
+mod returned;
 mod shutdown;
 mod watch;
