--- a/components/broker/src/broker/jobs.rs
+++ b/components/broker/src/broker/jobs.rs
@@ -6,7 +6,7 @@
 
 use super::{Answered, Broker, Effect, Reply};
 use crate::{
-    agents::{Agent, can_run, is_evacuated_from, total_capacity},
+    agents::{can_run, is_evacuated_from, total_capacity},
     backlog::Backlog,
     job::{Job, Submission, TaskState},
     limits::{
@@ -124,15 +124,11 @@
         self.answer(now, key, Reply::Refused { retry_after });
     }
 
-    /// Expected capacity of the known agents whose endpoint is not heard of yet, in thousandths of a
-    /// core, if the endpoints heard of so far provide `heard_capacity`.
-    ///
-    /// An agent that has restarted is heard before its endpoint: that one announces itself again
-    /// with its next heartbeat, which takes up to 1.5 s.
+    /// Expected capacity of the known agents that are not heard yet, in thousandths of a core, if
+    /// those heard so far provide `heard_capacity`.
     fn unheard_capacity(&self, heard_capacity: u64) -> u64 {
         let served = self.agents.values().filter(|it| !it.evacuated);
-        let is_heard = |it: &&Agent| !it.unreachable && it.report.endpoint.is_some();
-        let (heard, unheard): (Vec<_>, Vec<_>) = served.partition(is_heard);
+        let (heard, unheard): (Vec<_>, Vec<_>) = served.partition(|it| !it.unreachable);
         let (heard, unheard) = (heard.len(), unheard.len());
         heard_capacity * unheard as u64 / heard.max(1) as u64
     }
