--- a/components/mesh/src/channel.rs
+++ b/components/mesh/src/channel.rs
@@ -150,9 +150,10 @@
         }
         let Frame { first, items, .. } = frame;
         let mut delivered = Vec::new();
-        for (number, item) in (first..).zip(items) {
+        for (position, item) in (0..).zip(items) {
             self.ack_owed.get_or_insert(now);
-            if number == self.received + 1 {
+            let number = u64::saturating_add(first, position);
+            if self.received.checked_add(1) == Some(number) {
                 self.received = number;
                 delivered.push(item);
             }
