--- a/components/broker/src/job.rs
+++ b/components/broker/src/job.rs
@@ -6,6 +6,10 @@
 
 use crate::{Route, estimate::Estimates, limits::MAX_OBJECTIVE_MULTIPLE, policy::QueueOrder};
 
+/// Largest work that a job counts for, in thousandths of a core times ms, so that the work of jobs
+/// can be added up; about 300 core-hours.
+const MAX_WORK: u64 = 1 << 40;
+
 /// A job as submitted by its caller.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Submission {
@@ -246,7 +250,8 @@
             let step = &self.submission.steps[usize::from(it.step)];
             u64::from(step.cpu) * u64::from(estimates.expected(route, step.declared))
         };
-        self.tasks.iter().filter(|it| counts(it)).map(work).sum()
+        let work = self.tasks.iter().filter(|it| counts(it)).map(work);
+        work.fold(0, u64::saturating_add).min(MAX_WORK)
     }
 }
 
--- a/components/guard/src/call.rs
+++ b/components/guard/src/call.rs
@@ -96,6 +96,16 @@
     pub running: Vec<RunningRun>,
     /// Ended runs that are not acknowledged.
     pub ended: Vec<EndedRun>,
+    /// Highest number of an end that was listed and could not be decoded; 0 if there was none.
+    pub last_ignored: u64,
+}
+
+impl Snapshot {
+    /// Highest number of any listed end, if there is one.
+    pub(crate) fn last_ended(&self) -> Option<u64> {
+        let decoded = self.ended.iter().map(|it| it.number).max();
+        decoded.max(Some(self.last_ignored).filter(|it| *it > 0))
+    }
 }
 
 /// A run in progress.
--- a/components/guard/src/endpoint.rs
+++ b/components/guard/src/endpoint.rs
@@ -129,12 +129,12 @@
 
     /// Lower bound of the endpoint's clock, in ms.
     fn min_clock(&self, now: Uptime) -> Option<u64> {
-        self.clock.map(|it| it.clock + now.since(it.at) * MIN_CLOCK_RATE / 1000)
+        self.clock.map(|it| it.clock.saturating_add(now.since(it.at) * MIN_CLOCK_RATE / 1_000))
     }
 
     /// Grants a lease of `lease` ms and returns its expiry by the endpoint's clock.
     pub(crate) fn grant_lease(&mut self, now: Uptime, lease: u64) -> Option<u64> {
-        let until = self.clock.map(|it| it.clock + now.since(it.at))? + lease;
+        let until = self.clock.map(|it| it.clock.saturating_add(now.since(it.at) + lease))?;
         self.lease_end = self.lease_end.max(until);
         self.last_grant = now;
         Some(until)
--- a/components/guard/src/guard/orders.rs
+++ b/components/guard/src/guard/orders.rs
@@ -252,7 +252,8 @@
         let mut report = None;
         let mut all_reported = true;
         let mut entries = std::mem::take(&mut self.entries);
-        let all_waiting: u32 = entries.values().map(|it| it.waiting).sum();
+        let waiting = entries.values().map(|it| it.waiting);
+        let all_waiting = waiting.fold(0, u32::saturating_add);
         let offered = self.offer.as_ref().map(|it| it.to);
         for (address, entry) in &mut entries {
             if now.since(entry.last_received) >= silence {
@@ -269,7 +270,7 @@
             entry.last_report = now;
             let report = report.get_or_insert_with(|| self.report(now));
             let mut report = report.clone();
-            report.waiting = all_waiting - entry.waiting;
+            report.waiting = all_waiting.saturating_sub(entry.waiting);
             if offered.is_some_and(|it| it != *address) {
                 report.cpu = 0;
             }
--- a/components/guard/src/guard/polls.rs
+++ b/components/guard/src/guard/polls.rs
@@ -203,7 +203,7 @@
             && !listed.is_empty()
         {
             // The expiry in such a call was meant for another clock.
-            endpoint.lease_end = snapshot.clock + MAX_HOLD_MS;
+            endpoint.lease_end = snapshot.clock.saturating_add(MAX_HOLD_MS);
         }
         for slot in &listed {
             let Some(run) = self.runs.get_mut(*slot) else { continue };
@@ -223,7 +223,7 @@
     /// gets no work.
     pub(super) fn stop_orphans(&mut self, snapshot: &Snapshot) {
         let Some(endpoint) = &mut self.endpoint else { return };
-        if let Some(last) = snapshot.ended.iter().map(|it| it.number).max() {
+        if let Some(last) = snapshot.last_ended() {
             endpoint.processed = endpoint.processed.max(last);
         }
         endpoint.orphan_free = snapshot.running.is_empty();
@@ -296,7 +296,7 @@
             return;
         }
         let seen = endpoint.processed;
-        if let Some(last) = snapshot.ended.iter().map(|it| it.number).max() {
+        if let Some(last) = snapshot.last_ended() {
             endpoint.processed = seen.max(last);
         }
         // If one copy of a run has failed and another has completed the task, the task is done.
--- a/components/guard/src/runs.rs
+++ b/components/guard/src/runs.rs
@@ -198,7 +198,7 @@
         self.queue.remove(&(refuse_at, slot));
         let task = (run.key.job, run.key.step, run.key.index);
         let numbers = self.numbers.entry(task).or_default();
-        numbers.last = run.key.run.max(numbers.last + 1);
+        numbers.last = run.key.run.max(numbers.last.saturating_add(1));
         numbers.active += 1;
         run.number = numbers.last;
         run.phase = Phase::Starting;
@@ -216,7 +216,7 @@
         let task = (run.key.job, run.key.step, run.key.index);
         self.by_endpoint_key.remove(&(task.0, task.1, task.2, run.number));
         let numbers = self.numbers.entry(task).or_default();
-        numbers.last += 1;
+        numbers.last = numbers.last.saturating_add(1);
         run.number = numbers.last;
         run.number_retries += 1;
         run.copies = Copies::default();
--- a/components/model/src/endpoint.rs
+++ b/components/model/src/endpoint.rs
@@ -245,7 +245,13 @@
             percent: if run.end.is_none() { 0 } else { percent(run).min(99) as u32 },
         });
         let ended = self.ended.iter().map(|it| it.row).collect();
-        Snapshot { born: self.born(), clock: self.clock(now), running: runs.collect(), ended }
+        Snapshot {
+            born: self.born(),
+            clock: self.clock(now),
+            running: runs.collect(),
+            ended,
+            last_ignored: 0,
+        }
     }
 
     fn start(&mut self, now: u64, key: RunKey, lease: u64, all_needs: &NeedsByJob) -> Answer {
