Test a notice of removal with real processes

An executor announces that it leaves in 450 ms while it runs tasks of 700 ms, and then ends. The job is completed, its runs there are stopped before, and no two runs of a task overlap.

--- a/hostd/tests/processes/main.rs
+++ b/hostd/tests/processes/main.rs
@@ -226,6 +226,26 @@
     deployment.wait_until_jobs_run().await;
 }
 
+// Guards against runs that are lost with an executor which had announced when it leaves.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_run_is_lost_with_an_executor_that_announces_its_removal() {
+    let deployment = Deployment::start([10, 15], 2).await;
+    let executor = &deployment.executors[0];
+
+    let ((status, _), ()) = tokio::join!(submit(&deployment, 1, 8, LONG_MS), async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        executor.announce_removal(Duration::from_millis(450));
+        tokio::time::sleep(Duration::from_millis(450)).await;
+        executor.crash("i-next");
+    });
+
+    assert_eq!(status, 200);
+    let spans = deployment.spans();
+    assert_eq!(overlaps(&spans), Vec::<String>::new());
+    let has_outcome = |outcome| spans[0].iter().any(|it| it.outcome == Some(outcome));
+    assert!(has_outcome("stopped") && !has_outcome("crashed"), "{:#?}", spans[0]);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn settings_that_are_still_being_written_at_startup_are_reloaded() {
     let mut deployment = Deployment::start([10, 9], 1).await;
