Keep the fencing token within its range at an endpoint that rejects every call

The token doubles with each call that is rejected for it, and overflowed after some 25 of them: a debug build ended, a release build went on with a low token.

--- a/components/guard/src/guard/answers.rs
+++ b/components/guard/src/guard/answers.rs
@@ -47,8 +47,9 @@
             }
             Answer::Rejected(Rejection::Fence) => {
                 // Doubling exceeds another agent's token within a few calls.
+                let token = self.fencing_token;
                 self.fencing_token =
-                    (self.fencing_token + TOKEN_STEP_MS).max(self.fencing_token.saturating_mul(2));
+                    token.saturating_add(TOKEN_STEP_MS).max(token.saturating_mul(2));
                 log::warn!(token = self.fencing_token; "the endpoint has seen a higher fencing token; the agent's token is raised");
             }
             Answer::Rejected(Rejection::Instance) => {
--- a/components/guard/src/guard/polls.rs
+++ b/components/guard/src/guard/polls.rs
@@ -73,7 +73,7 @@
         if announced.instance.born.is_some() {
             // Calls name the id alone. With a higher token, the instance rejects those that were
             // sent to an earlier one and arrive after its first poll.
-            self.fencing_token += 1;
+            self.fencing_token = self.fencing_token.saturating_add(1);
         }
         if let Some(old) = &mut self.endpoint
             && old.instance.id == announced.instance.id
