Bound the work of a step whose numbers a caller makes up

Cause: the demand for racks multiplied three numbers of a submission, which overflowed; the property test of malformed jobs found it. Change: the product saturates.

--- a/components/broker/src/broker/jobs.rs
+++ b/components/broker/src/broker/jobs.rs
@@ -54,7 +54,8 @@
         for step in &job.submission.steps {
             let route = &job.submission.route;
             let run_time = self.estimates.expected(&route.name, step.declared);
-            let work = u64::from(step.count) * u64::from(step.cpu) * u64::from(run_time);
+            let work = u64::from(step.count) * u64::from(step.cpu);
+            let work = work.saturating_mul(run_time.into());
             self.locality.record_arrival(now, &route.service, step, work);
         }
         let rank = job.rank;
