Play the fleet of the hard loads in the model, and count refused orders by cause

An entry counts its orders and their refusals by cause, which hostd exports as primrosemux_orders_total and primrosemux_orders_refused_total{reason}. The omniscient bound counts the speeds of the endpoints.

--- a/components/broker/src/broker.rs
+++ b/components/broker/src/broker.rs
@@ -24,6 +24,7 @@
         WATCH_INTERVAL_MS,
     },
     locality::Locality,
+    orders::OrderCounts,
     policy::Policy,
     queue::{JobKey, Queue},
     share::Shares,
@@ -180,6 +181,7 @@
     mean_slowdown: u64,
     shares: Shares,
     locality: Locality,
+    order_counts: OrderCounts,
     answered: HashMap<JobId, Answered>,
     /// When answered jobs are removed from `answered`, in order.
     expirations: VecDeque<(Uptime, JobId)>,
@@ -221,6 +223,7 @@
             mean_slowdown: 100,
             shares: Shares::default(),
             locality: Locality::new(now, options.remote_percent),
+            order_counts: OrderCounts::default(),
             answered: HashMap::new(),
             expirations: VecDeque::new(),
             placement_due: false,
@@ -295,6 +298,11 @@
         self.agents.values().filter(|it| it.watched_since.is_some() && !it.unreachable).count()
     }
 
+    /// Number of runs ordered at agents so far, and of refusals by cause.
+    pub fn order_counts(&self) -> OrderCounts {
+        self.order_counts
+    }
+
     /// Number of jobs in progress, and of those among them that wait for free capacity.
     pub fn job_counts(&self) -> (usize, usize) {
         (self.jobs.len(), self.queue.len())
--- a/components/broker/src/broker/placement.rs
+++ b/components/broker/src/broker/placement.rs
@@ -131,6 +131,7 @@
         let (Some(agent), Some(job)) = (self.agents.get_mut(&address), self.jobs.get(job)) else {
             return;
         };
+        self.order_counts.ordered += runs.len() as u64;
         let route = &job.submission.route;
         let step = &job.submission.steps[usize::from(step)];
         let expected = self.estimates.expected(&route.name, step.declared);
--- a/components/broker/src/broker/runs.rs
+++ b/components/broker/src/broker/runs.rs
@@ -69,6 +69,7 @@
             match notice {
                 Notice::Refused { key, refusal } => {
                     log::info!(run:% = key, agent:% = from, refusal:? = refusal; "an agent refused a run");
+                    self.order_counts.record_refusal(refusal);
                     self.on_refused(now, from, key);
                 }
                 Notice::Ended { key, end, took } => self.on_ended(now, from, key, end, took),
--- a/components/broker/src/lib.rs
+++ b/components/broker/src/lib.rs
@@ -18,6 +18,7 @@
 mod job;
 mod limits;
 mod locality;
+mod orders;
 mod policy;
 mod queue;
 mod returned;
@@ -31,6 +32,7 @@
     limits::{
         AGENT_RETENTION_MS, AGENT_SILENCE_MS, PROBE_MS, RUN_EXPIRY_MS, SETTLE_MS, SUSPENDED_MS,
     },
+    orders::OrderCounts,
     policy::{Policy, QueueOrder},
     watch::MIN_WATCHED,
 };
--- a/components/broker/tests/broker/jobs.rs
+++ b/components/broker/tests/broker/jobs.rs
@@ -1,6 +1,6 @@
 //! Tests that each job is answered once, when it is complete, and with the right outcome.
 
-use broker::{Event, Reply, Status, Step};
+use broker::{Event, OrderCounts, Reply, Status, Step};
 use mesh::{End, JobId, Refusal};
 
 use crate::fixture::{Fixture, address, step, submission};
@@ -63,6 +63,20 @@
     assert!(fixture.runs().is_empty(), "what is left of the job is stopped");
 }
 
+#[test]
+fn counts_ordered_runs_and_refusals_by_cause() {
+    let mut fixture = Fixture::new(2);
+    fixture.submit(submission(1, vec![step(2, 100)]));
+    for refusal in [Refusal::Room, Refusal::Room, Refusal::Closed] {
+        let (at, key) = fixture.runs()[0];
+
+        fixture.refuse(at, key, refusal);
+    }
+
+    let expected = OrderCounts { ordered: 5, room: 2, closed: 1, ..OrderCounts::default() };
+    assert_eq!(fixture.broker.order_counts(), expected);
+}
+
 #[test]
 fn places_a_refused_run_again() {
     let mut fixture = Fixture::new(2);
--- a/components/model/src/lib.rs
+++ b/components/model/src/lib.rs
@@ -13,6 +13,7 @@
 mod callers;
 mod endpoint;
 mod fault;
+mod fleet;
 mod history;
 mod load;
 mod report;
--- a/components/model/src/load.rs
+++ b/components/model/src/load.rs
@@ -91,6 +91,8 @@
 
 /// Mean CPU need of a task of [`Load::of_three_kinds`], in thousandths of a core.
 const TASK_CPU: f64 = 5_000.0;
+/// Mean CPU need of a task of [`Load::of_small_tasks`], in thousandths of a core.
+const SMALL_TASK_CPU: f64 = 2_900.0;
 /// Value of `Load::spread` and `Load::estimate_spread` in [`Load::of_three_kinds`].
 const SPREAD: f64 = 0.4;
 /// Factor from the longest run time of a job's tasks to the variable part of its objective.
@@ -119,6 +121,32 @@
         Load { kinds, spread: SPREAD, estimate_spread: SPREAD, bursts: Vec::new(), hot_rack: None }
     }
 
+    /// Short and wide, long, and medium jobs of small tasks that make up 21, 28 and 51 % of the
+    /// work, as on the fleets of docs/design/hard-load.md. `offered` is the total offered work,
+    /// in thousandths of a core.
+    pub fn of_small_tasks(offered: f64) -> Load {
+        let kind = |name: &str, rate: f64, width: f64, run_time: f64| Kind {
+            name: name.to_owned(),
+            rate,
+            width,
+            cpu: SMALL_TASK_CPU,
+            run_time,
+            attempts: 2,
+            poison: 0.0,
+        };
+        let mut kinds = vec![
+            kind("wide", 206.0, 8.0, 60.0),
+            kind("long", 37.5, 4.0, 900.0),
+            kind("medium", 600.0, 2.0, 200.0),
+        ];
+        let work = |it: &Kind| it.rate * it.width * it.cpu * it.run_time / 1_000.0;
+        let total: f64 = kinds.iter().map(work).sum();
+        for kind in &mut kinds {
+            kind.rate *= offered / total;
+        }
+        Load { kinds, spread: SPREAD, estimate_spread: SPREAD, bursts: Vec::new(), hot_rack: None }
+    }
+
     /// Arrival rate of a kind in jobs per second, `at` ms after the start of arrivals.
     pub(crate) fn rate(&self, kind: usize, at: u64) -> f64 {
         let is_active = |it: &&Burst| {
--- a/components/model/src/report.rs
+++ b/components/model/src/report.rs
@@ -1,5 +1,6 @@
 //! Results of a simulation.
 
+use broker::OrderCounts;
 use hdrhistogram::Histogram;
 
 /// Maximum response time that is recorded, in ms; longer ones count as this.
@@ -84,6 +85,10 @@
     pub calls: u64,
     /// Work of correctly answered jobs, in core-milliseconds.
     pub useful_work: u64,
+    /// Time from the first submission of a job to its first start, in ms.
+    pub first_start: Histogram<u64>,
+    /// Tasks placed by the entries that live at the end, and refusals of them.
+    pub orders: OrderCounts,
     /// Events of the traced job.
     pub trace: Vec<String>,
 }
@@ -98,10 +103,14 @@
             refused_early: 0,
             refused_late: 0,
             failed: 0,
-            times: Histogram::new_with_max(MAX_MS, 3).expect("the histogram bounds are valid"),
+            times: KindReport::histogram(),
         }
     }
 
+    pub(crate) fn histogram() -> Histogram<u64> {
+        Histogram::new_with_max(MAX_MS, 3).expect("the histogram bounds are valid")
+    }
+
     /// Share of the jobs that were answered in time.
     pub fn share_in_time(&self) -> f64 {
         if self.sent == 0 { 1.0 } else { self.in_time as f64 / self.sent as f64 }
--- a/components/model/src/simulation.rs
+++ b/components/model/src/simulation.rs
@@ -11,7 +11,9 @@
     net::{Ipv4Addr, SocketAddrV4},
 };
 
-use broker::{Broker, Effect as EntryEffect, Event as EntryEvent, Policy, RUN_EXPIRY_MS};
+use broker::{
+    Broker, Effect as EntryEffect, Event as EntryEvent, OrderCounts, Policy, RUN_EXPIRY_MS,
+};
 use guard::{Answer, Call, Effect as AgentEffect, Event as AgentEvent, Guard, Heartbeat, Timing};
 use mesh::{Datagram, JobId, RunKey, Uptime};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
@@ -49,6 +51,10 @@
     pub entries: usize,
     /// Capacity of each endpoint, in thousandths of a core.
     pub endpoints: Vec<u32>,
+    /// Run time on each endpoint relative to the actual one; 1 for those that are not listed.
+    pub slowness: Vec<f64>,
+    /// Share of the jobs that callers send to each entry, in any unit; equal shares if empty.
+    pub demand: Vec<u32>,
     /// Workload.
     pub load: Load,
     /// Time during which jobs arrive, in ms.
@@ -76,12 +82,14 @@
 }
 
 impl SimulationOptions {
-    /// A deployment with production settings and no faults.
+    /// A deployment of equal endpoints with production settings and no faults.
     pub fn new(seed: u64, entries: usize, endpoints: Vec<u32>, load: Load, length: u64) -> Self {
         SimulationOptions {
             seed,
             entries,
             endpoints,
+            slowness: Vec::new(),
+            demand: Vec::new(),
             load,
             length,
             faults: Vec::new(),
@@ -196,6 +204,8 @@
     callers: Callers,
     needs: NeedsByJob,
     next_job: u64,
+    /// Jobs without a started run, with the time at which they were first sent.
+    first_sent: HashMap<JobId, u64>,
     /// Jobs with a started run.
     ran: HashSet<JobId>,
     history: History,
@@ -232,6 +242,8 @@
             datagrams: 0,
             calls: 0,
             useful_work: 0,
+            first_start: KindReport::histogram(),
+            orders: OrderCounts::default(),
             trace: Vec::new(),
         };
         let mut simulation = Simulation {
@@ -249,6 +261,7 @@
                 .iter()
                 .map(|it| Endpoint::new(*it, options.announce_birth))
                 .collect(),
+            first_sent: HashMap::new(),
             holds: Vec::new(),
             endpoint_due: vec![u64::MAX; options.endpoints.len()],
             callers: Callers::default(),
@@ -296,6 +309,7 @@
         }
         for agent in 0..self.agents.len() {
             self.start_agent(agent);
+            self.endpoints[agent].slowness = self.usual_slowness(agent);
             let first = self.rng.random_range(0..HEARTBEAT_MS);
             self.push(first, Event::Heartbeat(agent));
         }
@@ -308,6 +322,11 @@
         }
     }
 
+    /// Slowness of an endpoint without a fault.
+    fn usual_slowness(&self, agent: usize) -> f64 {
+        self.options.slowness.get(agent).copied().unwrap_or(1.0)
+    }
+
     fn push(&mut self, at: u64, event: Event) {
         self.next_event += 1;
         self.events.insert(self.next_event, event);
--- a/components/model/src/simulation/callers.rs
+++ b/components/model/src/simulation/callers.rs
@@ -33,12 +33,13 @@
         self.report.kinds[kind].sent += 1;
         let open = OpenJob { submission, first_sent: self.now, sends: 0, request: None };
         self.callers.open.insert(job, open);
+        self.first_sent.insert(job, self.now);
         self.send_job(job);
     }
 
     /// Sends a job to a random entry, or schedules a retry if that entry is down.
     pub(super) fn send_job(&mut self, job: JobId) {
-        let entry = self.rng.random_range(0..self.entries.len());
+        let entry = self.choose_entry();
         let Some(open) = self.callers.open.get_mut(&job) else { return };
         open.sends += 1;
         if open.sends > MAX_SENDS {
@@ -58,6 +59,20 @@
         self.push(self.now + timeout, Event::RequestTimeout { job, token });
     }
 
+    fn choose_entry(&mut self) -> usize {
+        let total: u32 = self.options.demand.iter().sum();
+        if total == 0 {
+            return self.rng.random_range(0..self.entries.len());
+        }
+        let mut drawn = self.rng.random_range(0..total);
+        let chosen = self.options.demand.iter().position(|share| {
+            let hit = drawn < *share;
+            drawn = drawn.saturating_sub(*share);
+            hit
+        });
+        chosen.unwrap_or(0)
+    }
+
     pub(super) fn on_submit(&mut self, entry: usize, job: JobId, token: u64) {
         let Some(open) = self.callers.open.get(&job) else { return };
         let submission: Submission = open.submission.clone();
@@ -132,6 +147,9 @@
     /// Counts jobs without an answer at the end of the simulation, and reports refused jobs
     /// that have run.
     pub(super) fn finish_report(&mut self) {
+        for entry in self.entries.iter().flatten() {
+            self.report.orders += entry.order_counts();
+        }
         let mut open: Vec<_> = self.callers.open.keys().copied().collect();
         open.sort_unstable();
         for job in open {
@@ -143,7 +161,10 @@
             let description = format!("job {job} was refused and has run");
             self.report.violations.push(Violation { at: self.now, description });
         }
-        let capacity: f64 = self.options.endpoints.iter().map(|it| f64::from(*it) / 1_000.0).sum();
+        let endpoints = self.options.endpoints.iter().enumerate();
+        let capacity: f64 = endpoints
+            .map(|(agent, cpu)| f64::from(*cpu) / 1_000.0 / self.usual_slowness(agent))
+            .sum();
         let length = self.options.length as f64;
         self.report.weighted = weighted_shares(&self.needs, &self.answered, capacity * length);
     }
--- a/components/model/src/simulation/endpoints.rs
+++ b/components/model/src/simulation/endpoints.rs
@@ -135,6 +135,9 @@
             if !self.endpoints[agent].reached && self.now > pending.expiry {
                 self.unfenced.insert((agent, *key));
             }
+            if let Some(sent) = self.first_sent.remove(&key.job) {
+                self.report.first_start.saturating_record(self.now - sent);
+            }
             if is_copy {
                 self.fail_copy(agent, *key);
             } else {
--- a/components/model/src/simulation/faults.rs
+++ b/components/model/src/simulation/faults.rs
@@ -67,7 +67,9 @@
             FaultKind::PartitionEndpoint(agent) => self.endpoints[agent].partitioned = false,
             FaultKind::HangEndpoint(agent) => self.endpoints[agent].hangs = false,
             FaultKind::FailEndpoint(agent) => self.endpoints[agent].fails = false,
-            FaultKind::SlowEndpoint(agent, _) => self.endpoints[agent].slowness = 1.0,
+            FaultKind::SlowEndpoint(agent, _) => {
+                self.endpoints[agent].slowness = self.usual_slowness(agent);
+            }
             FaultKind::Evacuate(zone) => self.write_evacuation(zone, false),
             FaultKind::Uninformed(entry) => {
                 self.evacuations.uninformed.remove(&entry);
--- a/hostd/src/entry.rs
+++ b/hostd/src/entry.rs
@@ -230,6 +230,7 @@
         let (jobs, waiting) = self.deps.broker.job_counts();
         self.deps.metrics.agents.set(agents as i64);
         self.deps.metrics.watched.set(self.deps.broker.watched_agents() as i64);
+        self.deps.metrics.set_orders(self.deps.broker.order_counts());
         self.deps.metrics.jobs.set(jobs as i64);
         self.deps.metrics.waiting.set(waiting as i64);
         self.deps.metrics.rack_waits.set(self.deps.broker.tasks_waiting_for_rack() as i64);
--- a/hostd/src/metrics.rs
+++ b/hostd/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use broker::OrderCounts;
 use hyper::{StatusCode, header::CONTENT_TYPE};
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
@@ -44,6 +45,10 @@
     pub(crate) agents: Gauge,
     /// Agents that are probed often and get tasks.
     pub(crate) watched: Gauge,
+    /// Runs ordered at agents.
+    pub(crate) orders: Counter,
+    /// Ordered runs that agents refused, by cause.
+    pub(crate) orders_refused: Family<Refused, Counter>,
     /// Version of the configuration in force.
     pub(crate) version: Gauge,
     /// Evacuated availability zones.
@@ -106,7 +111,30 @@
     }
 }
 
+/// Why an agent refused a run.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+pub(crate) struct Refused {
+    reason: &'static str,
+}
+
 impl Metrics {
+    /// Raises the counters of orders to the counts of the core.
+    pub(crate) fn set_orders(&self, counts: OrderCounts) {
+        self.orders.inc_by(counts.ordered - self.orders.get());
+        let OrderCounts { ordered: _, room, stale, closed, endpoint, stopped } = counts;
+        for (reason, count) in [
+            ("room", room),
+            ("stale", stale),
+            ("closed", closed),
+            ("endpoint", endpoint),
+            ("stopped", stopped),
+        ] {
+            let counter = self.orders_refused.get_or_create(&Refused { reason });
+            counter.inc_by(count - counter.get());
+        }
+    }
+
     /// Registers all metrics.
     pub(crate) fn new() -> Metrics {
         let histogram =
@@ -120,6 +148,8 @@
             rack_waits: Gauge::default(),
             agents: Gauge::default(),
             watched: Gauge::default(),
+            orders: Counter::default(),
+            orders_refused: Family::default(),
             version: Gauge::default(),
             evacuated_zones: Gauge::default(),
             evacuations_offset: Gauge::default(),
@@ -156,6 +186,12 @@
             "Agents that are probed often and get tasks",
             metrics.watched.clone(),
         );
+        registry.register("orders", "Runs ordered at agents", metrics.orders.clone());
+        registry.register(
+            "orders_refused",
+            "Ordered runs that agents refused",
+            metrics.orders_refused.clone(),
+        );
         registry.register("config_version", "Configuration in force", metrics.version.clone());
         registry.register(
             "evacuated_zones",
--- a/load/src/cli.rs
+++ b/load/src/cli.rs
@@ -93,13 +93,18 @@
     #[argh(option, default = "3")]
     pub seeds: u64,
 
+    /// placement on a fleet of 61 endpoints of 32 and 48 cores and three speeds, for entries of
+    /// uneven demand, in place of the comparison of policies
+    #[argh(switch)]
+    pub placement: bool,
+
     /// endpoints of 64 cores (default: 14)
     #[argh(option, default = "14")]
     pub endpoints: usize,
 
-    /// entries (default: 3)
-    #[argh(option, default = "3")]
-    pub entries: usize,
+    /// entries (default: 3; with --placement 3, 10 and 35)
+    #[argh(option)]
+    pub entries: Option<usize>,
 
     /// seconds during which jobs arrive (default: 8)
     #[argh(option, default = "8")]
--- a/load/src/cmd/mod.rs
+++ b/load/src/cmd/mod.rs
@@ -3,4 +3,5 @@
 pub mod capacity;
 pub mod compare;
 pub mod cost;
+mod placement;
 pub mod policies;
--- a/load/src/cmd/policies.rs
+++ b/load/src/cmd/policies.rs
@@ -14,10 +14,13 @@
     SVGBackend, WHITE,
 };
 
+use super::placement::placement;
 use crate::cli::Policies;
 
 /// Default loads, in percent of the capacity.
-const DEFAULT_LOADS: [u32; 4] = [60, 80, 100, 130];
+pub(crate) const DEFAULT_LOADS: [u32; 4] = [60, 80, 100, 130];
+/// Default number of entries.
+const DEFAULT_ENTRIES: usize = 3;
 /// Capacity of an endpoint, in thousandths of a core.
 const ENDPOINT_MILLICORES: u32 = 64_000;
 /// Wait that admits every job, in percent of the time until the latest start.
@@ -39,8 +42,11 @@
 
 /// Compares all policies and prints a table; draws a plot if `--report` is given.
 pub fn policies(args: &Policies) -> Result<()> {
+    if args.placement {
+        return placement(args);
+    }
     ensure!(args.endpoints > 0, "--endpoints is 0; at least 1 is needed");
-    ensure!(args.entries > 0, "--entries is 0; at least 1 is needed");
+    ensure!(args.entries != Some(0), "--entries is 0; at least 1 is needed");
     ensure!(args.seeds > 0, "--seeds is 0; at least 1 is needed");
     let loads = if args.load.is_empty() { DEFAULT_LOADS.to_vec() } else { args.load.clone() };
     println!(
@@ -123,7 +129,8 @@
     let demand = args.endpoints as f64 * f64::from(ENDPOINT_MILLICORES) * f64::from(load) / 100.0;
     let load = Load::of_three_kinds(demand);
     let endpoints = vec![ENDPOINT_MILLICORES; args.endpoints];
-    let options = SimulationOptions::new(seed, args.entries, endpoints, load, args.seconds * 1_000);
+    let entries = args.entries.unwrap_or(DEFAULT_ENTRIES);
+    let options = SimulationOptions::new(seed, entries, endpoints, load, args.seconds * 1_000);
     SimulationOptions { policy, ..options }
 }
 
