Apply notices on a lost run only from the agent that has it

Cause: a notice on the newest run of a lost task was taken from any agent. After a restart of an entry, agents report the ends of the earlier entry's runs, whose numbers start from 1 as well. Such an end, or refusal, put a task back into the queue while its present run at another, silent agent could go on. Change: a lost task keeps its agent, and notices of others are ignored. Result: the new test showed two runs at once before; the tests of the broker pass.

--- a/components/broker/src/broker/jobs.rs
+++ b/components/broker/src/broker/jobs.rs
@@ -175,7 +175,7 @@
                 continue;
             }
             for task in &mut job.tasks {
-                if matches!(task.state, TaskState::Lost { expiry } if now >= expiry) {
+                if matches!(task.state, TaskState::Lost { expiry, .. } if now >= expiry) {
                     task.state = TaskState::Waiting;
                     requeued.push((key, job.rank));
                 }
--- a/components/broker/src/broker/runs.rs
+++ b/components/broker/src/broker/runs.rs
@@ -104,7 +104,9 @@
             let job = self.jobs.get(job_key)?;
             let position = job.position(key)?;
             let task = &job.tasks[position];
-            let is_lost = matches!(task.state, TaskState::Lost { .. });
+            // An agent may report a run of an earlier incarnation of this entry, which had the same
+            // number.
+            let is_lost = matches!(task.state, TaskState::Lost { agent: at, .. } if at == agent);
             (is_lost && task.last_run == key.run).then_some((job_key, position))
         })
     }
@@ -127,7 +129,7 @@
         let Some((job_key, position)) = self.noticed_task(agent, key) else { return };
         let job = &mut self.jobs[job_key];
         job.maybe_ran = true;
-        if let TaskState::Lost { expiry } = job.tasks[position].state {
+        if let TaskState::Lost { expiry, .. } = job.tasks[position].state {
             log::info!(
                 run:% = key, agent:% = agent, end:? = end, early_ms = expiry.since(now);
                 "the end of a run that was taken for lost is known"
@@ -201,7 +203,7 @@
                     && agent == address
                 {
                     keys.push(run);
-                    task.state = TaskState::Lost { expiry };
+                    task.state = TaskState::Lost { agent, expiry };
                     job.maybe_ran = true;
                     if expiry >= job.deadline {
                         unrecoverable.push(key);
--- a/components/broker/src/job.rs
+++ b/components/broker/src/job.rs
@@ -99,7 +99,7 @@
     /// Assigned to an agent.
     Placed { agent: SocketAddrV4, key: RunKey },
     /// Its agent is unreachable or has restarted, but the run may continue until `expiry`.
-    Lost { expiry: Uptime },
+    Lost { agent: SocketAddrV4, expiry: Uptime },
     /// A run of it has finished.
     Done,
 }
--- a/components/broker/tests/broker/agents.rs
+++ b/components/broker/tests/broker/agents.rs
@@ -148,6 +148,23 @@
     assert_eq!(fixture.runs().iter().map(|it| it.1).collect::<Vec<_>>(), vec![rerun]);
 }
 
+/// Guards against two runs at once after a restart of the entry, when an agent reports the end of a
+/// run of the earlier entry that has the same number as a present run elsewhere.
+#[test]
+fn the_end_of_a_run_at_another_agent_does_not_end_a_lost_run() {
+    let mut fixture = Fixture::new(2);
+    fixture.submit(submission(1, vec![step(1, 100)]));
+    let (at, key) = fixture.runs()[0];
+    let other = if at == address(1) { address(2) } else { address(1) };
+    fixture.agents.get_mut(&at).expect("an agent").responds = false;
+    fixture.advance(AGENT_SILENCE_MS + 20);
+
+    fixture.end(other, key, mesh::End::Stopped);
+    fixture.advance(50);
+
+    assert_eq!(fixture.runs(), vec![(at, key)]);
+}
+
 #[test]
 fn loses_the_runs_of_an_agent_that_restarted() {
     let mut fixture = Fixture::new(1);
