--- a/components/guard/tests/guard/main.rs
+++ b/components/guard/tests/guard/main.rs
@@ -8,6 +8,7 @@
 mod health;
 mod instances;
 mod lease;
+mod numbers;
 mod removal;
 mod resources;
 mod restart;
