--- a/components/guard/tests/guard/numbers.rs
+++ b/components/guard/tests/guard/numbers.rs
@@ -1,6 +1,6 @@
 //! Numbers at the ends of their ranges, which overflowed and ended a build with overflow checks.
 
-use guard::{Answer, Rejection};
+use guard::{Answer, CallKind, Rejection, Snapshot};
 
 use crate::fixture::{Fixture, is_start, key};
 
@@ -16,3 +16,16 @@
     let (_, start) = fixture.unanswered(is_start).remove(0);
     assert_eq!(start.fencing_token, u64::MAX);
 }
+
+#[test]
+fn grants_no_lease_beyond_the_range_of_the_clock() {
+    let mut fixture = Fixture::open();
+    fixture.answer_poll(Snapshot::default());
+    fixture.order(vec![key(1)], 100);
+    fixture.answer(is_start, Answer::Accepted { clock: u64::MAX });
+    fixture.order(vec![key(2)], 100);
+    fixture.advance(30);
+
+    let (_, start) = fixture.unanswered(is_start).remove(0);
+    assert!(matches!(start.kind, CallKind::Start { lease: u64::MAX, .. }));
+}
