Refuse runs whose number leaves none for later runs

Cause: a run that is numbered u32::MAX overflowed the number of the next run of its task. Change: an order of a run with a number in the upper half of the range is refused as one that the endpoint does not take. Result: the new test failed before; the tests of the guard pass.

--- a/components/guard/src/guard/orders.rs
+++ b/components/guard/src/guard/orders.rs
@@ -11,7 +11,7 @@
 use crate::{
     entries::Entry,
     grants::Reserved,
-    limits::REPORT_INTERVAL_MS,
+    limits::{MAX_RUN_NUMBER, REPORT_INTERVAL_MS},
     runs::{Copies, Phase, Run, RunSlot, Work},
 };
 
@@ -86,6 +86,10 @@
         }
         let refuse_at = now + u64::from(order.max_wait);
         for key in order.runs {
+            if key.run > MAX_RUN_NUMBER {
+                self.notify_refused(entry, key, Refusal::Endpoint, age);
+                continue;
+            }
             self.runs.enqueue(Run {
                 entry,
                 key,
--- a/components/guard/src/limits.rs
+++ b/components/guard/src/limits.rs
@@ -50,6 +50,9 @@
 /// Time for which the number of an ended run is kept, in ms; longer than any retransmission.
 pub(crate) const RUN_NUMBER_EXPIRY_MS: u64 = 15_000;
 
+/// Highest number of a run in an order; leaves room for the numbers of later runs and of retries.
+pub(crate) const MAX_RUN_NUMBER: u32 = u32::MAX / 2;
+
 /// The limits that together end every run before its job is submitted again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Timing {
--- a/components/guard/tests/guard/numbers.rs
+++ b/components/guard/tests/guard/numbers.rs
@@ -1,6 +1,7 @@
 //! Numbers at the ends of their ranges, which overflowed and ended a build with overflow checks.
 
 use guard::{Answer, CallKind, Rejection, Snapshot};
+use mesh::{Notice, Refusal, RunKey};
 
 use crate::fixture::{Fixture, is_start, key};
 
@@ -29,3 +30,15 @@
     let (_, start) = fixture.unanswered(is_start).remove(0);
     assert!(matches!(start.kind, CallKind::Start { lease: u64::MAX, .. }));
 }
+
+#[test]
+fn refuses_a_run_whose_number_leaves_none_for_later_runs() {
+    let mut fixture = Fixture::open();
+    let run = RunKey { run: u32::MAX, ..key(1) };
+
+    fixture.order(vec![run], 100);
+    fixture.probe();
+
+    assert_eq!(fixture.started(), vec![]);
+    assert_eq!(fixture.notices, vec![Notice::Refused { key: run, refusal: Refusal::Endpoint }]);
+}
