Sum the work that waits at all entries in 64 bits

Cause: two entries that report u32::MAX core-milliseconds of waiting work, the value to which each of them saturates, overflowed the sum for the report. Change: the sum has 64 bits, and the reported work of the others saturates.

--- a/components/guard/src/guard/orders.rs
+++ b/components/guard/src/guard/orders.rs
@@ -262,8 +262,7 @@
         let mut reserved = Reserved::new(now, self.entries.values().map(|it| &it.grant));
         let mut all_reported = true;
         let mut entries = std::mem::take(&mut self.entries);
-        let waiting = entries.values().map(|it| it.waiting);
-        let all_waiting = waiting.fold(0, u32::saturating_add);
+        let all_waiting: u64 = entries.values().map(|it| u64::from(it.waiting)).sum();
         let offered = self.offer.as_ref().map(|it| it.to);
         for (address, entry) in &mut entries {
             if now.since(entry.last_received) >= silence {
@@ -280,7 +279,8 @@
             entry.last_report = now;
             let report = report.get_or_insert_with(|| self.report(now));
             let mut report = report.clone();
-            report.waiting = all_waiting.saturating_sub(entry.waiting);
+            let others_waiting = all_waiting - u64::from(entry.waiting);
+            report.waiting = u32::try_from(others_waiting).unwrap_or(u32::MAX);
             if offered.is_some_and(|it| it != *address) {
                 report.cpu = 0;
             }
--- a/components/guard/tests/guard/numbers.rs
+++ b/components/guard/tests/guard/numbers.rs
@@ -1,9 +1,9 @@
 //! Numbers at the ends of their ranges, which overflowed and ended a build with overflow checks.
 
-use guard::{Answer, CallKind, Rejection, Snapshot};
-use mesh::{Notice, Refusal, RunKey};
+use guard::{Answer, CallKind, Event, Rejection, Snapshot};
+use mesh::{Channel, Command, EntryState, Notice, Refusal, RunKey};
 
-use crate::fixture::{Fixture, is_start, key};
+use crate::fixture::{Fixture, entry_address, is_start, key};
 
 #[test]
 fn raises_its_fencing_token_up_to_the_largest_one() {
@@ -42,3 +42,22 @@
     assert_eq!(fixture.started(), vec![]);
     assert_eq!(fixture.notices, vec![Notice::Refused { key: run, refusal: Refusal::Endpoint }]);
 }
+
+#[test]
+fn reports_to_entries_that_have_as_much_work_waiting_as_can_be_told() {
+    let mut fixture = Fixture::open();
+    let mut second = Channel::<Command, Notice>::new(10);
+    let state = EntryState { probe: true, waiting: u32::MAX, heard: fixture.now };
+    let mut address = entry_address();
+    address.set_port(7_001);
+
+    let frame = fixture.entry.frame(fixture.now, state);
+    fixture.event(Event::Frame { from: entry_address(), frame });
+    let frame = second.frame(fixture.now, state);
+    fixture.event(Event::Frame { from: address, frame });
+    fixture.now = fixture.now + 10;
+    let frame = fixture.entry.frame(fixture.now, state);
+    fixture.event(Event::Frame { from: entry_address(), frame });
+
+    assert!(fixture.report.waiting >= u32::MAX - 1);
+}
