Test that no message makes the agent or the entry panic

Feeds frames, heartbeats, lists, answers and reports with numbers at the ends of their ranges, in any order, to the two cores. Debug builds check for overflow.

--- a/components/broker/tests/broker/fixture.rs
+++ b/components/broker/tests/broker/fixture.rs
@@ -218,7 +218,7 @@
         self.notify(at, key, notice);
     }
 
-    fn notify(&mut self, at: SocketAddrV4, key: RunKey, notice: Notice) {
+    pub(crate) fn notify(&mut self, at: SocketAddrV4, key: RunKey, notice: Notice) {
         let now = self.now;
         let agent = self.agents.get_mut(&at).expect("an agent of the test");
         agent.runs.retain(|(it, _)| *it != key);
--- a/components/broker/tests/broker/main.rs
+++ b/components/broker/tests/broker/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod agents;
+mod arbitrary;
 mod config;
 mod evacuation;
 mod fixture;
--- a/components/guard/tests/guard/main.rs
+++ b/components/guard/tests/guard/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the agent's core.
 
+mod arbitrary;
 mod copies;
 mod entries;
 mod evacuation;
