Bound the arithmetic on the work that callers declare

A build with overflow checks ended; others took wrapped sums for the backlog. Change: sums and products of work saturate.

--- a/components/broker/src/backlog.rs
+++ b/components/broker/src/backlog.rs
@@ -31,9 +31,9 @@
         // this one, or half of it if no work waits here to estimate the fraction from.
         let other_work = match self.own.max(self.ahead) {
             0 => self.other_entries / 2,
-            own => self.other_entries * self.ahead / own,
+            own => self.other_entries.saturating_mul(self.ahead) / own,
         };
-        let work = (self.ahead + other_work).saturating_sub(self.startable);
+        let work = self.ahead.saturating_add(other_work).saturating_sub(self.startable);
         work.checked_div(self.capacity)
     }
 }
--- a/components/broker/src/broker/jobs.rs
+++ b/components/broker/src/broker/jobs.rs
@@ -8,7 +8,7 @@
 use crate::{
     agents::{can_run, is_evacuated_from, total_capacity},
     backlog::Backlog,
-    job::{Job, Submission, TaskState},
+    job::{Job, Submission, TaskState, sum},
     limits::{
         ANSWER_RETENTION_MS, DISCOVERY_TIMEOUT_MS, MIN_RETRY_AFTER_MS, SETTLE_MS,
         SHUTDOWN_RUN_FACTOR, SHUTDOWN_TIMEOUT_MS,
@@ -43,7 +43,8 @@
         let job = Job::new(now, submission, request_number, last_run, &self.estimates, order);
         let run_time = job.objective.saturating_sub(job.latest_start.since(now));
         if let Some(since) = self.shutdown_since
-            && now.since(since) + SHUTDOWN_RUN_FACTOR * run_time >= SHUTDOWN_TIMEOUT_MS
+            && run_time.saturating_mul(SHUTDOWN_RUN_FACTOR).saturating_add(now.since(since))
+                >= SHUTDOWN_TIMEOUT_MS
         {
             let reply = Reply::Refused { retry_after: MIN_RETRY_AFTER_MS };
             log::info!(job:% = id, request = job.submission.request.as_str(); "a job is refused: the entry stops");
@@ -80,7 +81,7 @@
         let ahead = self.queue.ahead_of(job.rank).filter(|it| *it != key);
         let ahead = ahead.filter_map(|it| self.jobs.get(it));
         let ahead = ahead.filter(|it| it.submission.route.service == service);
-        let work: u64 = ahead.map(|it| it.waiting_work(&self.estimates)).sum();
+        let work = sum(ahead.map(|it| it.waiting_work(&self.estimates)));
         let own_work = job.waiting_work(&self.estimates);
         let own = self.waiting_work().saturating_sub(own_work);
         let watched =
@@ -89,7 +90,7 @@
             watched.map(|it| u64::from(it.report.waiting) * 1_000).max().unwrap_or(0);
         let heard = total_capacity(&self.agents, now, &service);
         let unheard = if now < self.settles_at { self.unheard_capacity(heard) } else { 0 };
-        let startable = unheard * own_work / job.waiting_cpu().max(1);
+        let startable = unheard.saturating_mul(own_work) / job.waiting_cpu().max(1);
         let capacity = heard + unheard;
         let backlog = Backlog { ahead: work, own, other_entries, startable, capacity };
         let evacuated = self.is_evacuated(now, &job.submission);
@@ -109,7 +110,7 @@
         let route = &job.submission.route.name;
         let longest = self.shares.longest_wait(route, &self.options.policy);
         let own_wait = (own_work / 2).checked_div(backlog.capacity);
-        let in_time = |wait| wait <= longest && wait + own_wait.unwrap_or(0) <= slack;
+        let in_time = |wait| wait <= longest && own_wait.unwrap_or(0).saturating_add(wait) <= slack;
         if fits && wait.is_some_and(in_time) {
             self.record_admission(now, key);
             return;
@@ -145,7 +146,7 @@
     /// Work of all tasks that wait for free capacity, in thousandths of a core times ms.
     pub(super) fn waiting_work(&self) -> u64 {
         let waiting = self.queue.iter().filter_map(|key| self.jobs.get(key));
-        waiting.map(|job| job.waiting_work(&self.estimates)).sum()
+        sum(waiting.map(|job| job.waiting_work(&self.estimates)))
     }
 
     pub(super) fn on_disconnected(&mut self, now: Uptime, request_number: u64) {
--- a/components/broker/src/broker/placement.rs
+++ b/components/broker/src/broker/placement.rs
@@ -94,7 +94,8 @@
                 let remote = report.endpoint.as_ref();
                 let remote = remote.map_or(100, |it| self.locality.run_percent(step, it));
                 let expected = u64::from(self.estimates.expected(&route.name, step.declared));
-                let run_time = expected * u64::from(report.slowness.max(1)) * remote / 10_000;
+                let slowed = expected * u64::from(report.slowness.max(1));
+                let run_time = slowed.saturating_mul(remote) / 10_000;
                 let used = own_use.entry(agent).or_default();
                 used.cpu += f64::from(step.cpu);
                 used.release_rate += f64::from(step.cpu) / run_time.max(1) as f64;
--- a/components/broker/src/candidates.rs
+++ b/components/broker/src/candidates.rs
@@ -136,7 +136,8 @@
         if let Some(rack) = &step.rack
             && self.waits_for_rack(now, placing, rack, full, &self.list[best])
         {
-            *self.waiting.entry(rack.clone()).or_default() += step.cpu;
+            let waiting = self.waiting.entry(rack.clone()).or_default();
+            *waiting = waiting.saturating_add(step.cpu);
             return Choice::WaitForRack;
         }
         let best = &mut self.list[best];
--- a/components/broker/src/job.rs
+++ b/components/broker/src/job.rs
@@ -137,7 +137,8 @@
         let run_time = critical_path(&submission.steps, |step| {
             u64::from(estimates.expected(&route.name, step.declared))
         });
-        let objective = (route.objective_factor * run_time as f64) as u64 + route.target;
+        let objective = (route.objective_factor * run_time as f64) as u64;
+        let objective = objective.saturating_add(route.target);
         let mut tasks = Vec::new();
         for (step, it) in (0..).zip(&submission.steps) {
             let state = if it.after.is_empty() { TaskState::Waiting } else { TaskState::Blocked };
@@ -172,7 +173,7 @@
 
     /// Time after which an answer is of no use to the caller.
     pub(crate) fn useful_until(&self) -> Uptime {
-        self.deadline.min(self.arrived + self.objective * MAX_OBJECTIVE_MULTIPLE)
+        self.deadline.min(self.arrived + self.objective.saturating_mul(MAX_OBJECTIVE_MULTIPLE))
     }
 
     /// Position in `tasks` of the task that `key` is a run of.
@@ -255,12 +256,17 @@
     }
 }
 
+/// Sum of amounts of work, which callers may declare as high as they like.
+pub(crate) fn sum(work: impl Iterator<Item = u64>) -> u64 {
+    work.fold(0, u64::saturating_add)
+}
+
 /// Length of the critical path through the steps, with `length` as that of one step.
 fn critical_path(steps: &[Step], length: impl Fn(&Step) -> u64) -> u64 {
     let mut ends: Vec<u64> = Vec::with_capacity(steps.len());
     for step in steps {
         let start = step.after.iter().filter_map(|it| ends.get(*it)).max().copied().unwrap_or(0);
-        ends.push(start + length(step));
+        ends.push(start.saturating_add(length(step)));
     }
     ends.into_iter().max().unwrap_or(0)
 }
--- a/components/broker/tests/broker/arbitrary.rs
+++ b/components/broker/tests/broker/arbitrary.rs
@@ -1,6 +1,6 @@
-//! No message, whatever its numbers, makes the entry panic.
+//! No message or job, whatever its numbers, makes the entry panic.
 
-use broker::{Event, Step};
+use broker::{Event, Step, Submission};
 use mesh::{End, EndpointInfo, Frame, Health, JobId, Notice, Refusal, Report, RunKey, Uptime};
 use proptest::{collection::vec, option, prelude::*, sample::select};
 
@@ -57,6 +57,16 @@
     )
 }
 
+/// A step that usually fits an endpoint.
+fn submitted_step() -> impl Strategy<Value = Step> {
+    let cpu = prop_oneof![3 => Just(300), 1 => small_number()];
+    let declared = prop_oneof![3 => Just(200), 1 => small_number()];
+    (1..4_u16, cpu, declared, any::<bool>()).prop_map(|(count, cpu, declared, on_rack)| {
+        let rack = on_rack.then(|| "r-1".to_owned());
+        Step { rack, declared, ..step(count, cpu) }
+    })
+}
+
 /// What happens to the entry.
 #[derive(Debug)]
 enum Action {
@@ -65,7 +75,7 @@
     Report(u8, Report),
     /// Ends a run as the agent knows it, with this run time.
     End(prop::sample::Index, End, u32),
-    Submit(u64, u16, bool),
+    Submit(u64, Step, u64),
     Advance(u64),
 }
 
@@ -76,8 +86,8 @@
         3 => (1..=3_u8, report()).prop_map(|(agent, it)| Action::Report(agent, it)),
         3 => (any::<prop::sample::Index>(), select(ends), small_number())
             .prop_map(|(at, end, took)| Action::End(at, end, took)),
-        3 => (0..3_u64, 1..4_u16, any::<bool>())
-            .prop_map(|(job, count, on_rack)| Action::Submit(job, count, on_rack)),
+        3 => (0..3_u64, submitted_step(), number())
+            .prop_map(|(job, step, timeout)| Action::Submit(job, step, timeout)),
         2 => (1_u64..400).prop_map(Action::Advance),
     ]
 }
@@ -99,9 +109,9 @@
                 fixture.notify(agent, key, Notice::Ended { key, end, took });
             }
         }
-        Action::Submit(job, count, on_rack) => {
-            let rack = on_rack.then(|| "r-1".to_owned());
-            fixture.submit(submission(job, vec![Step { rack, ..step(count, 300) }]));
+        Action::Submit(job, step, timeout) => {
+            let submission = submission(job, vec![step.clone(), step]);
+            fixture.submit(Submission { timeout, ..submission });
         }
         Action::Advance(ms) => fixture.advance(ms),
     }
@@ -111,7 +121,7 @@
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
 
     #[test]
-    fn no_message_makes_the_entry_panic(
+    fn no_message_or_job_makes_the_entry_panic(
         remote_percent in option::of(100..1_000_u32),
         actions in vec(action(), 1..60),
     ) {
