--- a/components/broker/src/job.rs
+++ b/components/broker/src/job.rs
@@ -140,7 +140,7 @@
         let objective = (route.objective_factor * run_time as f64) as u64;
         let objective = objective.saturating_add(route.target);
         let mut tasks = Vec::new();
-        for (step, it) in (0..).zip(&submission.steps) {
+        for (it, step) in submission.steps.iter().zip(0..) {
             let state = if it.after.is_empty() { TaskState::Waiting } else { TaskState::Blocked };
             tasks.extend((0..it.count).map(|index| Task {
                 step,
--- a/components/broker/tests/broker/jobs.rs
+++ b/components/broker/tests/broker/jobs.rs
@@ -200,3 +200,15 @@
     at.sort();
     assert_eq!(at, vec![address(1), address(2)]);
 }
+
+// Guards against an overflow of the number after that of the last step.
+#[test]
+fn runs_a_job_of_as_many_steps_as_can_be_numbered() {
+    let mut fixture = Fixture::new(1);
+    let mut steps = vec![step(0, 100); 65_534];
+    steps.push(step(1, 100));
+
+    fixture.submit(submission(1, steps));
+
+    assert_eq!(fixture.runs()[0].1.step, 65_534);
+}
