Compute the penalties of racks only for services whose jobs name one

Cause: with bounds.remoteFactor set, each placement summed the capacity of all labels of all endpoints, also while no job named a rack. Change: these sums are left out where nothing has been asked of a rack lately; all penalties are 0 then. Result: the tests of the broker pass; the saving was not measured.

--- a/components/broker/src/candidates.rs
+++ b/components/broker/src/candidates.rs
@@ -107,7 +107,7 @@
                 })
             })
             .collect();
-        if locality.is_active() {
+        if locality.is_active() && locality.has_rack_demand(service) {
             set_crowding_penalties(&mut list, service, locality);
         }
         Candidates { list, locality, waiting: HashMap::new() }
--- a/components/broker/src/locality.rs
+++ b/components/broker/src/locality.rs
@@ -151,6 +151,11 @@
         }
     }
 
+    /// Whether jobs of `service` have named a rack lately.
+    pub(crate) fn has_rack_demand(&self, service: &str) -> bool {
+        self.demand.get(service).is_some_and(|it| !it.racks.is_empty())
+    }
+
     /// Capacity that the recorded work for a rack takes, in thousandths of a core.
     pub(crate) fn demand(&self, service: &str, rack: &str) -> f64 {
         let demand = self.demand.get(service).and_then(|it| it.racks.get(rack));
