--- a/components/guard/src/endpoint.rs
+++ b/components/guard/src/endpoint.rs
@@ -12,7 +12,7 @@
     runs::Resources,
 };
 
-/// An instance of the endpoint (one life of its process).
+/// An instance of the endpoint, from the start of its process to its end.
 #[derive(Debug)]
 pub(crate) struct Endpoint {
     pub(crate) instance: Instance,
--- a/components/guard/src/instance.rs
+++ b/components/guard/src/instance.rs
@@ -2,7 +2,7 @@
 
 use std::{cmp::Ordering, collections::HashMap, fmt, sync::Arc};
 
-/// Identity of an instance of the endpoint (one life of its process).
+/// Identity of an instance of the endpoint, which lasts from the start of its process to its end.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Instance {
     /// Id under which it registers; an endpoint may keep it across restarts.
