Let the simulated agent of the entry's tests add up large needs

Cause: one case in some thousands of the entry's property failed in the fixture, whose simulated agent summed the needs of its runs in 32 bits; the entry itself did not fail.

--- a/components/broker/tests/broker/fixture.rs
+++ b/components/broker/tests/broker/fixture.rs
@@ -255,7 +255,8 @@
     }
 
     pub(crate) fn frame(&mut self, now: Uptime) -> mesh::Frame<Notice, Report> {
-        let used: u32 = self.runs.iter().map(|(_, cpu)| cpu).sum();
+        // Properties also run tasks that need as much as can be declared.
+        let used = self.runs.iter().fold(0_u32, |used, (_, cpu)| used.saturating_add(*cpu));
         self.report.now = now;
         self.report.cpu = CAPACITY.saturating_sub(used);
         self.channel.frame(now, self.report.clone())
