--- a/components/guard/tests/guard/arbitrary.rs
+++ b/components/guard/tests/guard/arbitrary.rs
@@ -83,7 +83,9 @@
         outcome,
     });
     let snapshot = (option::of(number()), number(), vec(running, 0..3), vec(ended, 0..3)).prop_map(
-        |(born, clock, running, ended)| Answer::Seen(Snapshot { born, clock, running, ended }),
+        |(born, clock, running, ended)| {
+            Answer::Seen(Snapshot { born, clock, running, ended, ..Snapshot::default() })
+        },
     );
     let rejections = vec![
         Rejection::Fence,
