Let no chance of a collision send a task away from the rack of its data

Cause: the joined tree sent a task whose rack had room for one more to another rack, as the chance that others take that room cost more than the run elsewhere; three tests of locality failed. Change: the chance does not count on the rack of a task's data. Result: the tests of the broker pass.

--- a/components/broker/src/candidates.rs
+++ b/components/broker/src/candidates.rs
@@ -229,7 +229,10 @@
         let capacity = self.info.cpu.max(1);
         let used = u64::from(capacity.saturating_sub(self.free.cpu));
         let mut penalty = USAGE_PENALTY_PERCENT * used / u64::from(capacity);
-        penalty += collision_penalty(self.free.cpu, step.cpu, self.age);
+        // On the rack of its data, an order that finds no room costs a task less than a run elsewhere.
+        if step.rack.is_none() || step.is_remote_at(self.info) {
+            penalty += collision_penalty(self.free.cpu, step.cpu, self.age);
+        }
         if self.other_zone {
             penalty += OTHER_ZONE_PENALTY_PERCENT;
         }
