Name what notifies members of evacuations by the usual term

Cause: reading as a newcomer: tell_members, is_told and is_awaited say too little, and two comments still named the first page as the end of a read. Change: names and comments only; the page says that the lowest end counts. Result: the tests of evacuation pass; no behaviour changes.

--- a/components/evacuation/src/knowledge.rs
+++ b/components/evacuation/src/knowledge.rs
@@ -4,14 +4,14 @@
 
 use mesh::{Evacuations, Uptime};
 
-/// Time after the last evacuation for which members are still told that it has ended, in ms.
+/// Time after the last evacuation for which members are still notified that it has ended, in ms.
 pub const RESEND_AFTER_MS: u64 = 60_000;
 
 /// Time after its start for which an agent that knows no state takes no work, in ms.
 ///
 /// A restarted agent learns the state from the store or an informed entry within that time; it
 /// must not start tasks in an evacuated zone before. If the store is down and no zone is
-/// evacuated, nobody tells it, and it takes work afterwards.
+/// evacuated, nobody notifies it, and it takes work afterwards.
 pub const STARTUP_HOLD_MS: u64 = 1_000;
 
 /// Time after which an evacuated zone without members is taken for a mistake, in ms; members are
@@ -75,12 +75,12 @@
     }
 
     /// Whether an agent that started at `started` takes no work yet, as it knows no state.
-    pub fn is_awaited(&self, now: Uptime, started: Uptime) -> bool {
+    pub fn awaits_state(&self, now: Uptime, started: Uptime) -> bool {
         self.state.is_none() && now.since(started) < STARTUP_HOLD_MS
     }
 
-    /// Whether members are told the state: a zone is evacuated, or was until recently.
-    pub fn is_told(&self, now: Uptime) -> bool {
+    /// Whether members are notified of the state: a zone is evacuated, or was until recently.
+    pub fn notifies_members(&self, now: Uptime) -> bool {
         let recent = |at: Uptime| now.since(at) < RESEND_AFTER_MS;
         !self.since.is_empty() || self.taken_back_at.is_some_and(recent)
     }
--- a/components/evacuation/src/lib.rs
+++ b/components/evacuation/src/lib.rs
@@ -1,4 +1,4 @@
-//! Evacuation of availability zones: what a process knows of it, and whom it tells.
+//! Evacuation of availability zones: what a process knows of it, and whom it notifies.
 //!
 //! The operator's log in the store is the only durable copy. A process builds a state from it
 //! with [`LogPrefix`], keeps the newest state that it has read or received in [`Knowledge`], and
--- a/components/evacuation/src/prefix.rs
+++ b/components/evacuation/src/prefix.rs
@@ -11,7 +11,7 @@
 impl LogPrefix {
     /// Creates the state from the newest records of all keys.
     ///
-    /// `end` is the end of the log when the first page was read. Later pages may lack or already
+    /// `end` is the end of the log by the oldest page of the read. The pages may lack or already
     /// contain records from `end` on; these are applied again afterwards.
     pub fn new(end: u64, zones: impl IntoIterator<Item = (String, u64)>) -> LogPrefix {
         LogPrefix { state: Evacuations { end, zones: zones.into_iter().collect() } }
@@ -31,7 +31,7 @@
         }
         let known = self.state.zones.get(zone).copied();
         if known.is_some_and(|known| known > offset) {
-            // The newest record of the zone was on a later page than the first.
+            // The newest record of the zone was on a newer page.
             return;
         }
         if evacuated {
--- a/components/evacuation/src/spread.rs
+++ b/components/evacuation/src/spread.rs
@@ -14,7 +14,7 @@
 /// Interval at which all members are checked, in ms.
 const CHECK_INTERVAL_MS: u64 = 50;
 
-/// Members that have confirmed the state, and those that are still told.
+/// Members that have confirmed the state, and those that are still notified of it.
 #[derive(Debug, Clone, Default)]
 pub struct Spread {
     peers: BTreeMap<SocketAddrV4, Peer>,
@@ -89,7 +89,7 @@
         }
     }
 
-    /// Tells a member again that may have restarted since it has confirmed.
+    /// Notifies a member again that may have restarted since it has confirmed.
     pub fn recheck(&mut self, address: SocketAddrV4) {
         if let Some(peer) = self.peers.get_mut(&address)
             && peer.confirmed.take().is_some()
@@ -99,7 +99,7 @@
         }
     }
 
-    /// Forgets all members, as there is nothing to tell.
+    /// Forgets all members, as there is nothing to notify them of.
     pub fn clear(&mut self) {
         self.peers.clear();
     }
--- a/components/evacuation/tests/knowledge.rs
+++ b/components/evacuation/tests/knowledge.rs
@@ -59,14 +59,14 @@
 fn members_are_told_for_a_while_after_the_last_zone_is_taken_back() {
     let mut knowledge = Knowledge::default();
     knowledge.merge(Uptime(0), state(1, &[]));
-    assert!(!knowledge.is_told(Uptime(0)));
+    assert!(!knowledge.notifies_members(Uptime(0)));
 
     knowledge.merge(Uptime(0), state(2, &[("north", 1)]));
-    assert!(knowledge.is_told(Uptime(10 * RESEND_AFTER_MS)));
+    assert!(knowledge.notifies_members(Uptime(10 * RESEND_AFTER_MS)));
     knowledge.merge(Uptime(100), state(3, &[]));
 
-    assert!(knowledge.is_told(Uptime(99 + RESEND_AFTER_MS)));
-    assert!(!knowledge.is_told(Uptime(100 + RESEND_AFTER_MS)));
+    assert!(knowledge.notifies_members(Uptime(99 + RESEND_AFTER_MS)));
+    assert!(!knowledge.notifies_members(Uptime(100 + RESEND_AFTER_MS)));
 }
 
 // Guards against a warning on each check, and against one about a zone whose members are not
@@ -89,11 +89,11 @@
     let mut knowledge = Knowledge::default();
     let started = Uptime(500);
 
-    assert!(knowledge.is_awaited(Uptime(499 + STARTUP_HOLD_MS), started));
-    assert!(!knowledge.is_awaited(Uptime(500 + STARTUP_HOLD_MS), started));
+    assert!(knowledge.awaits_state(Uptime(499 + STARTUP_HOLD_MS), started));
+    assert!(!knowledge.awaits_state(Uptime(500 + STARTUP_HOLD_MS), started));
     knowledge.merge(Uptime(510), state(0, &[]));
 
-    assert!(!knowledge.is_awaited(Uptime(510), started));
+    assert!(!knowledge.awaits_state(Uptime(510), started));
 }
 
 proptest! {
--- a/components/model/src/simulation/evacuations.rs
+++ b/components/model/src/simulation/evacuations.rs
@@ -185,7 +185,7 @@
             Host::Agent(agent) => {
                 let state = if zones.contains(&zone) {
                     ZoneState::Evacuated
-                } else if informed.knowledge.is_awaited(now, informed.started) {
+                } else if informed.knowledge.awaits_state(now, informed.started) {
                     ZoneState::Unknown
                 } else {
                     ZoneState::Served
@@ -218,7 +218,7 @@
         let others = (0..self.entries.len()).map(Host::Entry).filter(|it| *it != host);
         let informed = &mut self.evacuations.entries[entry];
         let Some(state) = informed.knowledge.state() else { return };
-        if !informed.knowledge.is_told(now) {
+        if !informed.knowledge.notifies_members(now) {
             return;
         }
         let datagram = Datagram::Evacuations(state.clone());
--- a/hostd/src/agent.rs
+++ b/hostd/src/agent.rs
@@ -178,7 +178,7 @@
         let own = self.deps.discovery.members().own();
         let zone = if evacuations.is_evacuated(&own.zone) {
             ZoneState::Evacuated
-        } else if evacuations.is_awaited(now, self.deps.started) {
+        } else if evacuations.awaits_state(now, self.deps.started) {
             ZoneState::Unknown
         } else {
             ZoneState::Served
--- a/hostd/src/entry.rs
+++ b/hostd/src/entry.rs
@@ -199,7 +199,7 @@
             self.evacuated = zones.clone();
             self.handle_event(now, Event::Evacuated { zones });
         }
-        self.deps.evacuations.tell_members(now, self.deps.discovery.members());
+        self.deps.evacuations.notify_members(now, self.deps.discovery.members());
     }
 
     /// Logs new members and announces agents among them to the core.
@@ -221,7 +221,7 @@
     fn on_tick(&mut self, now: Uptime) {
         self.deps.discovery.tick(now);
         let members = self.deps.discovery.members();
-        self.deps.evacuations.tell_members(now, members);
+        self.deps.evacuations.notify_members(now, members);
         self.deps.evacuations.check_zones(now, members);
         self.deps.config_exchange.tick(now, &self.deps.discovery.entries());
         self.handle_event(now, Event::Tick);
--- a/hostd/src/evacuations.rs
+++ b/hostd/src/evacuations.rs
@@ -77,8 +77,8 @@
     }
 
     /// Whether an agent that started at `started` takes no work yet, as it knows no state.
-    pub(crate) fn is_awaited(&self, now: Uptime, started: Uptime) -> bool {
-        self.active && self.knowledge.is_awaited(now, started)
+    pub(crate) fn awaits_state(&self, now: Uptime, started: Uptime) -> bool {
+        self.active && self.knowledge.awaits_state(now, started)
     }
 
     /// Evacuated zones; empty while the settings do not enable evacuations.
@@ -132,15 +132,15 @@
         self.spread.observe(from, incarnation);
     }
 
-    /// Tells a member again that asks for members, as a process does after its start.
+    /// Notifies a member again that asks for members, as a process does after its start.
     pub(crate) fn on_hello(&mut self, from: SocketAddrV4) {
         self.spread.recheck(from);
     }
 
     /// Sends the state to the members that are due it.
-    pub(crate) fn tell_members(&mut self, now: Uptime, members: &Members) {
+    pub(crate) fn notify_members(&mut self, now: Uptime, members: &Members) {
         let Some(state) = self.knowledge.state().filter(|_| self.active) else { return };
-        if !self.knowledge.is_told(now) {
+        if !self.knowledge.notifies_members(now) {
             self.spread.clear();
             return;
         }
