Log the crashes of an endpoint with the runs that it had

Nothing told a crash from a cut, a removal or a lapsed lease, and no line said which runs an endpoint had when it ended, so that the hypotheses on tasks that crash endpoints could not be told apart.

An agent suspects a crash when its endpoint is silent, confirms it once another instance has replaced it without notice, and dismisses it when the same instance answers again.

--- a/components/guard/src/endpoint.rs
+++ b/components/guard/src/endpoint.rs
@@ -30,6 +30,8 @@
     pub(crate) sequence: Option<u64>,
     /// Gets no more leases: it left, crashed, or was replaced by another instance.
     pub(crate) gone: bool,
+    /// It has deregistered.
+    pub(crate) left: bool,
     /// A newer instance with its id is known; calls to it would reach that one.
     pub(crate) restarted: bool,
     /// Has no orphans: runs that an earlier agent started.
@@ -66,6 +68,7 @@
             cold: None,
             sequence: None,
             gone: false,
+            left: false,
             restarted: false,
             orphan_free: false,
             processed: 0,
@@ -92,6 +95,11 @@
         self.orphan_free && self.described && !self.gone && !self.draining
     }
 
+    /// Whether it has said that it would leave, so that its end is no crash.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.draining || self.left
+    }
+
     /// Whether a heartbeat of this instance is newer than those before; records its number.
     ///
     /// Numbers start anew with each instance, so they order nothing where instances have no birth
--- a/components/guard/src/guard.rs
+++ b/components/guard/src/guard.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     call::{Answer, Call, CallKind},
+    crashes::Crashes,
     endpoint::Endpoint,
     entries::Entries,
     health::HealthTracker,
@@ -219,6 +220,7 @@
     doubtful_runs: u64,
     /// Number of restarts of the endpoint under its id.
     restarts: u64,
+    crashes: Crashes,
     /// Number of runs that were left to end at a notice of removal, and of those that were stopped.
     removal_stays: u64,
     removal_stopped: u64,
@@ -259,6 +261,7 @@
             unconfirmed_stops: HashSet::new(),
             doubtful_runs: 0,
             restarts: 0,
+            crashes: Crashes::default(),
             removal_stays: 0,
             removal_stopped: 0,
             report_due: false,
@@ -316,6 +319,11 @@
         self.restarts
     }
 
+    /// Number of confirmed crashes of the endpoint.
+    pub fn crashes(&self) -> u64 {
+        self.crashes.confirmed()
+    }
+
     /// Number of runs that were left to end at a notice of removal, and of those that were stopped
     /// because of one.
     pub fn removal_counts(&self) -> (u64, u64) {
@@ -343,6 +351,7 @@
 
     fn on_tick(&mut self, now: Uptime) {
         self.health_tracker.tick(now);
+        self.crashes.expire(now);
         self.runs.expire_numbers(now);
         let silence = self.options.timing.entry_silence;
         let silent: Vec<_> = self
--- a/components/guard/src/guard/answers.rs
+++ b/components/guard/src/guard/answers.rs
@@ -53,6 +53,7 @@
                 log::warn!(token = self.fencing_token; "the endpoint has seen a higher fencing token; the agent's token is raised");
             }
             Answer::Rejected(Rejection::Instance) => {
+                self.confirm_crash(now);
                 if let Some(endpoint) = self.endpoint.take() {
                     log::info!(instance:% = endpoint.instance; "another instance has the endpoint's address");
                     self.ended_instances.insert(endpoint.instance);
--- a/components/guard/src/guard/polls.rs
+++ b/components/guard/src/guard/polls.rs
@@ -8,6 +8,7 @@
 use crate::{
     call::{Answer, Call, CallKind, EndedRun, Rejection, RunOutcome, Snapshot},
     cold::Cold,
+    crashes::CrashedRun,
     endpoint::Endpoint,
     health::HealthTracker,
     instance::{Age, Instance},
@@ -64,12 +65,12 @@
         announced.draining = draining;
         announced.cold = Cold::update(None, now, beat.cold_remaining);
         announced.notice = remaining.map(|it| Notice::new(now, it));
-        self.announce(announced);
+        self.announce(now, announced);
     }
 
     /// Polls an announced instance. If it is a restart of the endpoint under its id, the present
     /// instance gets no more calls.
-    fn announce(&mut self, announced: Endpoint) {
+    fn announce(&mut self, now: Uptime, announced: Endpoint) {
         if announced.instance.born.is_some() {
             // Calls name the id alone. With a higher token, the instance rejects those that were
             // sent to an earlier one and arrive after its first poll.
@@ -88,6 +89,7 @@
             old.restarted = true;
             self.restarts += 1;
             self.report_due = true;
+            self.confirm_crash(now);
         }
         self.announced = Some(announced);
         self.poll_announced();
@@ -116,6 +118,7 @@
         {
             log::info!(instance = instance; "the endpoint has left");
             endpoint.gone = true;
+            endpoint.left = true;
             self.report_due = true;
         }
     }
@@ -130,7 +133,7 @@
                 Age::Newer => {
                     let newer = self.announced.as_ref().map(|it| it.successor(snapshot.born));
                     if let Some(newer) = newer {
-                        self.announce(newer);
+                        self.announce(now, newer);
                     }
                 }
                 Age::Older => {}
@@ -157,6 +160,10 @@
 
     pub(super) fn adopt_announced(&mut self, now: Uptime, snapshot: &Snapshot) {
         let Some(mut announced) = self.announced.take() else { return };
+        let is_replaced = |it: &Endpoint| it.instance.id != announced.instance.id && !it.gone;
+        if self.endpoint.as_ref().is_some_and(is_replaced) {
+            self.confirm_crash(now);
+        }
         if let Some(old) = &mut self.endpoint
             && old.address != announced.address
             && !old.leases_expired(now)
@@ -254,13 +261,14 @@
                     Age::Same => {
                         if self.is_silent(now) {
                             log::info!("the endpoint answers again");
+                            self.crashes.dismiss(now, &endpoint.instance);
                         }
                         self.first_unanswered = None;
                         self.on_snapshot(now, sent, acknowledged, &snapshot);
                     }
                     Age::Newer => {
                         let newer = endpoint.successor(snapshot.born);
-                        self.announce(newer);
+                        self.announce(now, newer);
                     }
                     Age::Older => self.on_unanswered_poll(now, &Answer::Unknown),
                 }
@@ -421,6 +429,7 @@
     /// Handles a poll that was not answered with a snapshot.
     pub(super) fn on_unanswered_poll(&mut self, now: Uptime, answer: &Answer) {
         let since = *self.first_unanswered.get_or_insert(now);
+        self.suspect_crash(now, since);
         if now.since(since) >= ENDPOINT_SILENCE_MS
             && self.health_tracker.health(now) != Health::Closed
         {
@@ -430,6 +439,35 @@
         }
     }
 
+    /// Suspects a crash of an endpoint that has been silent since `since` for long enough.
+    fn suspect_crash(&mut self, now: Uptime, since: Uptime) {
+        if now.since(since) < ENDPOINT_SILENCE_MS {
+            return;
+        }
+        if let Some(endpoint) = self.endpoint.as_ref().filter(|it| !it.is_leaving()) {
+            self.crashes.suspect(now, since, &endpoint.instance, self.crashed_runs(since));
+        }
+    }
+
+    /// Records that another instance has taken the endpoint's place, which is a crash unless it was
+    /// leaving.
+    pub(super) fn confirm_crash(&mut self, now: Uptime) {
+        if let Some(endpoint) = self.endpoint.as_ref().filter(|it| !it.is_leaving()) {
+            let since = self.first_unanswered.unwrap_or(now);
+            self.crashes.confirm(now, &endpoint.instance, self.crashed_runs(since));
+        }
+    }
+
+    /// Runs that the endpoint may have had when it stopped answering at `since`; those that are
+    /// being stopped may have crashed it as well.
+    fn crashed_runs(&self, since: Uptime) -> Vec<CrashedRun> {
+        let may_have_run = |run: &Run| {
+            run.phase.holds_resources() && run.copies.not_rejected() > 0 && run.started <= since
+        };
+        let crashed = |run: &Run| CrashedRun { key: run.key, age: since.since(run.started) };
+        self.runs.iter().map(|it| it.1).filter(|it| may_have_run(it)).map(crashed).collect()
+    }
+
     /// Whether no poll has been answered for [`ENDPOINT_SILENCE_MS`] since the first that failed or
     /// timed out.
     pub(super) fn is_silent(&self, now: Uptime) -> bool {
--- a/components/guard/src/lib.rs
+++ b/components/guard/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod call;
 mod cold;
+mod crashes;
 mod endpoint;
 mod entries;
 mod grants;
--- a/components/guard/src/limits.rs
+++ b/components/guard/src/limits.rs
@@ -50,6 +50,17 @@
 /// Time for which the number of an ended run is kept, in ms; longer than any retransmission.
 pub(crate) const RUN_NUMBER_EXPIRY_MS: u64 = 15_000;
 
+/// Time for which a crash of the endpoint is remembered after the last news of it, in ms; jobs that
+/// were running may be submitted again for that long.
+pub(crate) const CRASH_RETENTION_MS: u64 = 120_000;
+/// Time after which an endpoint that nothing has replaced is not taken to have crashed, in ms; a
+/// crashed one is back after a few seconds.
+pub(crate) const RETURN_TIMEOUT_MS: u64 = 20_000;
+/// Number of crashes that are remembered.
+pub(crate) const MAX_CRASHES: usize = 32;
+/// Number of runs that are remembered of a crash.
+pub(crate) const MAX_CRASHED_RUNS: usize = 512;
+
 /// Highest number of a run in an order; leaves room for the numbers of later runs and of retries.
 pub(crate) const MAX_RUN_NUMBER: u32 = u32::MAX / 2;
 
--- a/components/guard/tests/guard/fixture.rs
+++ b/components/guard/tests/guard/fixture.rs
@@ -177,6 +177,18 @@
         }
     }
 
+    /// Advances the time by `ms` while no poll reaches the endpoint; the entry goes on probing.
+    pub(crate) fn fail_polls(&mut self, ms: u64) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.advance(10);
+            self.probe();
+            if self.calls.iter().any(|(_, call)| is_poll(&call.kind)) {
+                self.answer(is_poll, Answer::Unsent);
+            }
+        }
+    }
+
     /// Answers two polls, 10 ms apart, with no runs in progress and none ended.
     pub(crate) fn answer_two_empty_polls(&mut self) {
         for _ in 0..2 {
--- a/components/guard/tests/guard/main.rs
+++ b/components/guard/tests/guard/main.rs
@@ -2,6 +2,7 @@
 
 mod arbitrary;
 mod copies;
+mod crashes;
 mod entries;
 mod evacuation;
 mod fixture;
--- a/hostd/src/agent.rs
+++ b/hostd/src/agent.rs
@@ -142,6 +142,8 @@
                 removal.inc_by(stopped - removal.get());
                 let restarts = &self.deps.metrics.restarts;
                 restarts.inc_by(self.deps.guard.restarts() - restarts.get());
+                let crashes = &self.deps.metrics.crashes;
+                crashes.inc_by(self.deps.guard.crashes() - crashes.get());
             }
             Input::Stop => self.handle_event(now, Event::Shutdown),
         }
--- a/hostd/src/metrics.rs
+++ b/hostd/src/metrics.rs
@@ -74,6 +74,8 @@
     pub(crate) removal_stopped: Counter,
     /// Restarts of the endpoint under its id.
     pub(crate) restarts: Counter,
+    /// Crashes of the endpoint.
+    pub(crate) crashes: Counter,
     /// Duration of a call to the endpoint, in seconds.
     pub(crate) call_time: Histogram,
     /// Runs that use capacity of the endpoint.
@@ -162,6 +164,7 @@
             removal_stays: Counter::default(),
             removal_stopped: Counter::default(),
             restarts: Counter::default(),
+            crashes: Counter::default(),
             call_time: histogram(),
             active: Gauge::default(),
             open: Gauge::default(),
@@ -244,6 +247,11 @@
             "Restarts of the endpoint under its id",
             metrics.restarts.clone(),
         );
+        registry.register(
+            "endpoint_crashes",
+            "Instances of the endpoint that were replaced without notice",
+            metrics.crashes.clone(),
+        );
         registry.register("endpoint_call_seconds", "Time of a call", metrics.call_time.clone());
         registry.register("runs_active", "Runs on the endpoint", metrics.active.clone());
         registry.register("endpoint_open", "Endpoint takes work", metrics.open.clone());
