Test that a task which crashes its endpoints is not started for ever

The model gets jobs whose first task crashes each endpoint that starts it after 10 ms; the endpoint is back after 3.3 s as another instance. It also counts the sound jobs that are answered as failed.

The over-capacity check moves to the starts, which alone raise the use of an endpoint.

--- a/components/model/src/endpoint.rs
+++ b/components/model/src/endpoint.rs
@@ -11,6 +11,9 @@
 const STOP_MS: u64 = 30;
 /// Longest lease, in ms.
 const MAX_LEASE_MS: u64 = 1_000;
+/// Time after which a smaller capacity counts, in ms: an agent that is out of contact may act on
+/// the earlier one for 3 s, and learns of the change with a heartbeat.
+const SHRINK_GRACE_MS: u64 = 4_500;
 /// Rate of the endpoint's clock relative to simulated time, in parts per thousand.
 const CLOCK_RATE: u64 = 980;
 
@@ -29,6 +32,8 @@
     /// Number of its last heartbeat.
     pub(crate) sequence: u64,
     pub(crate) capacity: u32,
+    /// Capacity before it shrank, and until when that counts.
+    shrunk: Option<(u32, u64)>,
     pub(crate) alive: bool,
     pub(crate) partitioned: bool,
     pub(crate) hangs: bool,
@@ -80,6 +85,7 @@
             leaves: None,
             sequence: 0,
             capacity,
+            shrunk: None,
             alive: true,
             partitioned: false,
             hangs: false,
@@ -97,6 +103,19 @@
         }
     }
 
+    /// Changes the capacity; runs that exceed a smaller one go on.
+    pub(crate) fn resize(&mut self, now: u64, capacity: u32) {
+        let before = self.limit(now);
+        self.shrunk = (capacity < before).then_some((before, now + SHRINK_GRACE_MS));
+        self.capacity = capacity;
+    }
+
+    /// Capacity that runs must not exceed.
+    pub(crate) fn limit(&self, now: u64) -> u32 {
+        let (before, until) = self.shrunk.unwrap_or_default();
+        if now < until { before.max(self.capacity) } else { self.capacity }
+    }
+
     /// Crashes this instance, which ends all its runs.
     pub(crate) fn crash(&mut self) {
         *self = Endpoint {
--- a/components/model/src/fault.rs
+++ b/components/model/src/fault.rs
@@ -64,6 +64,15 @@
     RejectStarts(f64, Rejection),
     /// This share of the starts is not sent, as endpoints refuse the connections.
     UnsentStarts(f64),
+    /// The first task of this share of the jobs of one kind crashes each endpoint that starts it.
+    DeadlyJobs {
+        /// Index of the kind.
+        kind: usize,
+        /// Share of its jobs.
+        share: f64,
+    },
+    /// An endpoint provides this share of its usual capacity.
+    ShrinkEndpoint(usize, f64),
     /// This share of the starts of a run in progress makes the endpoint list a failed end under
     /// the run's number, while the run goes on.
     FailCopies(f64),
--- a/components/model/src/load.rs
+++ b/components/model/src/load.rs
@@ -72,6 +72,8 @@
     pub(crate) run_times: Vec<u64>,
     pub(crate) cpu: u32,
     pub(crate) poisoned: bool,
+    /// Whether its first task crashes each endpoint that starts it.
+    pub(crate) deadly: bool,
     /// Rack of its data, with the factor on its run times elsewhere.
     pub(crate) rack: Option<HotRack>,
     /// Latency objective, in ms.
@@ -200,7 +202,7 @@
             timeout: rng.random_range(1_900..4_100),
         };
         let poisoned = rng.random_bool(it.poison);
-        (submission, JobNeeds { kind, run_times, cpu, poisoned, rack, objective })
+        (submission, JobNeeds { kind, run_times, cpu, poisoned, deadly: false, rack, objective })
     }
 }
 
--- a/components/model/src/report.rs
+++ b/components/model/src/report.rs
@@ -1,7 +1,10 @@
 //! Results of a simulation.
 
+use std::collections::BTreeMap;
+
 use broker::OrderCounts;
 use hdrhistogram::Histogram;
+use mesh::JobId;
 
 /// Maximum response time that is recorded, in ms; longer ones count as this.
 const MAX_MS: u64 = 60_000;
@@ -75,6 +78,14 @@
     /// No agent can prevent these: the endpoint tells calls for its instances apart by nothing, until
     /// the first call with a higher fencing token.
     pub unfenced: Vec<Violation>,
+    /// Crashes of endpoints under each deadly task.
+    pub deadly_crashes: BTreeMap<(JobId, u16, u16), u32>,
+    /// Number of deadly jobs that were answered as failed.
+    pub deadly_failed: u64,
+    /// Number of jobs that were answered as failed though they would not fail by themselves.
+    pub sound_failed: u64,
+    /// Runs that ended with an endpoint that a deadly task crashed, that task excluded.
+    pub lost_beside: u64,
     /// Time of the last start on each endpoint, in ms after arrivals start.
     pub last_starts: Vec<u64>,
     /// Runs that were in progress on an endpoint that left after it had announced that.
--- a/components/model/src/simulation.rs
+++ b/components/model/src/simulation.rs
@@ -7,7 +7,7 @@
 
 use std::{
     cmp::Reverse,
-    collections::{BinaryHeap, HashMap, HashSet},
+    collections::{BTreeMap, BinaryHeap, HashMap, HashSet},
     net::{Ipv4Addr, SocketAddrV4},
 };
 
@@ -77,6 +77,8 @@
     pub agents_evacuate: bool,
     /// Factor of tasks away from their rack that entries know from the settings, in percent.
     pub remote_percent: Option<u32>,
+    /// Time for which callers wait, in ms; a random one if none is given.
+    pub timeout: Option<u64>,
     /// Job whose events are recorded in the report.
     pub trace: Option<JobId>,
 }
@@ -101,6 +103,7 @@
             zones: 1,
             agents_evacuate: true,
             remote_percent: None,
+            timeout: None,
             trace: None,
         }
     }
@@ -146,6 +149,17 @@
         answer: Answer,
     },
     EndpointDue(usize),
+    /// A deadly task crashes the instance of an endpoint that has started it.
+    Kill {
+        agent: usize,
+        instance: u64,
+        key: RunKey,
+    },
+    /// An endpoint that a deadly task has crashed is back.
+    Revive {
+        agent: usize,
+        instance: u64,
+    },
     FaultStart(usize),
     FaultEnd(usize),
     /// A process reads the evacuations from the store.
@@ -213,6 +227,8 @@
     /// Jobs refused on their first request.
     refused: HashSet<JobId>,
     call_faults: CallFaults,
+    /// Kind of the deadly jobs that arrive, and their share of it.
+    deadly: Option<(usize, f64)>,
     /// Share of datagrams that are lost.
     loss: f64,
     /// Agents whose outgoing datagrams are lost.
@@ -237,6 +253,10 @@
             violations: Vec::new(),
             repeats: Vec::new(),
             unfenced: Vec::new(),
+            deadly_crashes: BTreeMap::new(),
+            deadly_failed: 0,
+            sound_failed: 0,
+            lost_beside: 0,
             last_starts: vec![0; options.endpoints.len()],
             removed_runs: 0,
             datagrams: 0,
@@ -272,6 +292,7 @@
             evacuations: EvacuationState::new(options.entries, options.endpoints.len()),
             refused: HashSet::new(),
             call_faults: CallFaults::default(),
+            deadly: None,
             loss: 0.0,
             lost_from: HashSet::new(),
             lost_to: HashSet::new(),
@@ -398,6 +419,8 @@
                 self.endpoint_due[agent] = u64::MAX;
                 self.check_endpoint(agent);
             }
+            Event::Kill { agent, instance, key } => self.on_kill(agent, instance, key),
+            Event::Revive { agent, instance } => self.on_revive(agent, instance),
             Event::FaultStart(number) => self.start_fault(self.options.faults[number].kind),
             Event::FaultEnd(number) => self.end_fault(self.options.faults[number].kind),
             Event::ReadStore { host, started } => self.read_store(host, started),
@@ -501,6 +524,8 @@
         | Event::Call { .. }
         | Event::HoldTimeout(_)
         | Event::EndpointDue(_)
+        | Event::Kill { .. }
+        | Event::Revive { .. }
         | Event::FaultStart(_)
         | Event::FaultEnd(_) => None,
     }
--- a/components/model/src/simulation/callers.rs
+++ b/components/model/src/simulation/callers.rs
@@ -28,7 +28,11 @@
         self.push_arrival(kind, self.now);
         let job = JobId(self.next_job);
         self.next_job += 1;
-        let (submission, needs) = self.options.load.sample(kind, job, &mut self.rng);
+        let (mut submission, mut needs) = self.options.load.sample(kind, job, &mut self.rng);
+        if let Some((_, share)) = self.deadly.filter(|it| it.0 == kind) {
+            needs.deadly = self.draw(share);
+        }
+        submission.timeout = self.options.timeout.unwrap_or(submission.timeout);
         self.needs.insert(job, needs);
         self.report.kinds[kind].sent += 1;
         let open = OpenJob { submission, first_sent: self.now, sends: 0, request: None };
@@ -121,9 +125,16 @@
         let kind = &mut self.report.kinds[needs.kind];
         let is_correct = match reply {
             Some(Reply::Completed) => !needs.poisoned,
-            Some(Reply::Failed) => needs.poisoned,
+            Some(Reply::Failed) => needs.poisoned || needs.deadly,
             Some(Reply::Refused { .. } | Reply::GivenUp | Reply::Cancelled) | None => false,
         };
+        if reply == Some(Reply::Failed) {
+            match needs.deadly {
+                true => self.report.deadly_failed += 1,
+                false if !needs.poisoned => self.report.sound_failed += 1,
+                false => {}
+            }
+        }
         match reply {
             Some(Reply::Refused { .. }) if took * 4 <= needs.objective => kind.refused_early += 1,
             Some(Reply::Refused { .. }) => kind.refused_late += 1,
--- a/components/model/src/simulation/endpoints.rs
+++ b/components/model/src/simulation/endpoints.rs
@@ -25,6 +25,11 @@
 /// Longest time until a copy of a start fails beside its run, in ms.
 const MAX_FAILURE_DELAY_MS: u64 = 20;
 
+/// Time from the start of a deadly task to the crash of its endpoint, in ms.
+const FUSE_MS: u64 = 10;
+/// Time for which an endpoint that a deadly task has crashed is down, in ms.
+const DOWNTIME_MS: u64 = 3_300;
+
 /// What happens to a start in place of its execution.
 #[derive(Debug, Clone, Copy)]
 enum StartFault {
@@ -45,6 +50,35 @@
         self.send_heartbeat(agent);
     }
 
+    /// Changes the capacity of an endpoint to a share of the usual one.
+    pub(super) fn resize(&mut self, agent: usize, share: f64) {
+        let capacity = (f64::from(self.options.endpoints[agent]) * share) as u32;
+        self.endpoints[agent].resize(self.now, capacity);
+    }
+
+    /// Crashes an endpoint that has the run of a deadly task.
+    pub(super) fn on_kill(&mut self, agent: usize, instance: u64, key: RunKey) {
+        let endpoint = &mut self.endpoints[agent];
+        endpoint.advance(self.now);
+        if endpoint.instance != instance || !endpoint.runs().any(|it| it == key) {
+            return;
+        }
+        self.report.lost_beside += endpoint.runs().count() as u64 - 1;
+        endpoint.crash();
+        let instance = endpoint.instance;
+        *self.report.deadly_crashes.entry((key.job, key.step, key.index)).or_default() += 1;
+        self.trace(key.job, || format!("endpoint {agent}: crashes under {key}"));
+        self.push(self.now + DOWNTIME_MS, Event::Revive { agent, instance });
+    }
+
+    pub(super) fn on_revive(&mut self, agent: usize, instance: u64) {
+        let endpoint = &mut self.endpoints[agent];
+        if endpoint.instance == instance && !endpoint.alive {
+            endpoint.restart(self.now);
+            self.send_heartbeat(agent);
+        }
+    }
+
     pub(super) fn on_remove(&mut self, agent: usize) {
         self.endpoints[agent].advance(self.now);
         self.report.removed_runs += self.endpoints[agent].runs().count() as u64;
@@ -141,6 +175,8 @@
             if is_copy {
                 self.fail_copy(agent, *key);
             } else {
+                self.check_capacity(agent, *key);
+                self.kill_if_deadly(agent, *key);
                 self.record_start(agent, *key);
             }
         }
@@ -175,7 +211,7 @@
         self.push(self.now + delay, Event::Answer { agent, generation, id, answer });
     }
 
-    fn draw(&mut self, share: f64) -> bool {
+    pub(super) fn draw(&mut self, share: f64) -> bool {
         share > 0.0 && self.rng.random_bool(share)
     }
 
@@ -202,6 +238,23 @@
         }
     }
 
+    /// Checks that a start does not exceed the capacity of its endpoint.
+    fn check_capacity(&mut self, agent: usize, key: RunKey) {
+        let endpoint = &self.endpoints[agent];
+        let (used, limit) = (endpoint.used_cpu(), endpoint.limit(self.now));
+        if used > limit {
+            let description = format!("{key} brings endpoint {agent} to {used} of {limit}");
+            self.report.violations.push(Violation { at: self.now, description });
+        }
+    }
+
+    fn kill_if_deadly(&mut self, agent: usize, key: RunKey) {
+        if key.index == 0 && self.needs.get(&key.job).is_some_and(|it| it.deadly) {
+            let instance = self.endpoints[agent].instance;
+            self.push(self.now + FUSE_MS, Event::Kill { agent, instance, key });
+        }
+    }
+
     fn record_start(&mut self, agent: usize, key: RunKey) {
         self.report.last_starts[agent] = self.now.saturating_sub(WARM_UP_MS);
         self.check_evacuated(agent, key);
@@ -256,12 +309,7 @@
     }
 
     pub(super) fn check_invariants(&mut self, agent: usize) {
-        let endpoint = &self.endpoints[agent];
-        if endpoint.used_cpu() > endpoint.capacity {
-            let description = format!("endpoint {agent} is over its capacity");
-            self.report.violations.push(Violation { at: self.now, description });
-        }
-        let runs: Vec<RunKey> = endpoint.runs().collect();
+        let runs: Vec<RunKey> = self.endpoints[agent].runs().collect();
         for key in runs {
             let task = (key.job, key.step, key.index);
             let same = |it: &RunKey| (it.job, it.step, it.index) == task;
--- a/components/model/src/simulation/faults.rs
+++ b/components/model/src/simulation/faults.rs
@@ -52,6 +52,8 @@
             }
             FaultKind::UnsentStarts(share) => self.call_faults.unsent = share,
             FaultKind::FailCopies(share) => self.call_faults.failed = share,
+            FaultKind::DeadlyJobs { kind, share } => self.deadly = Some((kind, share)),
+            FaultKind::ShrinkEndpoint(agent, share) => self.resize(agent, share),
         }
     }
 
@@ -89,6 +91,8 @@
             FaultKind::RejectStarts(..) => self.call_faults.rejected = None,
             FaultKind::UnsentStarts(_) => self.call_faults.unsent = 0.0,
             FaultKind::FailCopies(_) => self.call_faults.failed = 0.0,
+            FaultKind::DeadlyJobs { .. } => self.deadly = None,
+            FaultKind::ShrinkEndpoint(agent, _) => self.resize(agent, 1.0),
         }
     }
 
