Refuse jobs whose tasks need more memory than any endpoint has

Only cores and labels were compared with what an idle endpoint provides, so a job that needs more memory or accelerators waited until its deadline. With capacities that change it would be met more often.

Measured: the new test fails before the change, as the job gets no answer.

--- a/components/broker/src/job.rs
+++ b/components/broker/src/job.rs
@@ -114,7 +114,10 @@
 impl Step {
     /// Whether an idle endpoint with these properties could run a task of the step.
     pub(crate) fn can_run_on(&self, info: &EndpointInfo) -> bool {
-        self.label.as_ref().is_none_or(|label| info.labels.contains(label)) && info.cpu >= self.cpu
+        self.label.as_ref().is_none_or(|label| info.labels.contains(label))
+            && info.cpu >= self.cpu
+            && info.memory >= self.memory
+            && info.gpus >= self.gpus
     }
 
     /// Whether the data of its tasks is on another rack than the endpoint.
--- a/components/broker/tests/broker/admission.rs
+++ b/components/broker/tests/broker/admission.rs
@@ -154,3 +154,13 @@
     let refused = requests.iter().filter(|it| fixture.answer(**it).is_some()).count();
     assert_eq!(refused, 0);
 }
+
+// Guards against jobs that wait until their deadline for memory that no endpoint has.
+#[test]
+fn a_job_that_needs_more_memory_than_any_endpoint_has_is_refused_at_once() {
+    let mut fixture = Fixture::new(2);
+
+    let request = fixture.submit(submission(1, vec![Step { memory: 2_000, ..step(1, 100) }]));
+
+    assert!(matches!(fixture.answer(request), Some(Reply::Refused { .. })));
+}
