Follow the capacity of an endpoint while it runs

Callers' tasks were started by the capacity that an endpoint had announced first: heartbeats of a known instance changed its cold time and notice only. An endpoint that does not guard its capacity would be brought over it.

The newest heartbeat by its number now sets the capacity, also where instances have no birth time, and for an instance that has not answered yet. Runs, queue, reports, cold shares and admission follow from it. Nothing is stopped.

--- a/components/guard/src/endpoint.rs
+++ b/components/guard/src/endpoint.rs
@@ -26,7 +26,7 @@
     pub(crate) notice: Option<Notice>,
     /// Set while it is cold.
     pub(crate) cold: Option<Cold>,
-    /// Highest sequence number of its heartbeats, if it has a birth time.
+    /// Highest sequence number of its heartbeats.
     pub(crate) sequence: Option<u64>,
     /// Gets no more leases: it left, crashed, or was replaced by another instance.
     pub(crate) gone: bool,
@@ -101,14 +101,8 @@
     }
 
     /// Whether a heartbeat of this instance is newer than those before; records its number.
-    ///
-    /// Numbers start anew with each instance, so they order nothing where instances have no birth
-    /// time.
     pub(crate) fn accept_sequence(&mut self, sequence: Option<u64>) -> bool {
-        if self.instance.born.is_none() || sequence.is_none() {
-            return true;
-        }
-        let is_newer = sequence > self.sequence;
+        let is_newer = sequence.is_none() || sequence > self.sequence;
         self.sequence = sequence.max(self.sequence);
         is_newer
     }
@@ -120,14 +114,34 @@
 
     /// Resources that it provides: all, or a share while it is cold and anything runs on it.
     pub(crate) fn room(&self, now: Uptime, is_idle: bool) -> Resources {
-        let EndpointInfo { cpu, memory, gpus, .. } = self.info;
-        let whole = Resources { cpu, memory, gpus };
         match self.cold {
-            Some(cold) if !is_idle => cold.share(now, whole),
-            Some(_) | None => whole,
+            Some(cold) if !is_idle => cold.share(now, self.whole_room()),
+            Some(_) | None => self.whole_room(),
         }
     }
 
+    /// Takes over the capacity that it announces; returns whether that differs.
+    pub(crate) fn resize(&mut self, announced: &EndpointInfo) -> bool {
+        let EndpointInfo { cpu, memory, gpus, .. } = *announced;
+        let before = self.whole_room();
+        if before == (Resources { cpu, memory, gpus }) {
+            return false;
+        }
+        log::info!(
+            instance:% = self.instance, cpu_before = before.cpu, cpu = cpu,
+            memory_before = before.memory, memory = memory, gpus_before = before.gpus, gpus = gpus;
+            "the capacity of the endpoint has changed"
+        );
+        (self.info.cpu, self.info.memory, self.info.gpus) = (cpu, memory, gpus);
+        true
+    }
+
+    /// Resources that it provides when warm.
+    fn whole_room(&self) -> Resources {
+        let EndpointInfo { cpu, memory, gpus, .. } = self.info;
+        Resources { cpu, memory, gpus }
+    }
+
     /// Records a reading of its clock; ignores an answer that arrived out of order.
     pub(crate) fn record_clock(&mut self, now: Uptime, clock: u64) {
         if self.min_clock(now).is_none_or(|min_clock| clock >= min_clock) {
--- a/components/guard/src/guard.rs
+++ b/components/guard/src/guard.rs
@@ -84,7 +84,7 @@
     pub time_remaining: Option<u64>,
     /// Time for which the endpoint is slow after its start, in ms.
     pub cold_remaining: Option<u64>,
-    /// Service, capacity and other properties that stay fixed for the life of the instance.
+    /// Service and labels, which stay fixed for the life of the instance, and the present capacity.
     pub info: EndpointInfo,
 }
 
--- a/components/guard/src/guard/polls.rs
+++ b/components/guard/src/guard/polls.rs
@@ -25,13 +25,16 @@
         let is_announced = self.announced.as_ref().is_some_and(has_id);
         let known = if is_announced { &mut self.announced } else { &mut self.endpoint };
         if let Some(known) = known.as_mut().filter(|it| has_id(it)) {
-            match known.instance.age_of(beat.instance.born) {
+            let has_birth = known.instance.born.is_some();
+            let age = known.instance.age_of(beat.instance.born);
+            let is_newest = age == Age::Same && known.accept_sequence(beat.sequence);
+            match age {
                 Age::Older => {
                     log::warn!(instance:% = beat.instance, known:% = known.instance; "a heartbeat of an earlier instance is ignored");
                     return;
                 }
-                Age::Same if !known.accept_sequence(beat.sequence) => return,
-                Age::Same if !is_announced || known.instance.born.is_some() => {
+                Age::Same if !is_newest && (has_birth || is_announced) => return,
+                Age::Same if !is_announced || has_birth => {
                     if draining && !known.draining {
                         log::info!(instance:% = known.instance; "the endpoint is draining and gets no more work");
                         self.report_due = true;
@@ -42,6 +45,10 @@
                         known.address = beat.address;
                         known.info = beat.info;
                         self.report_due = true;
+                    } else if is_newest {
+                        // Numbers start anew with each instance. One without a birth time may have
+                        // restarted unnoticed, but its capacity must not come from a late heartbeat.
+                        self.report_due |= known.resize(&beat.info);
                     }
                     known.cold = Cold::update(known.cold, now, beat.cold_remaining);
                     match remaining {
--- a/components/guard/tests/guard/resources.rs
+++ b/components/guard/tests/guard/resources.rs
@@ -1,9 +1,9 @@
 //! The capacity of an endpoint is never exceeded.
 
-use guard::{Answer, RunOutcome};
-use mesh::{End, Notice, Refusal};
+use guard::{Answer, Event, Heartbeat, HeartbeatState, RunOutcome};
+use mesh::{End, EndpointInfo, Health, Notice, Refusal};
 
-use crate::fixture::{CAPACITY, Fixture, ended, is_start, is_stop, key, running};
+use crate::fixture::{CAPACITY, Fixture, ended, heartbeat, is_start, is_stop, key, running};
 
 #[test]
 fn starts_the_runs_that_fit_and_refuses_the_rest_in_time() {
@@ -68,3 +68,54 @@
 
     assert_eq!(fixture.started(), vec![key(1)]);
 }
+
+/// Sends a heartbeat of the present instance with a capacity and a number.
+fn resize(fixture: &mut Fixture, cpu: u32, sequence: u64) {
+    let beat = heartbeat("i-1", HeartbeatState::Ready);
+    let info = EndpointInfo { cpu, ..beat.info.clone() };
+    fixture.event(Event::Heartbeat(Heartbeat { sequence: Some(sequence), info, ..beat }));
+    fixture.probe();
+}
+
+// Guards against starts by the capacity that an endpoint had when it registered.
+#[test]
+fn a_capacity_that_shrinks_leaves_runs_alone_and_starts_no_other() {
+    let mut fixture = Fixture::open();
+    fixture.order(vec![key(1)], 600);
+    fixture.accept_start();
+    fixture.calls.clear();
+
+    resize(&mut fixture, 800, 2);
+    fixture.order(vec![key(2)], 300);
+
+    assert_eq!(fixture.unanswered(is_stop), vec![]);
+    assert_eq!(fixture.started(), vec![]);
+    assert_eq!(fixture.report.cpu, 0);
+    assert_eq!(fixture.report.endpoint.as_ref().map(|it| it.cpu), Some(800));
+    assert_eq!(fixture.report.health, Health::Open);
+}
+
+#[test]
+fn a_run_that_waits_starts_once_the_capacity_has_grown_back() {
+    let mut fixture = Fixture::open();
+    resize(&mut fixture, 0, 2);
+    fixture.order(vec![key(1)], 300);
+    assert_eq!(fixture.started(), vec![]);
+
+    resize(&mut fixture, CAPACITY, 3);
+
+    assert_eq!(fixture.started(), vec![key(1)]);
+}
+
+// Guards against a late heartbeat that brings back a capacity which has shrunk since.
+#[test]
+fn a_capacity_in_an_earlier_heartbeat_is_ignored() {
+    let mut fixture = Fixture::open();
+    resize(&mut fixture, 200, 3);
+
+    resize(&mut fixture, CAPACITY, 2);
+    fixture.order(vec![key(1)], 300);
+
+    assert_eq!(fixture.started(), vec![]);
+    assert_eq!(fixture.report.endpoint.as_ref().map(|it| it.cpu), Some(200));
+}
--- a/components/mesh/src/message.rs
+++ b/components/mesh/src/message.rs
@@ -128,7 +128,7 @@
     Closed,
 }
 
-/// Fixed properties of an agent's endpoint.
+/// Properties of an agent's endpoint.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct EndpointInfo {
@@ -136,11 +136,11 @@
     pub service: String,
     /// Labels, including its rack.
     pub labels: Vec<String>,
-    /// Thousandths of a core.
+    /// Thousandths of a core that it has at present.
     pub cpu: u32,
-    /// Memory in MB.
+    /// Memory that it has at present, in MB.
     pub memory: u32,
-    /// Accelerators.
+    /// Accelerators that it has at present.
     pub gpus: u32,
 }
 
@@ -150,7 +150,7 @@
 pub struct Report {
     /// The agent's time.
     pub now: Uptime,
-    /// Fixed properties of the endpoint, if the agent has one.
+    /// Properties of the endpoint, if the agent has one.
     pub endpoint: Option<EndpointInfo>,
     /// Whether the endpoint accepts work.
     pub health: Health,
