Give up jobs whose tasks crash the endpoints that start them

Callers of a deadly job saw it started until they gave up, and callers of other jobs lost 7 to 16 runs with each crash. A run that ended with its endpoint was requeued with no count, and what little an entry knew was lost with it.

Agents now report the crashes of their endpoint, with the tasks that ran there, to every entry until it confirms. Entries judge by these reports alone: a suspect runs with an endpoint for itself, waits while it is not known whether its endpoints have crashed, and its job is answered with failed after two equal crashes or three. Only an endpoint that another instance has replaced without notice counts as crashed.

--- a/components/broker/src/broker.rs
+++ b/components/broker/src/broker.rs
@@ -1,5 +1,6 @@
 //! The state machine of an entry, and the order in which it handles an event.
 
+mod crashes;
 mod evacuation;
 mod jobs;
 mod placement;
@@ -11,12 +12,13 @@
     net::SocketAddrV4,
 };
 
-use mesh::{Datagram, Frame, JobId, Notice, Report, Uptime};
+use mesh::{Crashes, Datagram, Frame, JobId, Notice, Report, Uptime};
 use rand::{SeedableRng, rngs::SmallRng};
 use slotmap::SlotMap;
 
 use crate::{
     agents::{Agent, Agents, mean_slowdown, watched_capacity},
+    crashes::{CrashLedger, VerdictCounts},
     estimate::Estimates,
     job::{Job, Submission},
     limits::{
@@ -83,6 +85,13 @@
         /// Content of the datagram.
         frame: Frame<Notice, Report>,
     },
+    /// An agent reports crashes of its endpoint.
+    Crashes {
+        /// Address of the agent.
+        from: SocketAddrV4,
+        /// Crashes that have changed.
+        crashes: Crashes,
+    },
     /// The set of evacuated availability zones has changed.
     Evacuated {
         /// All evacuated zones.
@@ -182,6 +191,8 @@
     shares: Shares,
     locality: Locality,
     order_counts: OrderCounts,
+    ledger: CrashLedger,
+    verdict_counts: VerdictCounts,
     answered: HashMap<JobId, Answered>,
     /// When answered jobs are removed from `answered`, in order.
     expirations: VecDeque<(Uptime, JobId)>,
@@ -224,6 +235,8 @@
             shares: Shares::default(),
             locality: Locality::new(now, options.remote_percent),
             order_counts: OrderCounts::default(),
+            ledger: CrashLedger::default(),
+            verdict_counts: VerdictCounts::default(),
             answered: HashMap::new(),
             expirations: VecDeque::new(),
             placement_due: false,
@@ -251,6 +264,7 @@
             Event::Cancel { job } => self.on_cancel(now, job),
             Event::Announced { address, zone } => self.on_announced(now, address, zone),
             Event::Frame { from, frame } => self.on_frame(now, from, frame),
+            Event::Crashes { from, crashes } => self.on_crashes(now, from, crashes),
             Event::Evacuated { zones } => self.on_evacuated(now, zones),
             Event::Tick => self.on_tick(now),
             Event::Shutdown => self.on_shutdown(now),
@@ -303,6 +317,11 @@
         self.order_counts
     }
 
+    /// Number of times that tasks were judged by the crashes of their endpoints so far.
+    pub fn verdict_counts(&self) -> VerdictCounts {
+        self.verdict_counts
+    }
+
     /// Number of jobs in progress, and of those among them that wait for free capacity.
     pub fn job_counts(&self) -> (usize, usize) {
         (self.jobs.len(), self.queue.len())
@@ -337,6 +356,7 @@
         self.queue.demote_late(now);
         self.mean_slowdown = mean_slowdown(&self.agents);
         self.check_agents(now);
+        self.expire_crashes(now);
         if now >= self.next_watch {
             self.next_watch = now + WATCH_INTERVAL_MS;
             let capacity = watched_capacity(&self.agents);
--- a/components/broker/src/broker/jobs.rs
+++ b/components/broker/src/broker/jobs.rs
@@ -38,6 +38,9 @@
             self.effects.push(Effect::Answer { request_number, reply });
             return None;
         }
+        if self.reject_culprit(id, &submission.request, request_number) {
+            return None;
+        }
         let last_run = earlier.map_or(0, |it| it.last_run);
         let order = self.options.policy.order;
         let job = Job::new(now, submission, request_number, last_run, &self.estimates, order);
@@ -65,6 +68,7 @@
         self.by_request.insert(request_number, key);
         self.queue.insert(now, rank, key);
         self.placement_due = true;
+        self.judge(now, [id]);
         Some(key)
     }
 
--- a/components/broker/src/broker/placement.rs
+++ b/components/broker/src/broker/placement.rs
@@ -14,9 +14,10 @@
 use crate::{
     agents::Agents,
     candidates::{Candidates, Choice, OwnUse, Placing},
+    crashes::Verdict,
     estimate::Estimates,
     job::{Job, Submission, TaskState},
-    limits::{WAIT_NOTICE_AGENTS, WAIT_NOTICE_INTERVAL_MS},
+    limits::{APART_WAIT_MS, WAIT_NOTICE_AGENTS, WAIT_NOTICE_INTERVAL_MS},
     queue::JobKey,
 };
 
@@ -60,6 +61,9 @@
             match outcome {
                 Outcome::Complete => placed.push((job.rank, key)),
                 Outcome::WaitsForRack => self.rack_awaited = true,
+                Outcome::Suspect => {
+                    self.rack_awaited |= job.tasks.iter().any(|it| it.waits_for_rack.is_some());
+                }
                 Outcome::NoRoom => {
                     blocked_services.insert(route.service.clone());
                 }
@@ -72,6 +76,7 @@
         for assignment in assignments {
             self.send_order(assignment);
         }
+        self.place_apart(now);
         if self.room_awaited {
             self.seek_capacity(now);
         }
@@ -127,8 +132,8 @@
     }
 
     /// Queues a start order for an agent.
-    fn send_order(&mut self, assignment: Assignment) {
-        let Assignment { agent: address, job, step, runs } = assignment;
+    pub(super) fn send_order(&mut self, assignment: Assignment) {
+        let Assignment { agent: address, job, step, runs, takes_endpoint } = assignment;
         let (Some(agent), Some(job)) = (self.agents.get_mut(&address), self.jobs.get(job)) else {
             return;
         };
@@ -140,14 +145,19 @@
         let run_percent = run_percent.map_or(100, |it| self.locality.run_percent(step, it));
         // The agent compares the run with this time to judge whether its endpoint is slow.
         let expected = u64::from(expected) * run_percent / 100;
+        let (mut cpu, mut memory, mut max_wait) =
+            (step.cpu, step.memory, self.options.policy.agent_wait);
+        if let Some(info) = agent.report.endpoint.as_ref().filter(|_| takes_endpoint) {
+            (cpu, memory, max_wait) = (info.cpu.max(cpu), info.memory.max(memory), APART_WAIT_MS);
+        }
         agent.channel.push(Command::Start(StartOrder {
             runs,
             spec: job.submission.spec.clone(),
-            cpu: step.cpu,
-            memory: step.memory,
+            cpu,
+            memory,
             gpus: step.gpus,
             expected: u32::try_from(expected).unwrap_or(u32::MAX),
-            max_wait: self.options.policy.agent_wait,
+            max_wait,
             decided: agent.report.now,
         }));
     }
@@ -177,11 +187,13 @@
 }
 
 /// Tasks of a step that are assigned to an agent.
-struct Assignment {
-    agent: SocketAddrV4,
-    job: JobKey,
-    step: u16,
-    runs: Vec<RunKey>,
+pub(super) struct Assignment {
+    pub(super) agent: SocketAddrV4,
+    pub(super) job: JobKey,
+    pub(super) step: u16,
+    pub(super) runs: Vec<RunKey>,
+    /// Whether each run takes the whole endpoint.
+    pub(super) takes_endpoint: bool,
 }
 
 /// What the placement of a job's tasks depends on, besides the candidates.
@@ -198,6 +210,8 @@
     Complete,
     /// All were placed but for those that wait for the rack of their data.
     WaitsForRack,
+    /// All were placed but for those that are suspect, and those that wait for a rack.
+    Suspect,
     /// Some found no room.
     NoRoom,
 }
@@ -218,6 +232,12 @@
         if task.state != TaskState::Waiting {
             continue;
         }
+        if task.verdict != Verdict::Clear {
+            if outcome != Outcome::NoRoom {
+                outcome = Outcome::Suspect;
+            }
+            continue;
+        }
         let step = &job.submission.steps[usize::from(task.step)];
         let full_agents = full_agents(job, task.step, step.per_endpoint);
         let expected = context.estimates.expected(&job.submission.route.name, step.declared);
@@ -248,18 +268,12 @@
                 if task.excluded.is_empty() { break } else { continue }
             }
         };
-        task.waits_for_rack = None;
-        task.last_run += 1;
-        let run = RunKey {
-            job: job.submission.job,
-            step: task.step,
-            index: task.index,
-            run: task.last_run,
-        };
-        task.state = TaskState::Placed { agent, key: run };
+        let run = task.place(job.submission.job, agent);
+        task.runs_apart = false;
         runs_at.entry((agent, task.step)).or_default().push(run);
     }
-    let assignment = |((agent, step), runs)| Assignment { agent, job: key, step, runs };
+    let assignment =
+        |((agent, step), runs)| Assignment { agent, job: key, step, runs, takes_endpoint: false };
     (outcome, runs_at.into_iter().map(assignment).collect())
 }
 
--- a/components/broker/src/job.rs
+++ b/components/broker/src/job.rs
@@ -4,7 +4,10 @@
 
 use mesh::{EndpointInfo, JobId, RunKey, Uptime};
 
-use crate::{Route, estimate::Estimates, limits::MAX_OBJECTIVE_MULTIPLE, policy::QueueOrder};
+use crate::{
+    Route, crashes::Verdict, estimate::Estimates, limits::MAX_OBJECTIVE_MULTIPLE,
+    policy::QueueOrder,
+};
 
 /// Largest work that a job counts for, in thousandths of a core times ms, so that the work of jobs
 /// can be added up; about 300 core-hours.
@@ -84,6 +87,10 @@
     pub(crate) failures: u32,
     /// Agents at which a run failed or stalled.
     pub(crate) excluded: Vec<SocketAddrV4>,
+    /// How it may run, by the crashes of its endpoints.
+    pub(crate) verdict: Verdict,
+    /// Whether its newest run was ordered to be alone on its endpoint.
+    pub(crate) runs_apart: bool,
     /// Time from which it has waited for the rack of its data while it could run elsewhere; none
     /// if it does not wait or finds room nowhere.
     pub(crate) waits_for_rack: Option<Uptime>,
@@ -105,9 +112,26 @@
 }
 
 impl Task {
-    /// Whether it waits for free capacity and not only for that of its rack.
+    /// Whether it waits for free capacity, and neither only for that of its rack nor for news of
+    /// crashes.
     fn waits_for_any_room(&self) -> bool {
-        self.state == TaskState::Waiting && self.waits_for_rack.is_none()
+        self.state == TaskState::Waiting
+            && self.waits_for_rack.is_none()
+            && self.verdict == Verdict::Clear
+    }
+
+    /// Whether it waits for an endpoint of its own.
+    pub(crate) fn waits_apart(&self) -> bool {
+        self.state == TaskState::Waiting && self.verdict == Verdict::Apart
+    }
+
+    /// Assigns the next run to an agent.
+    pub(crate) fn place(&mut self, job: JobId, agent: SocketAddrV4) -> RunKey {
+        self.waits_for_rack = None;
+        self.last_run += 1;
+        let key = RunKey { job, step: self.step, index: self.index, run: self.last_run };
+        self.state = TaskState::Placed { agent, key };
+        key
     }
 }
 
@@ -152,6 +176,8 @@
                 last_run,
                 failures: 0,
                 excluded: Vec::new(),
+                verdict: Verdict::Clear,
+                runs_apart: false,
                 waits_for_rack: None,
             }));
         }
@@ -215,6 +241,16 @@
         })
     }
 
+    /// Agents of runs that were ordered to be alone on their endpoint.
+    pub(crate) fn placed_apart(&self) -> impl Iterator<Item = SocketAddrV4> {
+        self.tasks.iter().filter(|it| it.runs_apart).filter_map(|it| match it.state {
+            TaskState::Placed { agent, .. } => Some(agent),
+            TaskState::Blocked | TaskState::Waiting | TaskState::Lost { .. } | TaskState::Done => {
+                None
+            }
+        })
+    }
+
     /// Makes blocked tasks wait for free capacity once the steps that they follow are done.
     pub(crate) fn unblock(&mut self) {
         let steps = &self.submission.steps;
--- a/components/broker/src/lib.rs
+++ b/components/broker/src/lib.rs
@@ -15,6 +15,7 @@
 mod candidates;
 mod collision;
 mod config;
+mod crashes;
 mod estimate;
 mod job;
 mod limits;
@@ -29,6 +30,7 @@
 pub use crate::{
     broker::{Broker, Effect, Event, Options, Reply, Status},
     config::{Config, Limits, Route},
+    crashes::VerdictCounts,
     job::{Step, Submission},
     limits::{
         AGENT_RETENTION_MS, AGENT_SILENCE_MS, PROBE_MS, RUN_EXPIRY_MS, SETTLE_MS, SUSPENDED_MS,
--- a/components/broker/src/limits.rs
+++ b/components/broker/src/limits.rs
@@ -63,6 +63,19 @@
 pub(crate) const CONGESTED_WAIT_PERCENT: u64 = 12;
 /// Time for which the answer to a job is kept for repeated submissions, in ms.
 pub(crate) const ANSWER_RETENTION_MS: u64 = 10_000;
+/// Time for which a crash is remembered after the last news of it, in ms.
+pub(crate) const CRASH_RETENTION_MS: u64 = 120_000;
+/// Time after which a crash that is only suspected does not count any more, in ms. Its agent gives
+/// the suspicion up after 20 s, unless it has restarted meanwhile.
+pub(crate) const RESOLUTION_TIMEOUT_MS: u64 = 30_000;
+/// Number of crashes that are remembered.
+pub(crate) const MAX_CRASHES: usize = 1_024;
+/// Number of tasks that are remembered of a crash, as many as an agent reports.
+pub(crate) const MAX_CRASHED_TASKS: usize = 512;
+/// Time for which a run that must be alone may wait for its endpoint to be empty, in ms.
+pub(crate) const APART_WAIT_MS: u32 = 2_000;
+/// Divisor of the number of endpoints for the share on which an entry runs tasks apart.
+pub(crate) const APART_DIVISOR: usize = 8;
 /// Multiple of a job's objective after which its answer is of no use.
 pub(crate) const MAX_OBJECTIVE_MULTIPLE: u64 = 3;
 /// Time for which jobs may wait for a first endpoint to be found, in ms, after the start of the
--- a/components/broker/tests/broker/arbitrary.rs
+++ b/components/broker/tests/broker/arbitrary.rs
@@ -1,7 +1,10 @@
 //! No message or job, whatever its numbers, makes the entry panic.
 
 use broker::{Event, Step, Submission};
-use mesh::{End, EndpointInfo, Frame, Health, JobId, Notice, Refusal, Report, RunKey, Uptime};
+use mesh::{
+    Crash, CrashState, CrashedTask, Crashes, End, EndpointInfo, Frame, Health, JobId, Notice,
+    Refusal, Report, RunKey, Uptime,
+};
 use proptest::{collection::vec, option, prelude::*, sample::select};
 
 use crate::fixture::{Fixture, address, step, submission};
@@ -57,6 +60,20 @@
     )
 }
 
+fn crashes() -> impl Strategy<Value = Event> {
+    let task = (0..3_u64, 0..2_u16, 0..3_u16, small_number())
+        .prop_map(|(job, step, index, age)| CrashedTask { job: JobId(job), step, index, age });
+    let states = vec![CrashState::Suspected, CrashState::Confirmed, CrashState::Dismissed];
+    let crash = (number(), select(states), vec(task, 0..4))
+        .prop_map(|(number, state, tasks)| Crash { number, state, tasks });
+    (1..=4_u8, (number(), number(), number()), vec(crash, 0..3)).prop_map(
+        |(from, (incarnation, session, revision), crashes)| {
+            let crashes = Crashes { incarnation, session, revision, crashes };
+            Event::Crashes { from: address(from), crashes }
+        },
+    )
+}
+
 /// A step that usually fits an endpoint.
 fn submitted_step() -> impl Strategy<Value = Step> {
     let cpu = prop_oneof![3 => Just(300), 1 => small_number()];
@@ -83,6 +100,7 @@
     let ends = vec![End::Done, End::Failed, End::Lost];
     prop_oneof![
         2 => frame().prop_map(Action::Event),
+        1 => crashes().prop_map(Action::Event),
         3 => (1..=3_u8, report()).prop_map(|(agent, it)| Action::Report(agent, it)),
         3 => (any::<prop::sample::Index>(), select(ends), small_number())
             .prop_map(|(at, end, took)| Action::End(at, end, took)),
--- a/components/broker/tests/broker/fixture.rs
+++ b/components/broker/tests/broker/fixture.rs
@@ -11,8 +11,8 @@
     Submission,
 };
 use mesh::{
-    Channel, Command, Datagram, End, EndpointInfo, Health, JobId, Notice, Refusal, Report, RunKey,
-    Uptime,
+    Channel, Command, CrashesSeen, Datagram, End, EndpointInfo, Health, JobId, Notice, Refusal,
+    Report, RunKey, Uptime,
 };
 
 /// Capacity of an endpoint, in thousandths of a core.
@@ -25,6 +25,7 @@
     pub(crate) agents: BTreeMap<SocketAddrV4, Agent>,
     pub(crate) answers: Vec<(u64, Reply)>,
     pub(crate) finished: bool,
+    pub(crate) crashes_seen: Vec<CrashesSeen>,
     next_request: u64,
 }
 
@@ -114,6 +115,7 @@
             agents: BTreeMap::new(),
             answers: Vec::new(),
             finished: false,
+            crashes_seen: Vec::new(),
             next_request: 0,
         };
         for last in 1..=count {
@@ -168,6 +170,9 @@
                             events.push(Event::Frame { from: to, frame });
                         }
                     }
+                    Effect::Send { datagram: Datagram::CrashesSeen(seen), .. } => {
+                        self.crashes_seen.push(seen);
+                    }
                     Effect::Send { .. } => panic!("an entry sends orders only"),
                 }
             }
--- a/components/broker/tests/broker/main.rs
+++ b/components/broker/tests/broker/main.rs
@@ -4,6 +4,7 @@
 mod agents;
 mod arbitrary;
 mod config;
+mod crashes;
 mod evacuation;
 mod fixture;
 mod jobs;
--- a/components/guard/src/entries.rs
+++ b/components/guard/src/entries.rs
@@ -4,7 +4,7 @@
 
 use mesh::{Channel, Command, Notice, Uptime};
 
-use crate::grants::Grant;
+use crate::{crashes::Confirmation, grants::Grant};
 
 /// Entries by address.
 pub(crate) type Entries = BTreeMap<SocketAddrV4, Entry>;
@@ -27,6 +27,8 @@
     pub(crate) last_report: Uptime,
     /// Room that the last report has shown.
     pub(crate) grant: Grant,
+    /// What it has confirmed of the endpoint's crashes.
+    pub(crate) crashes_seen: Confirmation,
 }
 
 impl Entry {
@@ -40,6 +42,7 @@
             probed: false,
             last_report: Uptime::default(),
             grant: Grant::default(),
+            crashes_seen: Confirmation::new(incarnation),
         }
     }
 }
--- a/components/guard/src/guard.rs
+++ b/components/guard/src/guard.rs
@@ -10,7 +10,9 @@
     net::{SocketAddr, SocketAddrV4},
 };
 
-use mesh::{Command, Datagram, End, EndpointInfo, EntryState, Frame, Health, Refusal, Uptime};
+use mesh::{
+    Command, CrashesSeen, Datagram, End, EndpointInfo, EntryState, Frame, Health, Refusal, Uptime,
+};
 
 use crate::{
     call::{Answer, Call, CallKind},
@@ -116,6 +118,13 @@
         /// Commands and state of the entry.
         frame: Frame<Command, EntryState>,
     },
+    /// An entry has confirmed crashes of the endpoint.
+    CrashesSeen {
+        /// Address of the entry.
+        from: SocketAddrV4,
+        /// What it has confirmed.
+        seen: CrashesSeen,
+    },
     /// The state of the agent's zone is known or has changed.
     Zone(ZoneState),
     /// A call was answered or has timed out.
@@ -281,6 +290,7 @@
             Event::Heartbeat(beat) => self.on_heartbeat(now, beat),
             Event::Left { instance } => self.on_left(&instance),
             Event::Frame { from, frame } => self.on_frame(now, from, frame),
+            Event::CrashesSeen { from, seen } => self.on_crashes_seen(from, seen),
             Event::Zone(zone) => self.on_zone(now, zone),
             Event::Answered { id, answer } => self.on_answer(now, id, answer),
             Event::Tick => self.on_tick(now),
@@ -289,6 +299,7 @@
         self.stop_before_removal(now);
         self.start_queued(now);
         self.poll_endpoint(now);
+        self.report_crashes(now);
         self.send_frames(now);
         self.check_finished(now);
         std::mem::take(&mut self.effects)
--- a/components/guard/src/guard/orders.rs
+++ b/components/guard/src/guard/orders.rs
@@ -3,12 +3,13 @@
 use std::{net::SocketAddrV4, sync::Arc};
 
 use mesh::{
-    Command, Datagram, End, EntryState, Frame, Health, Notice, Refusal, Report, RunKey, StartOrder,
-    Uptime,
+    Command, CrashesSeen, Datagram, End, EntryState, Frame, Health, Notice, Refusal, Report,
+    RunKey, StartOrder, Uptime,
 };
 
 use super::{Effect, Guard, LCG_INCREMENT, LCG_MULTIPLIER, OFFER_MS, Offer, ZoneState};
 use crate::{
+    crashes::Confirmation,
     entries::Entry,
     grants::Reserved,
     limits::{MAX_RUN_NUMBER, REPORT_INTERVAL_MS},
@@ -44,6 +45,9 @@
         }
         if accepted.restarted {
             log::info!(entry:% = from; "an entry has restarted; its earlier runs are stopped");
+            self.channels_created += 1;
+            let session = self.options.incarnation.wrapping_add(self.channels_created);
+            entry.crashes_seen = Confirmation::new(session);
             self.stop_runs_of(now, from);
         }
         for command in accepted.items {
@@ -255,6 +259,28 @@
         self.report_due = true;
     }
 
+    pub(super) fn on_crashes_seen(&mut self, from: SocketAddrV4, seen: CrashesSeen) {
+        if seen.incarnation == self.options.incarnation
+            && let Some(entry) = self.entries.get_mut(&from)
+        {
+            entry.crashes_seen.confirm(seen.session, seen.revision);
+        }
+    }
+
+    /// Reports crashes to the entries that have not confirmed them.
+    ///
+    /// They go out before the frames, so that an entry knows of a crash when it learns that its runs
+    /// are lost.
+    pub(super) fn report_crashes(&mut self, now: Uptime) {
+        for (address, entry) in &mut self.entries {
+            let due = self.crashes.due(now, self.options.incarnation, &mut entry.crashes_seen);
+            if let Some(crashes) = due {
+                let datagram = Datagram::Crashes(crashes);
+                self.effects.push(Effect::Send { to: *address, datagram });
+            }
+        }
+    }
+
     pub(super) fn send_frames(&mut self, now: Uptime) {
         self.offer_resources(now);
         let silence = self.options.timing.entry_silence;
--- a/components/guard/src/limits.rs
+++ b/components/guard/src/limits.rs
@@ -60,6 +60,14 @@
 pub(crate) const MAX_CRASHES: usize = 32;
 /// Number of runs that are remembered of a crash.
 pub(crate) const MAX_CRASHED_RUNS: usize = 512;
+/// Number of tasks in one report of crashes, so that it fits into a datagram.
+pub(crate) const MAX_REPORTED_TASKS: usize = 2_000;
+/// Interval at which crashes are reported again to an entry that has not confirmed them, in ms.
+pub(crate) const CRASH_RESEND_MS: u64 = 100;
+/// Time after which they are reported less often, in ms.
+pub(crate) const SLOW_CRASH_RESEND_AFTER_MS: u64 = 2_000;
+/// Interval from then on, in ms.
+pub(crate) const SLOW_CRASH_RESEND_MS: u64 = 1_000;
 
 /// Highest number of a run in an order; leaves room for the numbers of later runs and of retries.
 pub(crate) const MAX_RUN_NUMBER: u32 = u32::MAX / 2;
--- a/components/guard/tests/guard/fixture.rs
+++ b/components/guard/tests/guard/fixture.rs
@@ -7,7 +7,7 @@
     Options, RunOutcome, RunningRun, Snapshot, Timing,
 };
 use mesh::{
-    Channel, Command, Datagram, EndpointInfo, EntryState, JobId, Notice, Report, RunKey,
+    Channel, Command, Crashes, Datagram, EndpointInfo, EntryState, JobId, Notice, Report, RunKey,
     StartOrder, Uptime,
 };
 
@@ -25,6 +25,7 @@
     pub(crate) entry: Channel<Command, Notice>,
     pub(crate) report: Report,
     pub(crate) notices: Vec<Notice>,
+    pub(crate) crashes: Vec<Crashes>,
     pub(crate) calls: Vec<(u64, Call)>,
     pub(crate) finished: bool,
 }
@@ -80,6 +81,7 @@
             entry: Channel::new(9),
             report: Report::default(),
             notices: Vec::new(),
+            crashes: Vec::new(),
             calls: Vec::new(),
             finished: false,
         };
@@ -106,6 +108,9 @@
                     self.report = frame.state.clone();
                     self.notices.extend(self.entry.accept(self.now, frame).items);
                 }
+                Effect::Send { datagram: Datagram::Crashes(crashes), .. } => {
+                    self.crashes.push(crashes);
+                }
                 Effect::Send { .. } => panic!("an agent sends only reports"),
                 Effect::Finished => self.finished = true,
             }
--- a/components/mesh/src/lib.rs
+++ b/components/mesh/src/lib.rs
@@ -5,6 +5,7 @@
 //! order ([`Channel`]); the rest of a datagram is state, of which only the newest is used.
 
 mod channel;
+mod crashes;
 mod evacuations;
 mod member;
 mod message;
@@ -12,6 +13,7 @@
 
 pub use crate::{
     channel::{Accepted, Channel, RETRANSMIT_MS},
+    crashes::{Crash, CrashState, CrashedTask, Crashes, CrashesSeen},
     evacuations::Evacuations,
     member::{Member, Members, Role},
     message::{
--- a/components/mesh/src/message.rs
+++ b/components/mesh/src/message.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Evacuations, Member, Uptime};
+use crate::{Crashes, CrashesSeen, Evacuations, Member, Uptime};
 
 /// Maximum size of an encoded datagram, in bytes.
 pub const MAX_DATAGRAM_BYTES: usize = 60_000;
@@ -251,6 +251,10 @@
     },
     /// Part of an entry's configuration.
     ConfigPart(ConfigPart),
+    /// From an agent to an entry: crashes of its endpoint.
+    Crashes(Crashes),
+    /// Confirms crashes.
+    CrashesSeen(CrashesSeen),
 }
 
 /// The datagram has another format version or is damaged.
--- a/components/mesh/tests/message.rs
+++ b/components/mesh/tests/message.rs
@@ -14,6 +14,7 @@
     assert_eq!(encode(&hello), [2, 10, 0, 0, 1, 216, 54, 1, 1, b'n', 0, 1]);
     assert_eq!(encode(&Datagram::Evacuations(state)), [3, 5, 1, 1, b'n', 4]);
     assert_eq!(encode(&Datagram::EvacuationsSeen { end: 5 }), [4, 5]);
+    assert_eq!(encode(&Datagram::ConfigRequest { known: Some(5) }), [5, 1, 5]);
 }
 
 // Guards against an earlier version that stops at a message which a later one sends.
--- a/components/model/src/report.rs
+++ b/components/model/src/report.rs
@@ -82,8 +82,11 @@
     pub deadly_crashes: BTreeMap<(JobId, u16, u16), u32>,
     /// Number of deadly jobs that were answered as failed.
     pub deadly_failed: u64,
-    /// Number of jobs that were answered as failed though they would not fail by themselves.
-    pub sound_failed: u64,
+    /// Jobs that were answered as failed though they would not fail by themselves and no two
+    /// endpoints had crashed under any of their tasks.
+    pub sound_failed: Vec<JobId>,
+    /// The same after two crashes, with which a job may be given up.
+    pub sound_given_up: Vec<JobId>,
     /// Runs that ended with an endpoint that a deadly task crashed, that task excluded.
     pub lost_beside: u64,
     /// Time of the last start on each endpoint, in ms after arrivals start.
--- a/components/model/src/simulation.rs
+++ b/components/model/src/simulation.rs
@@ -227,6 +227,8 @@
     /// Jobs refused on their first request.
     refused: HashSet<JobId>,
     call_faults: CallFaults,
+    /// Number of crashes of endpoints under each task.
+    crashes: HashMap<(JobId, u16, u16), u32>,
     /// Kind of the deadly jobs that arrive, and their share of it.
     deadly: Option<(usize, f64)>,
     /// Share of datagrams that are lost.
@@ -255,7 +257,8 @@
             unfenced: Vec::new(),
             deadly_crashes: BTreeMap::new(),
             deadly_failed: 0,
-            sound_failed: 0,
+            sound_failed: Vec::new(),
+            sound_given_up: Vec::new(),
             lost_beside: 0,
             last_starts: vec![0; options.endpoints.len()],
             removed_runs: 0,
@@ -292,6 +295,7 @@
             evacuations: EvacuationState::new(options.entries, options.endpoints.len()),
             refused: HashSet::new(),
             call_faults: CallFaults::default(),
+            crashes: HashMap::new(),
             deadly: None,
             loss: 0.0,
             lost_from: HashSet::new(),
@@ -457,6 +461,14 @@
             (Host::Entry(entry), Datagram::Agent(frame)) if self.entries[entry].is_some() => {
                 self.run_entry(entry, EntryEvent::Frame { from: address(from), frame });
             }
+            (Host::Entry(entry), Datagram::Crashes(crashes)) if self.entries[entry].is_some() => {
+                let from = address(from);
+                self.run_entry(entry, EntryEvent::Crashes { from, crashes });
+            }
+            (Host::Agent(agent), Datagram::CrashesSeen(seen)) if self.agents[agent].is_some() => {
+                let from = address(from);
+                self.run_agent(agent, AgentEvent::CrashesSeen { from, seen });
+            }
             (Host::Agent(_) | Host::Entry(_), _) => {}
         }
     }
--- a/components/model/src/simulation/callers.rs
+++ b/components/model/src/simulation/callers.rs
@@ -11,6 +11,9 @@
     weighting::{Timeliness, weighted_shares},
 };
 
+/// Number of crashes under a task with which its job may be given up.
+const MIN_CRASHES: u32 = 2;
+
 impl Simulation {
     pub(super) fn push_arrival(&mut self, kind: usize, after: u64) {
         let rate = self.options.load.rate(kind, after.saturating_sub(WARM_UP_MS));
@@ -131,7 +134,13 @@
         if reply == Some(Reply::Failed) {
             match needs.deadly {
                 true => self.report.deadly_failed += 1,
-                false if !needs.poisoned => self.report.sound_failed += 1,
+                false if !needs.poisoned => {
+                    let mut crashes = self.crashes.iter().filter(|(task, _)| task.0 == job);
+                    match crashes.any(|(_, count)| *count >= MIN_CRASHES) {
+                        true => self.report.sound_given_up.push(job),
+                        false => self.report.sound_failed.push(job),
+                    }
+                }
                 false => {}
             }
         }
--- a/components/model/src/simulation/endpoints.rs
+++ b/components/model/src/simulation/endpoints.rs
@@ -64,13 +64,22 @@
             return;
         }
         self.report.lost_beside += endpoint.runs().count() as u64 - 1;
-        endpoint.crash();
-        let instance = endpoint.instance;
+        self.record_crash(agent);
+        self.endpoints[agent].crash();
+        let instance = self.endpoints[agent].instance;
         *self.report.deadly_crashes.entry((key.job, key.step, key.index)).or_default() += 1;
         self.trace(key.job, || format!("endpoint {agent}: crashes under {key}"));
         self.push(self.now + DOWNTIME_MS, Event::Revive { agent, instance });
     }
 
+    /// Counts a crash that is about to happen for each task that runs on the endpoint.
+    pub(super) fn record_crash(&mut self, agent: usize) {
+        self.endpoints[agent].advance(self.now);
+        for key in self.endpoints[agent].runs() {
+            *self.crashes.entry((key.job, key.step, key.index)).or_default() += 1;
+        }
+    }
+
     pub(super) fn on_revive(&mut self, agent: usize, instance: u64) {
         let endpoint = &mut self.endpoints[agent];
         if endpoint.instance == instance && !endpoint.alive {
--- a/components/model/src/simulation/faults.rs
+++ b/components/model/src/simulation/faults.rs
@@ -23,9 +23,13 @@
                 self.suspended.entry(Host::Agent(agent)).or_default();
             }
             FaultKind::CrashEndpoint(agent) => {
+                self.record_crash(agent);
                 self.endpoints[agent].crash();
             }
-            FaultKind::RestartEndpoint(agent) => self.endpoints[agent].crash_under_id(),
+            FaultKind::RestartEndpoint(agent) => {
+                self.record_crash(agent);
+                self.endpoints[agent].crash_under_id();
+            }
             FaultKind::RemoveEndpoint(agent, remaining) => self.announce_removal(agent, remaining),
             FaultKind::PartitionEndpoint(agent) => self.endpoints[agent].partitioned = true,
             FaultKind::HangEndpoint(agent) => self.endpoints[agent].hangs = true,
@@ -64,7 +68,12 @@
             FaultKind::SuspendEntry(entry) => self.resume(Host::Entry(entry)),
             FaultKind::SuspendAgent(agent) => self.resume(Host::Agent(agent)),
             FaultKind::CrashEndpoint(agent) => self.endpoints[agent].alive = true,
-            FaultKind::RestartEndpoint(agent) => self.endpoints[agent].restart(self.now),
+            FaultKind::RestartEndpoint(agent) => {
+                // It may be back already after an overlapping fault.
+                if !self.endpoints[agent].alive {
+                    self.endpoints[agent].restart(self.now);
+                }
+            }
             FaultKind::RemoveEndpoint(agent, _) => self.endpoints[agent].alive = true,
             FaultKind::PartitionEndpoint(agent) => self.endpoints[agent].partitioned = false,
             FaultKind::HangEndpoint(agent) => self.endpoints[agent].hangs = false,
--- a/hostd/src/agent.rs
+++ b/hostd/src/agent.rs
@@ -163,9 +163,12 @@
                 self.deps.evacuations.on_datagram(now, from, state);
                 self.apply_evacuations(now);
             }
+            Datagram::CrashesSeen(seen) => {
+                self.handle_event(now, Event::CrashesSeen { from, seen });
+            }
             // Agents send no state that could be confirmed.
             Datagram::EvacuationsSeen { .. } => {}
-            Datagram::Agent(_) => {
+            Datagram::Agent(_) | Datagram::Crashes(_) => {
                 log::warn!(from:% = from; "ignoring a report that another agent sent")
             }
             Datagram::ConfigRequest { .. } | Datagram::ConfigPart(_) => {
--- a/hostd/src/entry.rs
+++ b/hostd/src/entry.rs
@@ -186,6 +186,13 @@
                 self.deps.config_exchange.on_request(now, from, known)
             }
             Datagram::ConfigPart(part) => self.deps.config_exchange.on_part(now, from, part),
+            Datagram::Crashes(crashes) => {
+                self.deps.discovery.mark_heard(now, from);
+                self.handle_event(now, Event::Crashes { from, crashes });
+            }
+            Datagram::CrashesSeen(_) => {
+                log::warn!(from:% = from; "ignoring a confirmation that is meant for an agent")
+            }
             Datagram::Entry(_) => {
                 log::warn!(from:% = from; "ignoring an order that another entry sent")
             }
@@ -231,6 +238,8 @@
         self.deps.metrics.agents.set(agents as i64);
         self.deps.metrics.watched.set(self.deps.broker.watched_agents() as i64);
         self.deps.metrics.set_orders(self.deps.broker.order_counts());
+        self.deps.metrics.set_verdicts(self.deps.broker.verdict_counts());
+        self.deps.metrics.suspect_jobs.set(self.deps.broker.suspect_jobs() as i64);
         self.deps.metrics.jobs.set(jobs as i64);
         self.deps.metrics.waiting.set(waiting as i64);
         self.deps.metrics.rack_waits.set(self.deps.broker.tasks_waiting_for_rack() as i64);
--- a/hostd/src/metrics.rs
+++ b/hostd/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use broker::OrderCounts;
+use broker::{OrderCounts, VerdictCounts};
 use hyper::{StatusCode, header::CONTENT_TYPE};
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
@@ -49,6 +49,10 @@
     pub(crate) orders: Counter,
     /// Ordered runs that agents refused, by cause.
     pub(crate) orders_refused: Family<Refused, Counter>,
+    /// Jobs of which a task is held or must run apart.
+    pub(crate) suspect_jobs: Gauge,
+    /// Verdicts on tasks whose endpoints have crashed.
+    pub(crate) verdicts: Family<Judged, Counter>,
     /// Version of the configuration in force.
     pub(crate) version: Gauge,
     /// Evacuated availability zones.
@@ -120,7 +124,23 @@
     reason: &'static str,
 }
 
+/// Verdict on a task whose endpoints have crashed.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+pub(crate) struct Judged {
+    verdict: &'static str,
+}
+
 impl Metrics {
+    /// Raises the counters of verdicts to the counts of the core.
+    pub(crate) fn set_verdicts(&self, counts: VerdictCounts) {
+        let VerdictCounts { apart, held, culprits } = counts;
+        for (verdict, count) in [("apart", apart), ("held", held), ("given_up", culprits)] {
+            let counter = self.verdicts.get_or_create(&Judged { verdict });
+            counter.inc_by(count - counter.get());
+        }
+    }
+
     /// Raises the counters of orders to the counts of the core.
     pub(crate) fn set_orders(&self, counts: OrderCounts) {
         self.orders.inc_by(counts.ordered - self.orders.get());
@@ -152,6 +172,8 @@
             watched: Gauge::default(),
             orders: Counter::default(),
             orders_refused: Family::default(),
+            suspect_jobs: Gauge::default(),
+            verdicts: Family::default(),
             version: Gauge::default(),
             evacuated_zones: Gauge::default(),
             evacuations_offset: Gauge::default(),
@@ -195,6 +217,16 @@
             "Ordered runs that agents refused",
             metrics.orders_refused.clone(),
         );
+        registry.register(
+            "jobs_suspect",
+            "Jobs with tasks that are held or must run apart",
+            metrics.suspect_jobs.clone(),
+        );
+        registry.register(
+            "crash_verdicts",
+            "Verdicts on tasks whose endpoints have crashed",
+            metrics.verdicts.clone(),
+        );
         registry.register("config_version", "Configuration in force", metrics.version.clone());
         registry.register(
             "evacuated_zones",
