Test crashes and shrinking capacity with the real programs

Measured: a job that crashes its executors is answered as failed after at most three starts, and without another start by the second entry; an executor whose capacity shrinks to nothing gets no work until it grows back.

--- a/hostd/tests/processes/deployment.rs
+++ b/hostd/tests/processes/deployment.rs
@@ -26,6 +26,7 @@
 };
 
 use crate::{
+    invariants::parse_task_name,
     process::Process,
     proxy::{DatagramProxy, StreamProxy},
 };
@@ -279,6 +280,12 @@
         self.executors.iter().map(Executor::spans).collect()
     }
 
+    /// Number of starts of a job's tasks.
+    pub(crate) fn starts_of(&self, job: u64) -> usize {
+        let spans = self.spans();
+        spans.iter().flatten().filter(|it| parse_task_name(&it.task).0 == job).count()
+    }
+
     /// Sends the first entry a signal.
     pub(crate) fn signal_entry(&mut self, signal: Signal) {
         self.processes[0].signal(signal);
--- a/hostd/tests/processes/main.rs
+++ b/hostd/tests/processes/main.rs
@@ -14,7 +14,7 @@
 use platform_standin::{StartFault, job_text};
 
 use crate::{
-    deployment::{Deployment, Layout, ONE_ZONE, submit},
+    deployment::{Deployment, EXECUTOR_CPU, Layout, ONE_ZONE, submit},
     invariants::{ObservedJob, overlaps, parse_task_name, violations},
 };
 
@@ -246,6 +246,45 @@
     assert!(has_outcome("stopped") && !has_outcome("crashed"), "{:#?}", spans[0]);
 }
 
+// Guards against a job that crashes one executor after the other, and whose count begins anew at
+// the next entry.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_that_crashes_its_executors_is_answered_as_failed_by_every_entry() {
+    let layout = Layout { entries: 2, agents: 4, target: 5_000, proxies: None, zones: &ONE_ZONE };
+    let deployment = Deployment::start_with([10, 16], layout).await;
+    deployment.wait_until_jobs_run().await;
+    let failed = (200, r#"{"state":"failed"}"#.to_owned());
+
+    let first = deployment.caller().submit(0, 1, 20_000, &job_text(1, "deadly")).await;
+    let starts = deployment.starts_of(1);
+    let second = deployment.caller().submit(1, 1, 20_000, &job_text(1, "deadly")).await;
+
+    assert_eq!((first, second), (failed.clone(), failed));
+    assert!(starts <= 3, "{starts} starts");
+    assert_eq!(deployment.starts_of(1), starts);
+}
+
+// Guards against starts by the capacity that an executor had when it registered.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_executor_whose_capacity_shrinks_gets_no_more_work_than_fits() {
+    let deployment = Deployment::start([10, 17], 2).await;
+    deployment.wait_until_jobs_run().await;
+    deployment.executors[0].set_cpu(0);
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let before = deployment.executors[0].spans().len();
+
+    for job in 1..=5 {
+        assert_eq!(submit(&deployment, job, 4, SHORT_MS).await.0, 200);
+    }
+    assert_eq!(deployment.executors[0].spans().len(), before);
+    deployment.executors[0].set_cpu(EXECUTOR_CPU);
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    // Half of the tasks fit on the other executor.
+    assert_eq!(submit(&deployment, 6, 10, SHORT_MS).await.0, 200);
+
+    assert!(deployment.executors[0].spans().len() > before);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn settings_that_are_still_being_written_at_startup_are_reloaded() {
     let mut deployment = Deployment::start([10, 9], 1).await;
