Offer less room to entries that do not use their offers

Agents offer their free room to one waiting entry for 3 ms, drawn by the work that waits at each. A slow entry has the most, does not order in time, and is drawn again.

--- a/components/guard/src/guard/orders.rs
+++ b/components/guard/src/guard/orders.rs
@@ -52,7 +52,12 @@
         }
         for command in accepted.items {
             match command {
-                Command::Start(order) => self.on_order(now, from, order),
+                Command::Start(order) => {
+                    if let Some(entry) = self.entries.get_mut(&from) {
+                        entry.unused_offers = 0;
+                    }
+                    self.on_order(now, from, order);
+                }
                 Command::Stop(keys) => {
                     for key in keys {
                         self.on_stop_order(now, from, key);
@@ -246,16 +251,21 @@
         if self.offer.as_ref().is_some_and(|it| now < it.until && waits(&it.to)) {
             return;
         }
-        let total: u64 = waiting.iter().map(|(_, it)| u64::from(it.waiting)).sum();
+        let total: u64 = waiting.iter().map(|(_, it)| it.offer_weight()).sum();
         // Picks entries pseudo-randomly, in proportion to their shares of the waiting work.
         self.lcg_state = self.lcg_state.wrapping_mul(LCG_MULTIPLIER).wrapping_add(LCG_INCREMENT);
         let mut drawn = (self.lcg_state >> 33) % total;
         let to = waiting.iter().find(|(_, it)| {
-            let hit = drawn < u64::from(it.waiting);
-            drawn = drawn.saturating_sub(it.waiting.into());
+            let hit = drawn < it.offer_weight();
+            drawn = drawn.saturating_sub(it.offer_weight());
             hit
         });
-        self.offer = to.map(|(address, _)| Offer { to: **address, until: now + OFFER_MS });
+        let to = to.map(|(address, _)| **address);
+        if let Some(entry) = to.and_then(|it| self.entries.get_mut(&it)) {
+            // Until it orders.
+            entry.unused_offers = entry.unused_offers.saturating_add(1);
+        }
+        self.offer = to.map(|to| Offer { to, until: now + OFFER_MS });
         self.report_due = true;
     }
 
--- a/components/guard/tests/guard/entries.rs
+++ b/components/guard/tests/guard/entries.rs
@@ -1,7 +1,7 @@
 //! Runs of entries that time out, receive no reports or restart, and offers to waiting entries.
 
 use guard::{Answer, ENTRY_EXPIRY_MS, ENTRY_SILENCE_MS, RunOutcome, Snapshot};
-use mesh::{Channel, Command, End, Notice};
+use mesh::{Channel, Command, End, Notice, Uptime};
 
 use crate::fixture::{Fixture, ended, is_start, is_stop, key, order, running};
 
@@ -214,3 +214,24 @@
     let next = (0..3).filter(|it| *it != first && probe(&mut fixture, *it, 50)).count();
     assert_eq!(next, 1);
 }
+
+// Guards against room that stays unused while jobs of other entries wait for it, because it is
+// offered again and again to an entry that is slow.
+#[test]
+fn an_entry_that_does_not_use_its_offers_gets_fewer_of_them() {
+    let mut fixture = Fixture::open();
+    let (mut slow, mut quick) = (Channel::new(21), Channel::new(22));
+    let mut offers = 0;
+    for _ in 0..200 {
+        send_waiting(&mut fixture, &mut slow, 1, 1_000);
+        let reported = send_waiting(&mut fixture, &mut quick, 2, 100);
+        if reported.iter().any(|cpu| *cpu > 0) {
+            offers += 1;
+            // Refused as stale, so that the room stays free.
+            quick.push(Command::Start(order(vec![key(1)], 100, Uptime::default())));
+        }
+        fixture.advance(10);
+    }
+
+    assert!(offers >= 100, "{offers} of 200 offers");
+}
