Log a changed verdict on crashes once for all tasks of a job

A job of many tasks wrote a warning for each when its endpoints crashed, and could use up the share of the log that is reserved for warnings. The gauge of suspect jobs looks at no job while no crash is known.

--- a/components/broker/src/broker/crashes.rs
+++ b/components/broker/src/broker/crashes.rs
@@ -19,6 +19,15 @@
 /// Percentage points by which an endpoint away from the rack of a task's data counts as more used.
 const REMOTE_PENALTY_PERCENT: u64 = 50;
 
+/// A verdict that has changed for tasks of one job.
+#[derive(Debug, Clone, Copy)]
+struct Change {
+    verdict: Verdict,
+    /// What counts against the first of them.
+    evidence: Evidence,
+    tasks: usize,
+}
+
 impl Broker {
     pub(super) fn on_crashes(&mut self, now: Uptime, from: SocketAddrV4, crashes: Crashes) {
         if !self.agents.contains_key(&from) {
@@ -66,22 +75,28 @@
                 continue;
             }
             let Some(job) = self.jobs.get_mut(key) else { continue };
+            let mut changes: Vec<Change> = Vec::new();
             for task in &mut job.tasks {
                 let evidence = self.ledger.evidence(id, task.step, task.index);
                 let verdict = evidence.verdict();
-                if task.state != TaskState::Done && task.verdict != verdict {
-                    log_verdict(id, (task.step, task.index), verdict, evidence);
-                    self.verdict_counts.record(verdict);
+                let before = std::mem::replace(&mut task.verdict, verdict);
+                if task.state == TaskState::Done || verdict == before {
+                    continue;
+                }
+                self.verdict_counts.record(verdict);
+                match changes.iter_mut().find(|it| it.verdict == verdict) {
+                    Some(change) => change.tasks += 1,
+                    None => changes.push(Change { verdict, evidence, tasks: 1 }),
                 }
-                task.verdict = verdict;
             }
+            changes.iter().for_each(|it| log_change(id, it));
         }
     }
 
     /// Orders the tasks that must run apart, those of one job at one endpoint.
     ///
-    /// Each is ordered with the whole capacity of the endpoint, so that they run there one after the
-    /// other and nothing runs beside them.
+    /// Each takes the whole capacity of the endpoint, so that they run there one after the other and
+    /// nothing runs beside them.
     pub(super) fn place_apart(&mut self, now: Uptime) {
         if self.ledger.is_empty() {
             return;
@@ -103,7 +118,7 @@
             log::warn!(
                 job:% = job.submission.job, request = job.submission.request.as_str(),
                 agent:% = agent, tasks = job.placed_apart().count();
-                "tasks run apart, as endpoints have crashed under them"
+                "tasks that must run apart are placed"
             );
             if !job.is_waiting() {
                 self.queue.remove(job.rank, key);
@@ -167,20 +182,25 @@
 
     /// Jobs of which a task is held or must run apart.
     pub fn suspect_jobs(&self) -> usize {
+        if self.ledger.is_empty() {
+            return 0;
+        }
         let is_suspect = |job: &Job| job.tasks.iter().any(|it| it.verdict != Verdict::Clear);
         self.jobs.values().filter(|it| is_suspect(it)).count()
     }
 }
 
-fn log_verdict(job: JobId, (step, index): (u16, u16), verdict: Verdict, evidence: Evidence) {
+/// Logs a changed verdict in one line for all tasks of the job that it concerns.
+fn log_change(job: JobId, change: &Change) {
+    let Change { verdict, evidence, tasks } = *change;
     let text = match verdict {
-        Verdict::Clear => "no crash counts against a task any more",
-        Verdict::Apart => "a task must run apart, as endpoints have crashed under it",
-        Verdict::Held => "a task waits until it is known whether its endpoints have crashed",
-        Verdict::Culprit => "endpoints crash under a task",
+        Verdict::Clear => "no crash counts against tasks any more",
+        Verdict::Apart => "tasks must run apart, as endpoints have crashed under them",
+        Verdict::Held => "tasks wait until it is known whether their endpoints have crashed",
+        Verdict::Culprit => "endpoints crash under tasks",
     };
     log::warn!(
-        job:% = job, step = step, index = index, confirmed = evidence.confirmed,
+        job:% = job, tasks = tasks, confirmed = evidence.confirmed,
         suspected = evidence.suspected, alone = evidence.alone;
         "{text}"
     );
--- a/components/model/tests/crashes.rs
+++ b/components/model/tests/crashes.rs
@@ -123,9 +123,8 @@
 #[test]
 fn deadly_tasks_are_found_beside_other_losses() {
     for seed in seeds() {
-        let mut losses = random_losses(seed);
-        losses.retain(|it| !matches!(it.kind, FaultKind::KillAgent(_)));
-        let options = SimulationOptions { announce_birth: true, ..options(seed, &losses) };
+        let options = options(seed, &random_losses(seed));
+        let options = SimulationOptions { announce_birth: true, ..options };
         let report = simulate(options);
 
         assert!(
