Let a task run apart only with evidence against it

Endpoints that flap and reset their connections were silent for 150 ms or more: 42 suspected crashes, all dismissed later, and 66 placements that took a whole endpoint each while the fleet was short of room.

Cause: a suspected crash alone made the two jobs that had started last suspect. Most silent endpoints have not crashed.

Change: a task becomes suspect by a second crash, by a confirmed one if it had started last, and by a single suspected one only during an outbreak: while a task is known under which two endpoints stopped answering equally long after its start. An outbreak ends when one of these crashes is dismissed, or 30 s after the last of them. Two crashes of one endpoint do not count as having the same cause, and a suspect prefers an endpoint that has not crashed under its job.

Ruled out: counting confirmed crashes only; they are confirmed after 3 s, and a deadly task starts again after 0.5 s.

--- a/components/broker/src/broker/crashes.rs
+++ b/components/broker/src/broker/crashes.rs
@@ -160,8 +160,12 @@
             let penalty = if is_remote { REMOTE_PENALTY_PERCENT } else { 0 };
             Some(u64::from(used) * 100 / u64::from(info.cpu.max(1)) + penalty)
         };
-        // A crash says less about a task if the endpoint may have crashed anyway.
-        let cost = |it: &(&SocketAddrV4, &Agent)| (self.ledger.is_unsteady(*it.0), usage(it.1));
+        // A crash says less about a task if the endpoint may have crashed anyway, and least if it has
+        // crashed under the task before.
+        let cost = |it: &(&SocketAddrV4, &Agent)| {
+            let has_crashed = self.ledger.has_crashed_under(*it.0, job.submission.job);
+            (has_crashed, self.ledger.is_unsteady(*it.0), usage(it.1))
+        };
         let eligible = serving.iter().filter(|(address, agent)| is_eligible(address, agent));
         eligible.min_by_key(|it| cost(it)).map(|(address, _)| **address)
     }
--- a/components/broker/src/crashes.rs
+++ b/components/broker/src/crashes.rs
@@ -1,10 +1,17 @@
 //! Crashes of endpoints that agents have reported, and what they say of the tasks that ran there.
 //!
-//! Several tasks run on an endpoint when it crashes, and mostly one of them is to blame. A task
-//! counts as suspect if it started last or if another endpoint has crashed under it; it then runs
-//! with no run of another job beside it, so that the next crash shows whether its job is to blame.
+//! Several tasks run on an endpoint when it crashes, and mostly one of them is to blame. A suspect
+//! runs with no run of another job beside it, so that the next crash shows whether its job is to
+//! blame. That takes a whole endpoint, so a task becomes suspect by a second crash under it, or by
+//! the first one if it had started last and the crash is confirmed.
+//!
+//! Most silent endpoints have not crashed, and most crashes have no task to blame. A suspected crash
+//! alone makes suspects only during an outbreak: while a task is known under which two endpoints
+//! stopped answering equally long after its start. Chance seldom does that.
+//!
 //! Endpoints also crash by chance, mostly at another moment of a run than the time before, so that
-//! two crashes suffice only if they came equally long after the start.
+//! two crashes suffice for a verdict only if they came equally long after the start and at different
+//! agents, as an endpoint that has crashed may crash again by itself.
 //!
 //! Each entry judges by the same reports, whichever entry has ordered the runs.
 
@@ -15,7 +22,9 @@
 
 use mesh::{CrashState, CrashedTask, Crashes, JobId, Uptime};
 
-use crate::limits::{CRASH_RETENTION_MS, MAX_CRASHED_TASKS, MAX_CRASHES, RESOLUTION_TIMEOUT_MS};
+use crate::limits::{
+    CRASH_RETENTION_MS, MAX_CRASHED_TASKS, MAX_CRASHES, OUTBREAK_MS, RESOLUTION_TIMEOUT_MS,
+};
 
 /// Number of crashes after which a task always runs apart.
 const MAX_SHARED_CRASHES: u32 = 2;
@@ -32,6 +41,17 @@
 pub(crate) struct CrashLedger {
     crashes: BTreeMap<CrashId, Crash>,
     by_job: HashMap<JobId, BTreeSet<CrashId>>,
+    outbreak: Option<Outbreak>,
+}
+
+/// A task that seems to crash its endpoints.
+#[derive(Debug, Clone, Copy)]
+struct Outbreak {
+    job: JobId,
+    step: u16,
+    index: u16,
+    /// Time of the last news of its crashes.
+    changed: Uptime,
 }
 
 /// Agent, its incarnation, and the number of the crash within that.
@@ -56,9 +76,12 @@
 /// What one crash says of a task.
 #[derive(Debug, Clone, Copy)]
 struct Witness {
+    agent: SocketAddrV4,
     is_confirmed: bool,
     /// Whether its job was alone on the endpoint.
     is_alone: bool,
+    /// Whether its job was among the last that had started on the endpoint.
+    is_recent: bool,
     /// Time from its start to the crash, in ms.
     age: u32,
 }
@@ -74,8 +97,12 @@
     pub(crate) repeats: bool,
     /// Whether that would hold if the suspected crashes were confirmed.
     may_repeat: bool,
+    /// Whether two crashes, suspected or not, came equally long after it was one of the last to start.
+    recurs: bool,
     /// Whether its job was among the last that had started on an endpoint.
     is_recent: bool,
+    /// Whether there is an outbreak.
+    in_outbreak: bool,
 }
 
 /// Number of times that tasks were judged, by verdict.
@@ -143,6 +170,7 @@
         for job in concerned.clone() {
             concerned.extend(self.attribute(job));
         }
+        concerned.extend(self.follow_outbreak(now, &concerned));
         self.drop_oldest();
         concerned
     }
@@ -168,14 +196,44 @@
         for id in expired {
             self.remove(id);
         }
+        concerned.extend(self.follow_outbreak(now, &BTreeSet::new()));
         concerned
     }
 
+    /// Begins or ends an outbreak by the crashes under the tasks of `reported` jobs; returns all
+    /// jobs with a crash if that has changed.
+    fn follow_outbreak(&mut self, now: Uptime, reported: &BTreeSet<JobId>) -> BTreeSet<JobId> {
+        let before = self.outbreak;
+        let is_over = |it: &Outbreak| {
+            now.since(it.changed) >= OUTBREAK_MS || !self.evidence(it.job, it.step, it.index).recurs
+        };
+        let ongoing = before.filter(|it| !is_over(it));
+        let newest = reported.iter().find_map(|job| self.recurring_task(*job));
+        let newest =
+            newest.map(|it| Outbreak { job: it.job, step: it.step, index: it.index, changed: now });
+        self.outbreak = newest.or(ongoing);
+        match (before, self.outbreak) {
+            (None, Some(it)) => {
+                log::warn!(job:% = it.job, step = it.step, index = it.index; "a task seems to crash its endpoints; tasks that start before a suspected crash run apart");
+            }
+            (Some(it), None) => {
+                log::warn!(job:% = it.job; "no task seems to crash its endpoints any more");
+            }
+            (None, None) | (Some(_), Some(_)) => return BTreeSet::new(),
+        }
+        self.by_job.keys().copied().collect()
+    }
+
+    /// A task of the job under which endpoints crash equally long after its start.
+    fn recurring_task(&self, job: JobId) -> Option<CrashedTask> {
+        self.tasks_of(job).into_iter().find(|it| self.evidence(job, it.step, it.index).recurs)
+    }
+
     /// Crashes that count against a task.
     pub(crate) fn evidence(&self, job: JobId, step: u16, index: u16) -> Evidence {
-        let mut evidence = Evidence::default();
+        let mut evidence = Evidence { in_outbreak: self.outbreak.is_some(), ..Evidence::default() };
         let mut earlier: Vec<Witness> = Vec::new();
-        for crash in self.of_job(job) {
+        for (id, crash) in self.of_job(job) {
             let Some(task) = crash.task(job, step, index) else { continue };
             let is_confirmed = match crash.state {
                 CrashState::Suspected => false,
@@ -183,16 +241,21 @@
                 CrashState::Dismissed => continue,
             };
             let is_alone = crash.tasks.iter().all(|it| it.job == job);
-            let witness = Witness { is_confirmed, is_alone, age: task.age };
-            for other in earlier.iter().filter(|it| it.has_same_cause(witness)) {
-                evidence.may_repeat = true;
-                evidence.repeats |= is_confirmed && other.is_confirmed;
+            let is_recent = crash.recent_jobs().contains(&job);
+            let witness =
+                Witness { agent: id.agent, is_confirmed, is_alone, is_recent, age: task.age };
+            for other in earlier.iter().filter(|it| it.may_share_cause(witness)) {
+                evidence.recurs |= is_recent && other.is_recent;
+                if is_alone || other.is_alone {
+                    evidence.may_repeat = true;
+                    evidence.repeats |= is_confirmed && other.is_confirmed;
+                }
             }
             earlier.push(witness);
             evidence.confirmed += u32::from(is_confirmed);
             evidence.suspected += u32::from(!is_confirmed);
             evidence.alone |= is_confirmed && is_alone;
-            evidence.is_recent |= crash.recent_jobs().contains(&job);
+            evidence.is_recent |= is_recent;
         }
         evidence
     }
@@ -205,21 +268,32 @@
         crashes.any(|(_, it)| it.state != CrashState::Dismissed && it.culprit.is_none())
     }
 
+    /// Whether an endpoint of the agent has crashed under the job, or may have.
+    pub(crate) fn has_crashed_under(&self, agent: SocketAddrV4, job: JobId) -> bool {
+        self.of_job(job).any(|(id, it)| id.agent == agent && it.state != CrashState::Dismissed)
+    }
+
     /// Whether a task of the job crashes its endpoints, with the evidence.
     pub(crate) fn culprit(&self, job: JobId) -> Option<(CrashedTask, Evidence)> {
-        let tasks = self.of_job(job).flat_map(|it| &it.tasks).filter(|it| it.job == job);
+        let evidence = |it: CrashedTask| (it, self.evidence(job, it.step, it.index));
+        let mut tasks = self.tasks_of(job).into_iter().map(evidence);
+        tasks.find(|(_, it)| it.verdict() == Verdict::Culprit)
+    }
+
+    /// Tasks of the job that ran on endpoints when they crashed, each of them once.
+    fn tasks_of(&self, job: JobId) -> Vec<CrashedTask> {
+        let tasks = self.of_job(job).flat_map(|(_, it)| &it.tasks).filter(|it| it.job == job);
         let mut tasks: Vec<_> = tasks.copied().collect();
         tasks.sort_unstable();
         tasks.dedup_by_key(|it| (it.step, it.index));
-        let evidence = |it: CrashedTask| (it, self.evidence(job, it.step, it.index));
-        tasks.into_iter().map(evidence).find(|(_, it)| it.verdict() == Verdict::Culprit)
+        tasks
     }
 
     /// Crashes that the job may have caused.
-    fn of_job(&self, job: JobId) -> impl Iterator<Item = &Crash> {
+    fn of_job(&self, job: JobId) -> impl Iterator<Item = (&CrashId, &Crash)> {
         let ids = self.by_job.get(&job).into_iter().flatten();
-        let crashes = ids.filter_map(|it| self.crashes.get(it));
-        crashes.filter(move |it| it.culprit.is_none_or(|culprit| culprit == job))
+        let crashes = ids.filter_map(|it| Some((it, self.crashes.get(it)?)));
+        crashes.filter(move |(_, it)| it.culprit.is_none_or(|culprit| culprit == job))
     }
 
     /// Blames a job for the crashes under its task if it was alone on one of the endpoints; returns
@@ -280,8 +354,9 @@
 }
 
 impl Witness {
-    fn has_same_cause(self, other: Witness) -> bool {
-        (self.is_alone || other.is_alone) && self.age.abs_diff(other.age) <= SAME_CAUSE_MS
+    /// Whether both crashes may be due to the task: another endpoint, as long after its start.
+    fn may_share_cause(self, other: Witness) -> bool {
+        self.agent != other.agent && self.age.abs_diff(other.age) <= SAME_CAUSE_MS
     }
 }
 
@@ -305,7 +380,8 @@
         if self.may_repeat || total >= MAX_TASK_CRASHES {
             return Verdict::Held;
         }
-        if total >= MAX_SHARED_CRASHES || total > 0 && self.is_recent {
+        let counts_alone = self.confirmed > 0 || self.suspected > 0 && self.in_outbreak;
+        if total >= MAX_SHARED_CRASHES || counts_alone && self.is_recent {
             return Verdict::Apart;
         }
         Verdict::Clear
--- a/components/broker/src/limits.rs
+++ b/components/broker/src/limits.rs
@@ -68,6 +68,9 @@
 /// Time after which a crash that is only suspected does not count any more, in ms. Its agent gives
 /// the suspicion up after 20 s, unless it has restarted meanwhile.
 pub(crate) const RESOLUTION_TIMEOUT_MS: u64 = 30_000;
+/// Time after the last news of a task that seems to crash its endpoints during which other tasks
+/// are suspect after a single suspected crash, in ms.
+pub(crate) const OUTBREAK_MS: u64 = 30_000;
 /// Number of crashes that are remembered.
 pub(crate) const MAX_CRASHES: usize = 1_024;
 /// Number of tasks that are remembered of a crash, as many as an agent reports.
