Try the owner of an id until the deadline

Cause: six attempts with backoffs of 20 to 320 ms at most and full jitter, 0.3 s together on average, whatever the deadline. An owner that is replaced is out of reach for longer on a busy machine. Retries at the owner are safe, and a request whose owner is gone is refused at once, so the count limited nothing that needs a limit.

--- a/components/broker/src/broker/crashes.rs
+++ b/components/broker/src/broker/crashes.rs
@@ -161,7 +161,7 @@
             Some(u64::from(used) * 100 / u64::from(info.cpu.max(1)) + penalty)
         };
         // A crash says less about a task if the endpoint may have crashed anyway, and least if it has
-        // crashed under the task before.
+        // crashed under the job before.
         let cost = |it: &(&SocketAddrV4, &Agent)| {
             let has_crashed = self.ledger.has_crashed_under(*it.0, job.submission.job);
             (has_crashed, self.ledger.is_unsteady(*it.0), usage(it.1))
--- a/components/broker/src/crashes.rs
+++ b/components/broker/src/crashes.rs
@@ -380,8 +380,8 @@
         if self.may_repeat || total >= MAX_TASK_CRASHES {
             return Verdict::Held;
         }
-        let counts_alone = self.confirmed > 0 || self.suspected > 0 && self.in_outbreak;
-        if total >= MAX_SHARED_CRASHES || counts_alone && self.is_recent {
+        let one_suffices = self.confirmed > 0 || self.suspected > 0 && self.in_outbreak;
+        if total >= MAX_SHARED_CRASHES || one_suffices && self.is_recent {
             return Verdict::Apart;
         }
         Verdict::Clear
--- a/components/entry/src/attempt.rs
+++ b/components/entry/src/attempt.rs
@@ -18,7 +18,8 @@
     request::{Payload, Pending, RequestKey, Route, Timer, TimerKind},
 };
 
-/// Maximum number of attempts per request, including the first one and hedges.
+/// Maximum number of attempts per request, including the first one and hedges; an owner may be tried
+/// again until the deadline.
 pub const MAX_ATTEMPTS: u32 = 6;
 
 /// Retry delay for callers when an agent is unreachable.
@@ -201,12 +202,16 @@
         }
     }
 
-    /// Schedules a retry after a backoff.
+    /// Schedules a retry at the owner after a backoff, unless the deadline comes first.
+    ///
+    /// The number of attempts is no limit: while its agent is replaced an owner is out of reach for
+    /// longer than all backoffs of a few attempts together. Once the agent is gone, the next one
+    /// is refused.
     fn schedule_retry(&mut self, key: RequestKey) {
         let request = &self.requests[key];
         let delay = backoff(request.attempts, &mut self.rng);
         let at = self.now + delay;
-        if request.attempts >= MAX_ATTEMPTS || at >= request.deadline {
+        if at >= request.deadline {
             return self.refuse_unreachable(key);
         }
         self.timers.insert(Timer { at, request: key, kind: TimerKind::Retry });
