Keep log lines of each kind in a second that one kind floods

Cause: after a loss of power lines on agents that are heard again use up the rate of 250 a second.

Change: the first 20 lines of a kind (the same message) in a second are written in any case; dropped lines are counted by kind and reported once a second. The budget is a module without clock.

--- a/components/logs/src/lib.rs
+++ b/components/logs/src/lib.rs
@@ -1,10 +1,12 @@
 //! Logging as lines of JSON, including one line for each routing or placement decision.
 
+mod budget;
 mod decision;
 mod rate_limit;
 mod setup;
 
 pub use crate::{
+    budget::{Budget, Kind},
     decision::{DECISION_TARGET, log_decision},
     rate_limit::init_rate_limited,
     setup::{init_file, init_stdout},
--- a/components/logs/src/rate_limit.rs
+++ b/components/logs/src/rate_limit.rs
@@ -1,35 +1,39 @@
 //! Non-blocking, rate-limited logging to standard output.
 //!
 //! Lines are encoded by the calling thread and written by a separate one. Lines beyond the
-//! rate per second, or beyond what the writer thread keeps up with, are dropped and counted;
-//! the count is logged in a line of its own.
+//! [`Budget`], or beyond what the writer thread keeps up with, are dropped and counted; the counts
+//! are logged once a second in a line of their own.
 
 use std::{
+    collections::BTreeMap,
     fmt,
     io::{self, Write},
     sync::{
-        Mutex, PoisonError,
+        Mutex, MutexGuard, PoisonError,
         mpsc::{Receiver, SyncSender, sync_channel},
     },
     thread,
-    time::{Duration, Instant},
+    time::Instant,
 };
 
 use eyre::{Context, Result};
-use log::{Level, LevelFilter, Record};
+use log::{LevelFilter, Record};
 use log4rs::{
     append::Append,
     encode::{Encode, json::JsonEncoder, writer::simple::SimpleWriter},
 };
 
-use crate::setup::init;
+use crate::{
+    budget::{Budget, Kind},
+    setup::init,
+};
 
 /// Capacity of the queue to the writer thread, in lines.
 const QUEUE_LINES: usize = 4_096;
-/// Divisor of the rate for the share that is reserved for warnings and errors.
-const RESERVE_DIVISOR: u32 = 5;
+/// Kind of lines whose message is not a literal and whose module is not known.
+const OTHER_KIND: Kind = "other";
 
-/// Sends log lines to standard output, at most `rate` per second.
+/// Sends log lines to standard output, at most `rate` per second and the first of each kind.
 ///
 /// # Errors
 ///
@@ -40,66 +44,45 @@
         .name("log".to_owned())
         .spawn(move || write_queued(&receiver))
         .context("the log writer thread cannot be started")?;
-    let window = Window { started: Instant::now(), used: 0, dropped: 0 };
-    let appender =
-        RateLimited { encoder: JsonEncoder::new(), sender, rate, window: Mutex::new(window) };
+    let budget = Mutex::new(Budget::new(Instant::now(), rate));
+    let appender = RateLimited { encoder: JsonEncoder::new(), sender, budget };
     init(Box::new(appender), level)
 }
 
 struct RateLimited {
     encoder: JsonEncoder,
     sender: SyncSender<Vec<u8>>,
-    rate: u32,
-    window: Mutex<Window>,
-}
-
-/// Current second, to which the rate applies.
-struct Window {
-    started: Instant,
-    /// Lines written in this second.
-    used: u32,
-    /// Lines dropped since the last line that reported any.
-    dropped: u64,
+    budget: Mutex<Budget>,
 }
 
-impl Window {
-    /// Counts a line and returns whether it may be written.
-    fn admit(&mut self, level: Level, rate: u32) -> bool {
-        if self.started.elapsed() >= Duration::from_secs(1) {
-            self.started = Instant::now();
-            self.used = 0;
-        }
-        let limit = if level <= Level::Warn { rate } else { rate - rate / RESERVE_DIVISOR };
-        if self.used >= limit {
-            self.dropped += 1;
-            return false;
-        }
-        self.used += 1;
-        true
+impl RateLimited {
+    fn budget(&self) -> MutexGuard<'_, Budget> {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl Append for RateLimited {
     fn append(&self, record: &Record<'_>) -> anyhow::Result<()> {
-        let dropped = {
-            let mut window = self.window.lock().unwrap_or_else(PoisonError::into_inner);
-            if !window.admit(record.level(), self.rate) {
-                return Ok(());
-            }
-            std::mem::take(&mut window.dropped)
+        let kind = kind_of(record);
+        let (dropped, admitted) = {
+            let mut budget = self.budget();
+            (budget.renew(Instant::now()), budget.admit(record.level(), kind))
         };
         let mut writer = SimpleWriter(Vec::with_capacity(512));
-        self.encoder.encode(&mut writer, record)?;
-        if dropped > 0 {
-            let line = format!(
-                "{{\"level\":\"WARN\",\"message\":\"log lines were dropped\",\"dropped\":{dropped},\"rate\":{}}}\n",
-                self.rate
-            );
-            writer.0.extend_from_slice(line.as_bytes());
+        if !dropped.is_empty() {
+            write_dropped(&mut writer.0, &dropped)?;
         }
-        if self.sender.try_send(writer.0).is_err() {
-            let mut window = self.window.lock().unwrap_or_else(PoisonError::into_inner);
-            window.dropped += dropped + 1;
+        if admitted {
+            self.encoder.encode(&mut writer, record)?;
+        }
+        if !writer.0.is_empty() && self.sender.try_send(writer.0).is_err() {
+            let mut budget = self.budget();
+            for (kind, count) in dropped {
+                budget.count_dropped(kind, count);
+            }
+            if admitted {
+                budget.count_dropped(kind, 1);
+            }
         }
         Ok(())
     }
@@ -109,10 +92,28 @@
 
 impl fmt::Debug for RateLimited {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("RateLimited").field("rate", &self.rate).finish_non_exhaustive()
+        f.debug_struct("RateLimited").finish_non_exhaustive()
     }
 }
 
+/// Kind of a line: its message, or the module of one whose message is formatted.
+fn kind_of(record: &Record<'_>) -> Kind {
+    record.args().as_str().or_else(|| record.module_path_static()).unwrap_or(OTHER_KIND)
+}
+
+/// Writes the line that counts dropped lines by kind.
+fn write_dropped(line: &mut Vec<u8>, dropped: &BTreeMap<Kind, u64>) -> serde_json::Result<()> {
+    let report = serde_json::json!({
+        "level": "WARN",
+        "message": "log lines were dropped",
+        "dropped": dropped.values().sum::<u64>(),
+        "kinds": dropped,
+    });
+    serde_json::to_writer(&mut *line, &report)?;
+    line.push(b'\n');
+    Ok(())
+}
+
 /// Writes lines in batches of all that are queued.
 fn write_queued(lines: &Receiver<Vec<u8>>) {
     while let Ok(mut batch) = lines.recv() {
