Put the rate back into the line that counts dropped log lines

Cause: rewrote the line and left the field out, though readers of the log may use it. Change: `rate` is in the line again, beside `dropped` and the new `kinds`. Checked by the linter and the tests of logs alone; none of them reads this line.

--- a/components/logs/src/rate_limit.rs
+++ b/components/logs/src/rate_limit.rs
@@ -45,13 +45,14 @@
         .spawn(move || write_queued(&receiver))
         .context("the log writer thread cannot be started")?;
     let budget = Mutex::new(Budget::new(Instant::now(), rate));
-    let appender = RateLimited { encoder: JsonEncoder::new(), sender, budget };
+    let appender = RateLimited { encoder: JsonEncoder::new(), sender, rate, budget };
     init(Box::new(appender), level)
 }
 
 struct RateLimited {
     encoder: JsonEncoder,
     sender: SyncSender<Vec<u8>>,
+    rate: u32,
     budget: Mutex<Budget>,
 }
 
@@ -70,7 +71,7 @@
         };
         let mut writer = SimpleWriter(Vec::with_capacity(512));
         if !dropped.is_empty() {
-            write_dropped(&mut writer.0, &dropped)?;
+            write_dropped(&mut writer.0, &dropped, self.rate)?;
         }
         if admitted {
             self.encoder.encode(&mut writer, record)?;
@@ -92,7 +93,7 @@
 
 impl fmt::Debug for RateLimited {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("RateLimited").finish_non_exhaustive()
+        f.debug_struct("RateLimited").field("rate", &self.rate).finish_non_exhaustive()
     }
 }
 
@@ -102,11 +103,16 @@
 }
 
 /// Writes the line that counts dropped lines by kind.
-fn write_dropped(line: &mut Vec<u8>, dropped: &BTreeMap<Kind, u64>) -> serde_json::Result<()> {
+fn write_dropped(
+    line: &mut Vec<u8>,
+    dropped: &BTreeMap<Kind, u64>,
+    rate: u32,
+) -> serde_json::Result<()> {
     let report = serde_json::json!({
         "level": "WARN",
         "message": "log lines were dropped",
         "dropped": dropped.values().sum::<u64>(),
+        "rate": rate,
         "kinds": dropped,
     });
     serde_json::to_writer(&mut *line, &report)?;
