Name TROUBLE and record.txt in the scripts of the review

run.sh sets both itself, and tells a broken rule from any other end of a case; if it is ended, the case ends its processes.

--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -1,7 +1,8 @@
 """Starts the project's programs on loopback addresses, beside the stand-ins.
 
 Every process has an address of its own, as every machine has, and gets the settings of a small
-deployment. `record` keeps what was sent, answered and run; `save` writes it to record.txt.
+deployment. `record` keeps what was sent, answered and run; `save` writes it to the file that run.sh
+names.
 """
 
 import asyncio
@@ -75,6 +76,13 @@
 """
 
 
+# Exit statuses of a case; run.sh makes a 1 of the first and a 2 of all others, so that a mistake of
+# the case never looks like a broken rule.
+BROKEN = 10
+HELD = 0
+NOT_RUN = 2
+
+
 class CannotRun(Exception):
     """The case could not run; it says nothing of the rule."""
 
@@ -134,8 +142,8 @@
 
 
 class Deployment:
-    def __init__(self, case, zones):
-        self.case, self.zones = case, zones
+    def __init__(self, record_path, zones):
+        self.record_path, self.zones = record_path, zones
         self.started = time.monotonic()
         self.lines = []
         self.machines = []
@@ -173,7 +181,7 @@
         print(text, flush=True)
 
     def save(self):
-        with open(os.path.join(self.case, "record.txt"), "w") as file:
+        with open(self.record_path, "w") as file:
             for at, event, fields in self.lines:
                 shown = " ".join(f"{key}={value}" for key, value in fields.items())
                 file.write(f"{at:9.4f} {event}: {shown}\n")
@@ -301,29 +309,32 @@
     return [tuple(it) for it in found.values()]
 
 
-def main(case, play, zones):
-    """Plays a case; the exit status is 1 if the rule was broken, 0 if it held, else 2.
+def main(play, zones):
+    """Plays a case and exits.
 
-    `play(deployment, trouble)` returns the list of what broke the rule.
+    `play(deployment, trouble)` returns the list of what broke the rule. The argument of the program
+    is the path of the record; the disruption is left out if TROUBLE is 0.
     """
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+    record_path = sys.argv[1]
+    trouble = os.environ["TROUBLE"] != "0"
     if not os.path.exists(os.path.join(ROOT, PROGRAM)):
         print("the program of the deploy file is not built")
-        sys.exit(2)
+        sys.exit(NOT_RUN)
 
     async def run():
-        deployment = Deployment(case, zones)
+        deployment = Deployment(record_path, zones)
+        # Its processes are ended also if the case itself is.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             broken = await asyncio.wait_for(play(deployment, trouble), 110)
             for text in broken:
                 deployment.say(f"BROKEN: {text}")
             if not broken:
                 deployment.say("the rule held")
-            return 1 if broken else 0
-        except Exception as error:
-            # Whatever it is, a mistake of the case must not look like a broken rule.
+            return BROKEN if broken else HELD
+        except (Exception, asyncio.CancelledError) as error:
             deployment.say(f"the case could not run: {error!r}")
-            return 2
+            return NOT_RUN
         finally:
             deployment.close()
             deployment.save()
