Review case 6: an entry that wakes starts jobs whose clients have gone elsewhere

An entry freezes for 2.95 s while submissions that it has read stand in the queue of its actor; on waking it starts their tasks, beside the runs of the entry that got the jobs since. Shown by review/6/run.sh; cause in its claim.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -7,6 +7,6 @@
   echo "run the build of deploy/system.toml and review/build-2.sh first" >&2
   exit 2
 fi
-target/review-2/world recover review/6/record.txt
+target/review-2/world frozen review/6/record.txt
 status=$?
 case $status in 0 | 1) exit $status ;; *) exit 2 ;; esac
