Refuse jobs that waited in an entry's queue while its host stood still

Cause: a request that had been read waited in the queue of the actor without a time of arrival. When the process went on it counted as new, so neither the suspension nor the caller's deadline concerned it, and the message that its caller had left came behind it. Ruled out: requests in the socket (the check of the connection drops them) and resent orders (agents refuse those decided on old reports).

Change: a request is stamped when it has been read, before the check that its caller is connected. Its deadline and objective count from then. Whatever stops the process is covered: before the check by the check, after it by the stamp.

--- a/components/broker/src/broker.rs
+++ b/components/broker/src/broker.rs
@@ -58,6 +58,8 @@
     Submit {
         /// Number of the caller's request.
         request_number: u64,
+        /// Time at which the request was read; it may have waited in a queue since.
+        arrived: Uptime,
         /// Job to run.
         submission: Submission,
     },
@@ -208,6 +210,8 @@
     settles_at: Uptime,
     /// Time of the last event.
     last_event: Uptime,
+    /// Time of the first event after the last suspension of the host, if there was any.
+    resumed_at: Option<Uptime>,
     /// When the process was asked to shut down.
     shutdown_since: Option<Uptime>,
     finished: bool,
@@ -245,6 +249,7 @@
             last_available: now,
             settles_at: now + SETTLE_MS,
             last_event: now,
+            resumed_at: None,
             shutdown_since: None,
             finished: false,
             effects: Vec::new(),
@@ -257,8 +262,8 @@
         self.check_suspended(now);
         let mut submitted = None;
         match event {
-            Event::Submit { request_number, submission } => {
-                submitted = self.on_submit(now, request_number, submission)
+            Event::Submit { request_number, arrived, submission } => {
+                submitted = self.on_submit(now, request_number, arrived, submission)
             }
             Event::Disconnected { request_number } => self.on_disconnected(now, request_number),
             Event::Cancel { job } => self.on_cancel(now, job),
@@ -345,6 +350,7 @@
         if gap < SUSPENDED_MS {
             return;
         }
+        self.resumed_at = Some(now);
         log::warn!(gap_ms = gap, jobs = self.jobs.len(); "the host was suspended; jobs in progress are given up");
         let keys: Vec<_> = self.jobs.keys().collect();
         for key in keys {
--- a/components/broker/src/broker/jobs.rs
+++ b/components/broker/src/broker/jobs.rs
@@ -11,7 +11,7 @@
     job::{Job, Submission, TaskState, sum},
     limits::{
         ANSWER_RETENTION_MS, DISCOVERY_TIMEOUT_MS, MIN_RETRY_AFTER_MS, SETTLE_MS,
-        SHUTDOWN_RUN_FACTOR, SHUTDOWN_TIMEOUT_MS,
+        SHUTDOWN_RUN_FACTOR, SHUTDOWN_TIMEOUT_MS, SUSPENDED_MS,
     },
     queue::JobKey,
 };
@@ -21,6 +21,7 @@
         &mut self,
         now: Uptime,
         request_number: u64,
+        arrived: Uptime,
         submission: Submission,
     ) -> Option<JobKey> {
         let id = submission.job;
@@ -43,14 +44,10 @@
         }
         let last_run = earlier.map_or(0, |it| it.last_run);
         let order = self.options.policy.order;
-        let job = Job::new(now, submission, request_number, last_run, &self.estimates, order);
-        let run_time = job.objective.saturating_sub(job.latest_start.since(now));
-        if let Some(since) = self.shutdown_since
-            && run_time.saturating_mul(SHUTDOWN_RUN_FACTOR).saturating_add(now.since(since))
-                >= SHUTDOWN_TIMEOUT_MS
-        {
+        let job = Job::new(arrived, submission, request_number, last_run, &self.estimates, order);
+        if let Some(reason) = self.refusal_reason(now, &job) {
             let reply = Reply::Refused { retry_after: MIN_RETRY_AFTER_MS };
-            log::info!(job:% = id, request = job.submission.request.as_str(); "a job is refused: the entry stops");
+            log::info!(job:% = id, request = job.submission.request.as_str(), queued_ms = now.since(arrived); "a job is refused: {reason}");
             self.effects.push(Effect::Answer { request_number, reply });
             return None;
         }
@@ -73,6 +70,24 @@
         Some(key)
     }
 
+    /// Why a new job is refused whatever capacity is free; none if it is not.
+    fn refusal_reason(&self, now: Uptime, job: &Job) -> Option<&'static str> {
+        if let Some(resumed_at) = self.resumed_at
+            && resumed_at.since(job.arrived) >= SUSPENDED_MS
+        {
+            // Its caller may have sent it to another entry since, like those of jobs in progress.
+            return Some("the host was suspended after it arrived");
+        }
+        if now >= job.deadline {
+            return Some("its caller has stopped waiting");
+        }
+        let run_time = job.objective.saturating_sub(job.latest_start.since(job.arrived));
+        let run_time = run_time.saturating_mul(SHUTDOWN_RUN_FACTOR);
+        let since = self.shutdown_since?;
+        let ends_late = run_time.saturating_add(now.since(since)) >= SHUTDOWN_TIMEOUT_MS;
+        ends_late.then_some("the entry stops")
+    }
+
     /// Admits a new job, or refuses it if it is predicted to start too late.
     pub(super) fn admit(&mut self, now: Uptime, key: JobKey) {
         let Some(job) = self.jobs.get(key) else { return };
--- a/components/broker/src/job.rs
+++ b/components/broker/src/job.rs
@@ -151,9 +151,9 @@
 }
 
 impl Job {
-    /// Creates a job that has just arrived; its runs are numbered from `last_run + 1`.
+    /// Creates a job; its runs are numbered from `last_run + 1`.
     pub(crate) fn new(
-        now: Uptime,
+        arrived: Uptime,
         submission: Submission,
         request_number: u64,
         last_run: u32,
@@ -181,18 +181,18 @@
                 waits_for_rack: None,
             }));
         }
-        let latest_start = now + objective.saturating_sub(run_time);
+        let latest_start = arrived + objective.saturating_sub(run_time);
         let rank = match order {
             QueueOrder::LatestStart => latest_start,
-            QueueOrder::Fifo => now,
+            QueueOrder::Fifo => arrived,
         };
         Job {
             request_numbers: vec![request_number],
-            arrived: now,
+            arrived,
             objective,
             latest_start,
             rank,
-            deadline: now + submission.timeout,
+            deadline: arrived + submission.timeout,
             tasks,
             maybe_ran: false,
             has_returned: false,
--- a/components/broker/tests/broker/fixture.rs
+++ b/components/broker/tests/broker/fixture.rs
@@ -196,9 +196,15 @@
 
     /// Submits a job; returns the number of the request.
     pub(crate) fn submit(&mut self, submission: Submission) -> u64 {
+        self.submit_queued(self.now, submission)
+    }
+
+    /// Submits a job that has waited in the queue of the process since `arrived`; returns the number
+    /// of the request.
+    pub(crate) fn submit_queued(&mut self, arrived: Uptime, submission: Submission) -> u64 {
         self.next_request += 1;
         let request_number = self.next_request;
-        self.event(Event::Submit { request_number, submission });
+        self.event(Event::Submit { request_number, arrived, submission });
         request_number
     }
 
--- a/components/broker/tests/broker/jobs.rs
+++ b/components/broker/tests/broker/jobs.rs
@@ -164,6 +164,38 @@
     assert_eq!(fixture.answer(request), Some(Reply::GivenUp));
 }
 
+// Guards against a job that starts after a suspension although its caller may have sent it to another
+// entry: it was read before the suspension and waited in the queue of the process.
+#[test]
+fn refuses_a_job_that_arrived_before_the_host_was_suspended() {
+    let mut fixture = Fixture::new(1);
+    let arrived = fixture.now;
+    let long = || vec![Step { declared: 2_000, ..step(1, 100) }];
+
+    fixture.now = fixture.now + 400;
+    let queued = fixture.submit_queued(arrived, submission(1, long()));
+    let fresh = fixture.submit(submission(2, long()));
+    fixture.advance(50);
+
+    assert_eq!(fixture.answer(queued), Some(Reply::Refused { retry_after: 1_000 }));
+    assert_eq!(fixture.answer(fresh), None);
+    let jobs: Vec<_> = fixture.runs().iter().map(|(_, run)| run.job).collect();
+    assert_eq!(jobs, [JobId(2)]);
+}
+
+#[test]
+fn counts_the_time_that_a_request_has_waited_towards_its_deadline() {
+    let mut fixture = Fixture::new(1);
+    let (recent, old) = (fixture.now - 200, fixture.now - 3_000);
+
+    let in_time = fixture.submit_queued(recent, submission(1, vec![step(1, 100)]));
+    let late = fixture.submit_queued(old, submission(2, vec![step(1, 100)]));
+    fixture.advance(2_800);
+
+    assert_eq!(fixture.answer(late), Some(Reply::Refused { retry_after: 1_000 }));
+    assert_eq!(fixture.answer(in_time), Some(Reply::GivenUp));
+}
+
 #[test]
 fn reports_the_status_of_a_job() {
     let mut fixture = Fixture::new(1);
--- a/components/model/src/simulation.rs
+++ b/components/model/src/simulation.rs
@@ -13,6 +13,7 @@
 
 use broker::{
     Broker, Effect as EntryEffect, Event as EntryEvent, OrderCounts, Policy, RUN_EXPIRY_MS,
+    Submission,
 };
 use guard::{Answer, Call, Effect as AgentEffect, Event as AgentEvent, Guard, Heartbeat, Timing};
 use mesh::{Datagram, JobId, RunKey, Uptime};
@@ -79,6 +80,8 @@
     pub remote_percent: Option<u32>,
     /// Time for which callers wait, in ms; a random one if none is given.
     pub timeout: Option<u64>,
+    /// Longest time for which a request waits in the queue of an entry once it was read, in ms.
+    pub queue_delay: u64,
     /// Job whose events are recorded in the report.
     pub trace: Option<JobId>,
 }
@@ -104,6 +107,7 @@
             agents_evacuate: true,
             remote_percent: None,
             timeout: None,
+            queue_delay: 0,
             trace: None,
         }
     }
@@ -118,11 +122,17 @@
     LateHeartbeat(usize, Box<Heartbeat>),
     Arrive(usize),
     Send(JobId),
+    /// A request arrives at an entry.
     Submit {
         entry: usize,
         job: JobId,
         token: u64,
     },
+    /// An entry handles a request that has waited in its queue.
+    Dequeue {
+        entry: usize,
+        request: Box<QueuedRequest>,
+    },
     Disconnect {
         entry: usize,
         token: u64,
@@ -181,6 +191,14 @@
     Agent(usize),
 }
 
+/// A request that an entry has read.
+#[derive(Debug)]
+struct QueuedRequest {
+    token: u64,
+    arrived: u64,
+    submission: Submission,
+}
+
 /// A call that awaits its answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct PendingCall {
@@ -205,6 +223,8 @@
     events: HashMap<u64, Event>,
     next_event: u64,
     entries: Vec<Option<Broker>>,
+    /// Time at which each entry was last started; the requests that it had read before are gone.
+    entry_starts: Vec<u64>,
     agents: Vec<Option<Guard>>,
     /// Incremented when an agent starts or is killed, so that answers to an earlier process are
     /// discarded.
@@ -216,6 +236,8 @@
     /// Time of the next [`Event::EndpointDue`] of each endpoint, `u64::MAX` if none is scheduled.
     endpoint_due: Vec<u64>,
     callers: Callers,
+    /// Requests whose entry has noticed that the caller disconnected.
+    closed: HashSet<u64>,
     needs: NeedsByJob,
     next_job: u64,
     /// Jobs without a started run, with the time at which they were first sent.
@@ -276,6 +298,7 @@
             events: HashMap::new(),
             next_event: 0,
             entries: (0..options.entries).map(|_| None).collect(),
+            entry_starts: vec![0; options.entries],
             agents: options.endpoints.iter().map(|_| None).collect(),
             generations: vec![0; options.endpoints.len()],
             suspended: HashMap::new(),
@@ -288,6 +311,7 @@
             holds: Vec::new(),
             endpoint_due: vec![u64::MAX; options.endpoints.len()],
             callers: Callers::default(),
+            closed: HashSet::new(),
             needs: NeedsByJob::new(),
             next_job: 1,
             ran: HashSet::new(),
@@ -369,6 +393,7 @@
         };
         let now = Uptime(self.now);
         self.entries[entry] = Some(Broker::new(now, options));
+        self.entry_starts[entry] = self.now;
         for agent in 0..self.agents.len() {
             let host = Host::Agent(agent);
             let (address, zone) = (address(host), self.zone(host));
@@ -407,7 +432,9 @@
             Event::Arrive(kind) => self.on_arrival(kind),
             Event::Send(job) => self.send_job(job),
             Event::Submit { entry, job, token } => self.on_submit(entry, job, token),
+            Event::Dequeue { entry, request } => self.handle_request(entry, *request),
             Event::Disconnect { entry, token } => {
+                self.closed.insert(token);
                 self.run_entry(entry, EntryEvent::Disconnected { request_number: token })
             }
             Event::RequestTimeout { job, token } => self.on_request_timeout(job, token),
@@ -528,7 +555,9 @@
         Event::Heartbeat(agent) | Event::LateHeartbeat(agent, _) | Event::Answer { agent, .. } => {
             Some(Host::Agent(*agent))
         }
-        Event::Submit { entry, .. } | Event::Disconnect { entry, .. } => Some(Host::Entry(*entry)),
+        Event::Submit { entry, .. }
+        | Event::Dequeue { entry, .. }
+        | Event::Disconnect { entry, .. } => Some(Host::Entry(*entry)),
         Event::Arrive(_)
         | Event::Remove(_)
         | Event::Send(_)
--- a/components/model/src/simulation/callers.rs
+++ b/components/model/src/simulation/callers.rs
@@ -1,10 +1,10 @@
 //! Behaviour of callers: arrivals, requests and retries, and the count of results.
 
-use broker::{Event as EntryEvent, Reply, Submission};
-use mesh::JobId;
+use broker::{Event as EntryEvent, Reply};
+use mesh::{JobId, Uptime};
 use rand::RngExt;
 
-use super::{Event, Simulation, WARM_UP_MS};
+use super::{Event, QueuedRequest, Simulation, WARM_UP_MS};
 use crate::{
     callers::{MAX_SENDS, OpenJob, RESEND_MS},
     report::Violation,
@@ -82,9 +82,28 @@
 
     pub(super) fn on_submit(&mut self, entry: usize, job: JobId, token: u64) {
         let Some(open) = self.callers.open.get(&job) else { return };
-        let submission: Submission = open.submission.clone();
+        if open.request != Some((entry, token)) {
+            // An entry drops a request if its caller has closed the connection before it is read.
+            return;
+        }
+        let submission = open.submission.clone();
         self.trace(job, || format!("sent to entry {entry} as request {token}"));
-        self.run_entry(entry, EntryEvent::Submit { request_number: token, submission });
+        let request = QueuedRequest { token, arrived: self.now, submission };
+        if self.options.queue_delay == 0 {
+            self.handle_request(entry, request);
+            return;
+        }
+        let at = self.now + self.rng.random_range(0..=self.options.queue_delay);
+        self.push(at, Event::Dequeue { entry, request: Box::new(request) });
+    }
+
+    pub(super) fn handle_request(&mut self, entry: usize, request: QueuedRequest) {
+        let QueuedRequest { token, arrived, submission } = request;
+        if arrived < self.entry_starts[entry] || self.closed.contains(&token) {
+            return;
+        }
+        let arrived = Uptime(arrived);
+        self.run_entry(entry, EntryEvent::Submit { request_number: token, arrived, submission });
     }
 
     /// Handles a request timeout: the caller disconnects and schedules a retry.
--- a/components/model/src/simulation/faults.rs
+++ b/components/model/src/simulation/faults.rs
@@ -1,8 +1,11 @@
 //! Start and end of faults.
 
-use super::{Host, Simulation};
+use super::{Event, Host, Simulation};
 use crate::fault::FaultKind;
 
+/// Time that a resumed entry takes to notice closed connections, in ms.
+const DISCONNECT_DELAY_MS: u64 = 10;
+
 impl Simulation {
     pub(super) fn start_fault(&mut self, kind: FaultKind) {
         match kind {
@@ -105,10 +108,13 @@
         }
     }
 
-    /// Resumes a host and delivers the events that arrived during its suspension, in order.
+    /// Resumes a host and delivers the events that arrived during its suspension, in order; it
+    /// notices closed connections only after it has handled its queue.
     pub(super) fn resume(&mut self, host: Host) {
         for event in self.suspended.remove(&host).unwrap_or_default() {
-            self.push(self.now, event);
+            let is_disconnect = matches!(event, Event::Disconnect { .. });
+            let delay = if is_disconnect { DISCONNECT_DELAY_MS } else { 0 };
+            self.push(self.now + delay, event);
         }
     }
 
--- a/components/model/tests/promises.rs
+++ b/components/model/tests/promises.rs
@@ -253,6 +253,26 @@
     assert!(!violates(&faults, 1_250, |_| {}));
 }
 
+// Guards against jobs that start after a suspension of their entry although their callers have sent
+// them to another one: they were read before it, and waited in a queue of the process.
+#[test]
+fn no_tasks_overlap_if_an_entry_is_suspended_while_requests_wait_in_its_queue() {
+    let change = |options: &mut SimulationOptions| {
+        options.queue_delay = 100;
+        options.timeout = Some(1_500);
+    };
+    let suspension = |at| Fault { at, length: 2_950, kind: FaultKind::SuspendEntry(0) };
+
+    for seed in seeds(20) {
+        let mut options = options(seed, [500, 4_500, 8_500].map(suspension).to_vec());
+        change(&mut options);
+        let report = Simulation::new(options).run();
+
+        print_trace(seed, &[FaultKind::SuspendEntry(0)], &report);
+        assert_eq!(report.violations, vec![], "seed {seed}");
+    }
+}
+
 // Guards against runs that are refused, or ended, on the word of one copy of their start while
 // another copy runs: issue 24, with every other fault beside it.
 #[test]
--- a/hostd/src/callers.rs
+++ b/hostd/src/callers.rs
@@ -23,6 +23,7 @@
 use tokio::{sync::oneshot, task::yield_now, time::timeout};
 
 use crate::{
+    clock::uptime,
     config::CurrentConfig,
     entry::Message,
     http::{Response, close_connection, error_response, json_response},
@@ -141,11 +142,14 @@
                 return unavailable(&feature.to_string(), RETRY_AFTER_S);
             }
         };
+        // Taken before the check of the connection: if the host is suspended after the check, the
+        // request counts as one that arrived before.
+        let arrived = uptime();
         notice_disconnect().await;
         let request_number = self.shared.next_request.fetch_add(1, Ordering::Relaxed);
         let (sender, receiver) = oneshot::channel();
-        let message =
-            Message::Submit { request_number, submission: Box::new(submission), reply: sender };
+        let submission = Box::new(submission);
+        let message = Message::Submit { request_number, arrived, submission, reply: sender };
         let actor = self.shared.actor.clone();
         if actor.cast(message).is_err() {
             return unavailable("the entry has stopped", RETRY_AFTER_S);
--- a/hostd/src/entry.rs
+++ b/hostd/src/entry.rs
@@ -35,6 +35,8 @@
     Submit {
         /// Number of the request within this process.
         request_number: u64,
+        /// Time at which the request was read.
+        arrived: Uptime,
         /// Submitted job.
         submission: Box<Submission>,
         /// Channel for the answer.
@@ -108,9 +110,12 @@
     fn handle(&mut self, now: Uptime, message: Message) {
         match message {
             Message::Input(input) => self.on_input(now, input),
-            Message::Submit { request_number, submission, reply } => {
-                self.callers.insert(request_number, Caller { arrived: now, reply });
-                self.handle_event(now, Event::Submit { request_number, submission: *submission });
+            // A request whose caller disconnected while it waited in the queue is dropped.
+            Message::Submit { reply, .. } if reply.is_closed() => {}
+            Message::Submit { request_number, arrived, submission, reply } => {
+                self.callers.insert(request_number, Caller { arrived, reply });
+                let submission = *submission;
+                self.handle_event(now, Event::Submit { request_number, arrived, submission });
             }
             Message::Disconnected(request_number) => {
                 self.callers.remove(&request_number);
--- a/hostd/tests/processes/deployment.rs
+++ b/hostd/tests/processes/deployment.rs
@@ -420,15 +420,14 @@
         self.request(entry, Method::POST, &format!("/q/{job:016x}"), timeout, body).await
     }
 
+    /// Opens a connection to an entry.
+    pub(crate) async fn connect(&self, entry: usize) -> TcpStream {
+        TcpStream::connect(self.callers[entry]).await.expect("a connection")
+    }
+
     /// Sends a job and closes the connection at once.
     pub(crate) async fn submit_and_leave(&self, entry: usize, job: u64, body: &str) {
-        let mut stream = TcpStream::connect(self.callers[entry]).await.expect("a connection");
-        let request = format!(
-            "POST /q/{job:016x} HTTP/1.1\r\nhost: {HOST}\r\n{DEADLINE_HEADER}: {DEFAULT_TIMEOUT_MS}\r\n\
-             content-length: {}\r\n\r\n{body}",
-            body.len()
-        );
-        stream.write_all(request.as_bytes()).await.expect("a request that fits into the buffer");
+        send_job(&mut self.connect(entry).await, job, body).await;
     }
 
     /// Sends a request; returns status and body of the answer, or status 0 if there is none.
@@ -456,6 +455,16 @@
     }
 }
 
+/// Sends a job on an open connection, without waiting for the answer.
+pub(crate) async fn send_job(stream: &mut TcpStream, job: u64, body: &str) {
+    let request = format!(
+        "POST /q/{job:016x} HTTP/1.1\r\nhost: {HOST}\r\n{DEADLINE_HEADER}: {DEFAULT_TIMEOUT_MS}\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(request.as_bytes()).await.expect("a request that fits into the buffer");
+}
+
 /// Submits a job of `tasks` tasks that run for `work` ms each to the first entry.
 pub(crate) async fn submit(
     deployment: &Deployment,
--- a/hostd/tests/processes/main.rs
+++ b/hostd/tests/processes/main.rs
@@ -12,9 +12,10 @@
 use hyper::StatusCode;
 use nix::sys::signal::Signal;
 use platform_standin::{StartFault, job_text};
+use tokio::time::{Instant, sleep};
 
 use crate::{
-    deployment::{Deployment, EXECUTOR_CPU, Layout, ONE_ZONE, submit},
+    deployment::{Deployment, EXECUTOR_CPU, Layout, ONE_ZONE, send_job, submit},
     invariants::{ObservedJob, overlaps, parse_task_name, violations},
 };
 
@@ -24,6 +25,16 @@
 const LONG_MS: &str = "700";
 /// Delay of a start that is answered after its hedge and before the timeout of its call.
 const START_DELAY: Duration = Duration::from_millis(60);
+/// Number of freezes within a burst of jobs.
+const FREEZES: u32 = 16;
+/// Duration of such a freeze, after which the agents have stopped all runs.
+const FREEZE: Duration = Duration::from_millis(700);
+/// Difference between the times from the burst to two consecutive freezes.
+const FREEZE_STEP: Duration = Duration::from_millis(1);
+/// Number of jobs in a burst.
+const BURST: u64 = 60;
+/// Time within which an entry that has resumed starts what it would start.
+const SETTLE_TIME: Duration = Duration::from_millis(250);
 /// Time within which a signal has taken effect.
 const SIGNAL_TIME: Duration = Duration::from_millis(50);
 
@@ -119,6 +130,21 @@
     assert!(started.is_empty(), "{started:#?}");
 }
 
+/// Guards against a job that starts when its entry wakes, for a caller who has left meanwhile: it was
+/// read before the entry froze, and waited in the queue of the actor.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_does_not_start_if_its_caller_leaves_while_it_waits_in_the_queue_of_a_frozen_entry() {
+    let mut deployment = Deployment::start([10, 18], 2).await;
+
+    for round in 0..FREEZES {
+        let resumed = freeze_during_burst(&mut deployment, round).await;
+
+        let spans = deployment.spans();
+        let late: Vec<_> = spans.iter().flatten().filter(|it| it.from >= resumed).collect();
+        assert!(late.is_empty(), "freeze {round}: {late:#?}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_new_configuration_is_in_force_and_survives_an_outage_of_the_store() {
     let deployment = Deployment::start([10, 5], 1).await;
@@ -295,6 +321,30 @@
     deployment.wait_until_jobs_run().await;
 }
 
+/// Stops the first entry while it reads a burst of jobs, a bit later in each round, closes all
+/// connections, and lets it go on; returns the time at which it did.
+async fn freeze_during_burst(deployment: &mut Deployment, round: u32) -> Instant {
+    let caller = deployment.caller();
+    let mut connections = Vec::new();
+    for _ in 0..BURST {
+        connections.push(caller.connect(0).await);
+    }
+    // The entry has accepted the connections by then.
+    sleep(SIGNAL_TIME).await;
+    for (number, connection) in (1..).zip(&mut connections) {
+        let job = u64::from(round) * BURST + number;
+        send_job(connection, job, &job_text(1, LONG_MS)).await;
+    }
+    sleep(FREEZE_STEP * round).await;
+    deployment.signal_entry(Signal::SIGSTOP);
+    drop(connections);
+    sleep(FREEZE).await;
+    let resumed = Instant::now();
+    deployment.signal_entry(Signal::SIGCONT);
+    sleep(SETTLE_TIME).await;
+    resumed
+}
+
 /// Submits a job of one task; the first start at each executor has `fault`, and its copy is rejected.
 async fn submit_with_rejected_copy(deployment: &Deployment, fault: StartFault) {
     for executor in &deployment.executors {
