Keep a cancellation that comes after its job was given up

The cancellation waits in the queue, the job is given up first, the cancel is acknowledged with 200, and a late copy of the job's request runs.

Whether the job exists was asked before the suspension was noticed, and the cancellation itself found no job in progress, so it left no trace.

Test: a_job_that_is_cancelled_during_a_suspension_does_not_run_again failed before (status Running after the copy).

--- a/components/broker/src/broker/jobs.rs
+++ b/components/broker/src/broker/jobs.rs
@@ -184,6 +184,11 @@
         if let Some(key) = self.by_id.get(&job).copied() {
             log::info!(job:% = job; "a job is cancelled on request");
             self.answer(now, key, Reply::Cancelled);
+        } else if let Some(answered) = self.answered.get_mut(&job)
+            && answered.reply == Reply::GivenUp
+        {
+            log::info!(job:% = job; "a job that was given up is cancelled on request");
+            answered.reply = Reply::Cancelled;
         }
     }
 
--- a/components/broker/tests/broker/jobs.rs
+++ b/components/broker/tests/broker/jobs.rs
@@ -183,6 +183,23 @@
     assert_eq!(jobs, [JobId(2)]);
 }
 
+// Guards against a cancelled job that runs for a late copy of its request: the cancellation waited
+// in the queue of the process while the host was suspended, and the job was given up before it.
+#[test]
+fn a_job_that_is_cancelled_during_a_suspension_does_not_run_again() {
+    let mut fixture = Fixture::new(1);
+    fixture.submit(submission(1, vec![step(1, 100)]));
+    fixture.now = fixture.now + 400;
+
+    fixture.event(Event::Cancel { job: JobId(1) });
+    let copy = fixture.submit(submission(1, vec![step(1, 100)]));
+    fixture.advance(50);
+
+    assert_eq!(fixture.broker.status(JobId(1)), Some(Status::Answered(Reply::Cancelled)));
+    assert_eq!(fixture.answer(copy), Some(Reply::Cancelled));
+    assert_eq!(fixture.runs(), []);
+}
+
 #[test]
 fn counts_the_time_that_a_request_has_waited_towards_its_deadline() {
     let mut fixture = Fixture::new(1);
--- a/hostd/src/entry.rs
+++ b/hostd/src/entry.rs
@@ -122,8 +122,8 @@
                 self.handle_event(now, Event::Disconnected { request_number });
             }
             Message::Cancel(job, reply) => {
-                let exists = self.deps.broker.status(job).is_some();
                 self.handle_event(now, Event::Cancel { job });
+                let exists = self.deps.broker.status(job).is_some();
                 // The caller may have disconnected.
                 let _ = reply.send(exists);
             }
