--- a/hostd/tests/processes/main.rs
+++ b/hostd/tests/processes/main.rs
@@ -7,9 +7,10 @@
 mod proxy;
 mod soak;
 
-use std::time::Duration;
+use std::{net::SocketAddrV4, time::Duration};
 
 use hyper::StatusCode;
+use mesh::{Member, Role};
 use nix::sys::signal::Signal;
 use platform_standin::{StartFault, job_text};
 use tokio::time::{Instant, sleep};
@@ -35,6 +36,8 @@
 const BURST: u64 = 60;
 /// Time within which an entry that has resumed starts what it would start.
 const SETTLE_TIME: Duration = Duration::from_millis(250);
+/// Time within which processes have tried to contact all members.
+const ODD_MEMBERS_TIME: Duration = Duration::from_secs(3);
 /// Time within which a signal has taken effect.
 const SIGNAL_TIME: Duration = Duration::from_millis(50);
 
@@ -217,6 +220,24 @@
     deployment.wait_until_jobs_run().await;
 }
 
+/// Guards against processes that end, or do not find each other, because another writer has left odd
+/// records among those of the members.
+#[tokio::test(flavor = "multi_thread")]
+async fn new_processes_find_each_other_beside_odd_records_of_members() {
+    let mut deployment = Deployment::start([10, 19], 2).await;
+    for (number, value) in odd_members().into_iter().enumerate() {
+        deployment.store.write_host(&format!("127.9.9.{number}:7000"), &value);
+    }
+
+    deployment.restart_all_without_seeds();
+    deployment.wait_for("/q/", 200).await;
+    deployment.wait_until_jobs_run().await;
+    sleep(ODD_MEMBERS_TIME).await;
+
+    deployment.wait_until_jobs_run().await;
+    assert!(deployment.processes.iter_mut().all(|it| it.is_running() && it.starts == 2));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_draining_executor_gets_no_new_work() {
     let deployment = Deployment::start([10, 6], 2).await;
@@ -345,6 +366,27 @@
     resumed
 }
 
+/// Records that name no process to contact: unreadable ones, and addresses to which nothing can be
+/// sent.
+fn odd_members() -> Vec<Vec<u8>> {
+    let member = |ip: [u8; 4], port: u16, zone: String| {
+        let address = SocketAddrV4::new(ip.into(), port);
+        postcard::to_stdvec(&Member { address, role: Role::Agent, zone }).expect("a record")
+    };
+    let zone = || "z".to_owned();
+    let nested = "[".repeat(2_000).into_bytes();
+    vec![
+        nested,
+        vec![0xff; 64],
+        Vec::from(b"{}"),
+        member([127, 10, 19, 2], 0, zone()),
+        member([0, 0, 0, 0], 7_000, zone()),
+        member([255, 255, 255, 255], 7_000, zone()),
+        member([224, 0, 0, 1], 7_000, zone()),
+        member([127, 9, 9, 9], 7_000, "z".repeat(100_000)),
+    ]
+}
+
 /// Submits a job of one task; the first start at each executor has `fault`, and its copy is rejected.
 async fn submit_with_rejected_copy(deployment: &Deployment, fault: StartFault) {
     for executor in &deployment.executors {
