--- a/hostd/src/cmd.rs
+++ b/hostd/src/cmd.rs
@@ -109,7 +109,8 @@
         let incarnation = rand::random();
         log::info!(
             role:? = role, host = settings.name.as_str(), zone = settings.zone.as_str(),
-            address:% = own.address, seeds = settings.seeds.len(), incarnation = incarnation;
+            address:% = own.address, seeds = settings.seeds.len(),
+            ignored_seeds:? = settings.ignored_seeds, incarnation = incarnation;
             "a process starts"
         );
         let datagrams = DatagramSocket::bind(arguments.bind.unwrap_or(settings.mesh)).await?;
@@ -214,7 +215,10 @@
 fn reload(path: &Path, settings: &mut HostSettings, send: &impl Fn(Input) -> bool) {
     match platform::load_settings(path) {
         Ok(new) if new != *settings => {
-            log::info!(seeds = new.seeds.len(); "the settings have changed and are read again");
+            log::info!(
+                seeds = new.seeds.len(), ignored_seeds:? = new.ignored_seeds;
+                "the settings have changed and are read again"
+            );
             *settings = new.clone();
             send(Input::Settings(Box::new(new)));
         }
