Let requests wait in queues on random schedules of the model

The random schedules handled each request in the millisecond in which it was read, so that no suspension could fall between the two. They do now for up to 100 ms, with callers that wait for 1.5 s or leave after 0.3 s.

--- a/components/broker/src/limits.rs
+++ b/components/broker/src/limits.rs
@@ -45,7 +45,8 @@
 pub(crate) const RESTART_EXPIRY_MS: u64 = 550;
 /// Gap between two events from which the host is assumed to have been suspended, in ms.
 ///
-/// Must stay below the agent's timeout for a silent entry (420), after which it stops the runs.
+/// A request that was read as long before the end of the suspension is refused. Must stay below the
+/// agent's timeout for a silent entry (420), after which it stops the runs.
 pub const SUSPENDED_MS: u64 = 350;
 /// Time after which an agent that is neither heard nor announced is removed, in ms.
 pub const AGENT_RETENTION_MS: u64 = 60_000;
--- a/components/model/tests/promises.rs
+++ b/components/model/tests/promises.rs
@@ -11,6 +11,8 @@
 const SCHEDULES: u64 = 60;
 /// Time during which jobs arrive, in ms.
 const LENGTH: u64 = 12_000;
+/// Seed in which tasks overlapped as requests from before a suspension counted as new.
+const QUEUED_BEFORE_SUSPENSION: u64 = 610;
 const ENTRIES: usize = 2;
 const AGENTS: usize = 4;
 /// Rejections that say nothing of another copy of the same start.
@@ -201,6 +203,22 @@
     }
 }
 
+#[test]
+fn no_promise_breaks_while_requests_wait_in_the_queues_of_entries() {
+    let random = seeds(number("SCHEDULES").unwrap_or(SCHEDULES));
+    for seed in random.chain([QUEUED_BEFORE_SUSPENSION]) {
+        let mut options = options(seed, random_faults(seed));
+        options.queue_delay = 100;
+        // Some callers leave soon after they have sent their job.
+        options.timeout = Some(if seed % 2 == 0 { 1_500 } else { 300 });
+
+        let report = Simulation::new(options).run();
+
+        print_trace(seed, &[], &report);
+        assert_eq!(report.violations, vec![], "seed {seed}: {:?}", random_faults(seed));
+    }
+}
+
 #[test]
 fn a_seed_determines_the_simulation() {
     let (first, second) = (simulate(3), simulate(3));
--- a/hostd/src/callers.rs
+++ b/hostd/src/callers.rs
@@ -142,8 +142,8 @@
                 return unavailable(&feature.to_string(), RETRY_AFTER_S);
             }
         };
-        // Taken before the check of the connection: if the host is suspended after the check, the
-        // request counts as one that arrived before.
+        // Taken before the check of the connection, so that each suspension either ends before that
+        // check or comes after this time.
         let arrived = uptime();
         notice_disconnect().await;
         let request_number = self.shared.next_request.fetch_add(1, Ordering::Relaxed);
