Read the answers before the runs when the soak checks its invariants

The check read the runs first and the answers after them, so a run that ended in between, and was answered, looked as if it had not ended.

The answers are read first now. Jobs are read again after the runs, without answers, so that a run of a job that was never submitted is still found: each check is as strict as before, and each answer is checked with all runs that led to it.

--- a/hostd/tests/processes/soak/mod.rs
+++ b/hostd/tests/processes/soak/mod.rs
@@ -19,7 +19,7 @@
 };
 use crate::{
     deployment::{Deployment, Layout, ONE_ZONE},
-    invariants::violations,
+    invariants::{ObservedJob, violations},
     proxy::{DatagramFault, StreamFault},
 };
 
@@ -160,9 +160,13 @@
 }
 
 fn check_invariants(seed: u64, deployment: &Deployment, traffic: &Traffic) {
-    // Runs are read before jobs, so the job of every run that is read has been recorded.
+    // Answers are read before runs, so the runs behind each answer have ended in what is read; jobs
+    // are read again after them, so the job of every run has been recorded.
+    let mut jobs = traffic.jobs();
     let spans = deployment.spans();
-    let violations = violations(&spans, &traffic.jobs());
+    let newer = traffic.jobs().into_iter().skip(jobs.len());
+    jobs.extend(newer.map(|it| ObservedJob { answers: Vec::new(), finished: false, ..it }));
+    let violations = violations(&spans, &jobs);
     assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
 }
 
