--- a/components/model/tests/promises.rs
+++ b/components/model/tests/promises.rs
@@ -275,15 +275,13 @@
 // them to another one: they were read before it, and waited in a queue of the process.
 #[test]
 fn no_tasks_overlap_if_an_entry_is_suspended_while_requests_wait_in_its_queue() {
-    let change = |options: &mut SimulationOptions| {
-        options.queue_delay = 100;
-        options.timeout = Some(1_500);
-    };
     let suspension = |at| Fault { at, length: 2_950, kind: FaultKind::SuspendEntry(0) };
 
     for seed in seeds(20) {
         let mut options = options(seed, [500, 4_500, 8_500].map(suspension).to_vec());
-        change(&mut options);
+        options.queue_delay = 100;
+        options.timeout = Some(1_500);
+
         let report = Simulation::new(options).run();
 
         print_trace(seed, &[FaultKind::SuspendEntry(0)], &report);
