Try odd seeds, records and heartbeats on real processes

processes_serve_beside_an_odd_seed_record_and_heartbeat restarts all processes with a seed whose port is out of range and a deeply nested key in the store, and sends heartbeats with odd ports and numbers.

--- a/hostd/tests/processes/deployment.rs
+++ b/hostd/tests/processes/deployment.rs
@@ -17,7 +17,8 @@
 use nix::sys::signal::Signal;
 use platform::READINESS_PATH;
 use platform_standin::{
-    DEADLINE_HEADER, Executor, HostSettings, Span, Store, config_text, job_text,
+    DEADLINE_HEADER, Executor, HostSettings, Span, Store, add_seed, config_text, heartbeat_path,
+    heartbeat_text, job_text,
 };
 use tokio::{
     io::AsyncWriteExt,
@@ -361,6 +362,26 @@
         self.write_seeds();
     }
 
+    /// Kills and restarts all processes with an additional seed in their settings.
+    pub(crate) fn restart_all_with_seed(&mut self, seed: &str) {
+        self.kill_all();
+        for process in &self.processes {
+            let text = std::fs::read_to_string(&process.settings).expect("settings");
+            std::fs::write(&process.settings, add_seed(&text, seed)).expect("settings");
+        }
+        self.start_all();
+    }
+
+    /// Sends an agent a heartbeat of another endpoint, with `cpu` as JSON; returns the status.
+    pub(crate) async fn heartbeat(&self, agent: usize, address: &str, cpu: &str) -> u16 {
+        let HostSettings { ip, heartbeat_port, .. } = &self.hosts[self.entries + agent];
+        let body = heartbeat_text(SERVICE, address, cpu);
+        let request =
+            Request::put(format!("http://{ip}:{heartbeat_port}{}", heartbeat_path("i-odd")))
+                .body(Full::new(Bytes::from(body)));
+        self.answer(request.expect("a request")).await.status().as_u16()
+    }
+
     pub(crate) fn kill_agent(&mut self, agent: usize) {
         self.processes[self.entries + agent].kill();
     }
--- a/hostd/tests/processes/main.rs
+++ b/hostd/tests/processes/main.rs
@@ -238,6 +238,25 @@
     assert!(deployment.processes.iter_mut().all(|it| it.is_running() && it.starts == 2));
 }
 
+/// Guards against processes that end at their start, or serve nothing, because of one odd seed, record
+/// or heartbeat.
+#[tokio::test(flavor = "multi_thread")]
+async fn processes_serve_beside_an_odd_seed_record_and_heartbeat() {
+    let mut deployment = Deployment::start([10, 21], 2).await;
+    let nested = format!("{}0{}", "[".repeat(500), "]".repeat(500));
+
+    deployment.store.evacuate(&nested);
+    deployment.restart_all_with_seed("127.0.0.3:65536");
+    deployment.wait_for("/q/", 200).await;
+    let odd = [("127.0.0.3:65536", "1"), ("127.0.0.3:0", "1"), ("127.0.0.3:80", "1e999")];
+    for (address, cpu) in odd.into_iter().chain([("127.0.0.3:80", nested.as_str())]) {
+        assert_eq!(deployment.heartbeat(0, address, cpu).await, 400, "{address}");
+    }
+
+    deployment.wait_until_jobs_run().await;
+    assert!(deployment.processes.iter_mut().all(|it| it.is_running() && it.starts == 2));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_draining_executor_gets_no_new_work() {
     let deployment = Deployment::start([10, 6], 2).await;
