Give a process test addresses of its own

It shared 127.10.21.* with an evacuation test: both failed when all process tests ran together (2 of 24). With addresses of its own all 24 pass.

--- a/hostd/tests/processes/main.rs
+++ b/hostd/tests/processes/main.rs
@@ -242,7 +242,7 @@
 /// or heartbeat.
 #[tokio::test(flavor = "multi_thread")]
 async fn processes_serve_beside_an_odd_seed_record_and_heartbeat() {
-    let mut deployment = Deployment::start([10, 21], 2).await;
+    let mut deployment = Deployment::start([10, 61], 2).await;
     let nested = format!("{}0{}", "[".repeat(500), "]".repeat(500));
 
     deployment.store.evacuate(&nested);
