--- /dev/null
+++ b/review/rig-3/callers.rs
@@ -0,0 +1,142 @@
+//! Callers, and the platform's balancer in front of the entries.
+
+use std::{
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    http,
+    system::{HOST, PREFIX, System},
+};
+
+/// Time that callers wait for an answer, as on the sheets of the small deployments, in ms.
+pub const DEADLINE_MS: u64 = 1_500;
+/// `resendIntervalMs`.
+pub const RESEND_MS: u64 = 1_300;
+/// Attempts of a caller to hand a job in.
+const ATTEMPTS: usize = 3;
+
+/// The platform's readiness checks; an entry that misses two gets no new connections.
+pub struct Balancer {
+    misses: Mutex<Vec<u32>>,
+    stopped: AtomicBool,
+}
+
+impl Balancer {
+    pub fn start(system: Arc<System>) -> Arc<Balancer> {
+        let entries = system.entries.len();
+        let balancer = Arc::new(Balancer {
+            misses: Mutex::new(vec![0; entries]),
+            stopped: AtomicBool::new(false),
+        });
+        for entry in 0..entries {
+            let (balancer, system) = (Arc::clone(&balancer), Arc::clone(&system));
+            thread::spawn(move || {
+                while !balancer.stopped.load(Ordering::Relaxed) {
+                    let next = Instant::now() + Duration::from_secs(1);
+                    let ready = system.readiness(entry, Duration::from_millis(900));
+                    let mut misses = balancer.misses.lock().unwrap();
+                    misses[entry] = if ready { 0 } else { misses[entry] + 1 };
+                    drop(misses);
+                    thread::sleep(next.saturating_duration_since(Instant::now()));
+                }
+            });
+        }
+        balancer
+    }
+
+    pub fn stop(&self) {
+        self.stopped.store(true, Ordering::Relaxed);
+    }
+
+    /// Entry for a new connection whose hash names `home`; a retry reaches another one.
+    fn choose(&self, home: usize, attempt: usize) -> usize {
+        let misses = self.misses.lock().unwrap();
+        let count = misses.len();
+        let wanted = (home + attempt) % count;
+        (0..count).map(|it| (wanted + it) % count).find(|it| misses[*it] < 2).unwrap_or(wanted)
+    }
+}
+
+/// An attempt of a caller, with times in ms since the start of the case.
+#[derive(Debug, Clone)]
+pub struct Attempt {
+    pub job: u64,
+    pub number: usize,
+    pub entry: usize,
+    pub sent: u64,
+    pub ended: u64,
+    pub status: Option<u16>,
+    pub body: String,
+}
+
+/// Callers; clones share their record.
+#[derive(Clone)]
+pub struct Callers {
+    system: Arc<System>,
+    balancer: Arc<Balancer>,
+    pub attempts: Arc<Mutex<Vec<Attempt>>>,
+    pub notes: Arc<Mutex<Vec<(u64, String)>>>,
+}
+
+impl Callers {
+    pub fn new(system: Arc<System>, balancer: Arc<Balancer>) -> Callers {
+        Callers { system, balancer, attempts: Arc::default(), notes: Arc::default() }
+    }
+
+    /// Records an event of the case.
+    pub fn note(&self, text: &str) {
+        self.notes.lock().unwrap().push((self.system.now(), text.to_owned()));
+    }
+
+    /// Sends a job on a connection of its own; without an answer it is sent again after
+    /// `resendIntervalMs`, to another entry.
+    pub fn submit(&self, job: u64, home: usize, body: String) {
+        let callers = self.clone();
+        thread::spawn(move || {
+            for number in 0..ATTEMPTS {
+                let entry = callers.balancer.choose(home, number);
+                let status = callers.attempt(job, number, entry, &body, DEADLINE_MS);
+                if !matches!(status, None | Some(502 | 504)) {
+                    return;
+                }
+                thread::sleep(Duration::from_millis(RESEND_MS));
+            }
+        });
+    }
+
+    /// One attempt; returns the status of the answer.
+    pub fn attempt(
+        &self,
+        job: u64,
+        number: usize,
+        entry: usize,
+        body: &str,
+        deadline: u64,
+    ) -> Option<u16> {
+        let sent = self.system.now();
+        let path = format!("{PREFIX}{job:016x}");
+        let header = deadline.to_string();
+        let headers = [("Host", HOST), ("Primrosemux-Request-Deadline", header.as_str())];
+        let limit = Duration::from_millis(deadline);
+        let to = self.system.frontend(entry);
+        let answer = http::call(to, "POST", &path, &headers, body, limit);
+        let status = answer.as_ref().map(|it| it.0);
+        let text = answer.map(|it| String::from_utf8_lossy(&it.1).into_owned());
+        self.attempts.lock().unwrap().push(Attempt {
+            job,
+            number,
+            entry,
+            sent,
+            ended: self.system.now(),
+            status,
+            body: text.unwrap_or_default(),
+        });
+        status
+    }
+}
