--- a/review/rig-3/drain.rs
+++ b/review/rig-3/drain.rs
@@ -30,10 +30,10 @@
             answer.map(|it| it.0)
         ));
     }
-    for id in 1..=140 {
+    for id in 1..=160 {
         callers.submit(id, 0, crate::system::job(2, 500, 300, ""));
         thread::sleep(Duration::from_millis(50));
-        if id == 72 {
+        if id == 92 {
             executor.leave();
             callers.note(&format!("executor {} leaves", executor.description.id));
         }
--- a/review/rig-3/kind.rs
+++ b/review/rig-3/kind.rs
@@ -1,4 +1,5 @@
-//! An idle executor crashes, and 700 ms later one of another kind starts on its machine.
+//! One of eight executors crashes while it is idle, and 700 ms later one of another kind starts on
+//! its machine.
 
 use std::{net::TcpListener, sync::Arc, thread, time::Duration};
 
@@ -18,7 +19,9 @@
     let kinds = ["a", "b"];
     let machine =
         |kind: &'static str| Machine { cpu: 64_000, labels: vec![kind, "r1-1"], born: None };
-    let system = Arc::new(System::start(1, &[machine("a")], "")?);
+    let mut machines = vec![machine("c"); 8];
+    machines[0] = machine("a");
+    let system = Arc::new(System::start(1, &machines, "")?);
     let balancer = Balancer::start(Arc::clone(&system));
     let callers = Callers::new(Arc::clone(&system), Arc::clone(&balancer));
     let mut executor = system.executors[0].clone();
--- a/review/rig-3/system.rs
+++ b/review/rig-3/system.rs
@@ -223,7 +223,7 @@
              internalPortRange = [{mesh}, {}]\nseedNodes = [\"{seed}:{control}\"]\n\
              bootstrap = true\nheartbeatIntervalMs = 1500\norders = \"call\"\n\
              [listenAddresses]\n{listen}[limits]\n{limits}\nlinkMbps = 1000.0\n\
-             [bounds]\ncontactTimeoutMs = 3000\nackTimeoutMs = 4000\ndrainTimeoutMs = 2000\n\
+             [bounds]\ncontactTimeoutMs = 3000\nackTimeoutMs = 4000\ndrainTimeoutMs = 3000\n\
              gracePeriodS = 6\nconfigApplyMs = 2000\nmaxHoldMs = 1000\nstopTimeoutMs = 50\n\
              cancel_ms = 3000\nremoteFactor = 1.5\nresendIntervalMs = 1300\n{extra}\
              [platform]\naddress = \"{store_ip}:{store}\"\nform = \"log\"\n",
