--- a/review/rig-3/callers.rs
+++ b/review/rig-3/callers.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::HashMap,
-    net::SocketAddr,
+    net::{SocketAddr, TcpStream},
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
@@ -86,6 +86,19 @@
     pub notes: Arc<Mutex<Vec<(u64, String)>>>,
     /// Addresses by which callers reach entries, where they differ from the entries' own.
     links: Arc<Mutex<HashMap<usize, SocketAddr>>>,
+    /// Connections that callers keep open after an answer.
+    idle: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+/// First attempt of a job that was sent on an open connection.
+pub struct Sent {
+    pub job: u64,
+    pub home: usize,
+    /// When it was sent, in ms since the start of the case.
+    pub at: u64,
+    pub stream: TcpStream,
+    /// How long its caller waits.
+    pub until: Instant,
 }
 
 impl Callers {
@@ -96,6 +109,7 @@
             attempts: Arc::default(),
             notes: Arc::default(),
             links: Arc::default(),
+            idle: Arc::default(),
         }
     }
 
@@ -114,36 +128,69 @@
     pub fn submit(&self, job: u64, home: usize, body: String) {
         let callers = self.clone();
         thread::spawn(move || {
-            for number in 0..ATTEMPTS {
-                let entry = callers.balancer.choose(home, number);
-                let status = callers.attempt(job, number, entry, &body, DEADLINE_MS);
-                if !matches!(status, None | Some(502 | 504)) {
-                    return;
-                }
-                thread::sleep(Duration::from_millis(RESEND_MS));
+            let entry = callers.balancer.choose(home, 0);
+            let status = callers.attempt(job, 0, entry, &body);
+            callers.send_again(job, home, status, &body);
+        });
+    }
+
+    /// Waits for the answer to the first attempt of a job; without one the connection is closed, and
+    /// the job is sent again as in [`Callers::submit`]. A connection with an answer stays open.
+    pub fn await_answer(&self, sent: Sent, body: String) {
+        let callers = self.clone();
+        thread::spawn(move || {
+            let Sent { job, home, at, stream, until } = sent;
+            let answer = http::await_answer(&stream, until);
+            let status = answer.as_ref().map(|it| it.0);
+            if status.is_some() {
+                callers.idle.lock().unwrap().push(stream);
+            } else {
+                drop(stream);
             }
+            callers.record(job, 0, home, at, answer);
+            callers.send_again(job, home, status, &body);
         });
     }
 
+    /// Sends a job again for as long as its attempts get no answer, 502 or 504.
+    fn send_again(&self, job: u64, home: usize, first: Option<u16>, body: &str) {
+        let mut status = first;
+        for number in 1..ATTEMPTS {
+            if !matches!(status, None | Some(502 | 504)) {
+                return;
+            }
+            thread::sleep(Duration::from_millis(RESEND_MS));
+            let entry = self.balancer.choose(home, number);
+            status = self.attempt(job, number, entry, body);
+        }
+    }
+
     /// One attempt; returns the status of the answer.
-    pub fn attempt(
-        &self,
-        job: u64,
-        number: usize,
-        entry: usize,
-        body: &str,
-        deadline: u64,
-    ) -> Option<u16> {
+    fn attempt(&self, job: u64, number: usize, entry: usize, body: &str) -> Option<u16> {
         let sent = self.system.now();
         let path = format!("{PREFIX}{job:016x}");
-        let header = deadline.to_string();
-        let headers = [("Host", HOST), ("Primrosemux-Request-Deadline", header.as_str())];
-        let limit = Duration::from_millis(deadline);
+        let deadline = DEADLINE_MS.to_string();
+        let headers = [("Host", HOST), ("Primrosemux-Request-Deadline", deadline.as_str())];
+        let limit = Duration::from_millis(DEADLINE_MS);
         let link = self.links.lock().unwrap().get(&entry).copied();
         let to = link.unwrap_or_else(|| self.system.frontend(entry));
         let answer = http::call(to, "POST", &path, &headers, body, limit);
         let status = answer.as_ref().map(|it| it.0);
-        let text = answer.map(|it| String::from_utf8_lossy(&it.1).into_owned());
+        self.record(job, number, entry, sent, answer);
+        status
+    }
+
+    /// Records an attempt that has ended.
+    fn record(
+        &self,
+        job: u64,
+        number: usize,
+        entry: usize,
+        sent: u64,
+        answer: Option<(u16, Vec<u8>)>,
+    ) {
+        let status = answer.as_ref().map(|it| it.0);
+        let body = answer.map(|it| String::from_utf8_lossy(&it.1).into_owned());
         self.attempts.lock().unwrap().push(Attempt {
             job,
             number,
@@ -151,8 +198,7 @@
             sent,
             ended: self.system.now(),
             status,
-            body: text.unwrap_or_default(),
+            body: body.unwrap_or_default(),
         });
-        status
     }
 }
--- a/review/rig-3/http.rs
+++ b/review/rig-3/http.rs
@@ -70,6 +70,11 @@
     reader.response(until)
 }
 
+/// Waits on an open connection for the status of an answer; the connection stays open after one.
+pub fn await_answer(stream: &TcpStream, until: Instant) -> Option<(u16, Vec<u8>)> {
+    Reader { stream: stream.try_clone().ok()?, buffer: Vec::new() }.response(until)
+}
+
 /// Text of a request.
 pub fn request_text(
     to: SocketAddr,
--- a/review/rig-3/main.rs
+++ b/review/rig-3/main.rs
@@ -3,6 +3,7 @@
 //!
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
+mod burst;
 mod callers;
 mod check;
 mod cut;
@@ -26,6 +27,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |it| it != "0");
     let outcome = match case.as_str() {
         "kind" => kind::run(trouble),
+        "burst" => burst::run(trouble),
         "cut" => cut::run(trouble),
         "drain" => drain::run(trouble),
         "freeze" => freeze::run(trouble),
