--- a/components/intake/src/stream.rs
+++ b/components/intake/src/stream.rs
@@ -97,9 +97,12 @@
         ready!(self.stream.poll_read_ready(context))?;
         ready!(self.place.poll_turn(context));
         let before = buffer.filled().len();
-        let result = ready!(Pin::new(&mut self.stream).poll_read(context, buffer));
-        self.place.end_turn(buffer.filled().len() - before);
-        Poll::Ready(result)
+        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
+        match result {
+            Poll::Ready(_) => self.place.end_turn(buffer.filled().len() - before),
+            Poll::Pending => self.place.return_turn(),
+        }
+        result
     }
 
     /// Starts the timer when the first bytes of a head arrive.
