Ask the kernel whether a caller has left before its job counts

Cause: the entry learnt that a caller had left by reading its connection, and that read can wait.

Change: when a job is handled, and every 50 ms for all callers that wait, the kernel is asked for the end of the connection (POLLRDHUP), which it knows behind unread bytes. This replaces two passes of the connection, and also gives up a job whose caller sent a further request and left.

The test of callers that leave before they are read could not fail: it looked at the starts after it had cleared them. It looks before now, and a second one has 200 callers in place of 10.

--- a/components/intake/src/lib.rs
+++ b/components/intake/src/lib.rs
@@ -12,6 +12,7 @@
 mod pace;
 mod read;
 mod shares;
+mod socket;
 mod stream;
 
 pub use crate::{
@@ -22,5 +23,6 @@
     pace::Pace,
     read::discard,
     shares::{Resources, Shares},
+    socket::ClientSocket,
     stream::{ClientStream, Phase, RequestGuard, Timeouts},
 };
--- /dev/null
+++ b/components/intake/src/socket.rs
@@ -0,0 +1,111 @@
+//! Sockets of clients, as the kernel sees them.
+//!
+//! The HTTP library knows what it has read of a connection. Its end may have arrived as well, behind
+//! bytes that wait: for the library to ask for them, for a turn, or for a host that stands still.
+
+use std::{
+    io,
+    os::fd::{AsFd, AsRawFd},
+    sync::{Arc, Weak},
+    task::{Context, Poll, ready},
+};
+
+use nix::{
+    libc,
+    poll::{PollFd, PollFlags, PollTimeout, poll},
+    sys::socket::{Shutdown, shutdown},
+};
+use tokio::{io::ReadBuf, net::TcpStream};
+
+/// The client sends nothing more; `nix` has no name for it.
+const READ_CLOSED: PollFlags = PollFlags::from_bits_retain(libc::POLLRDHUP);
+
+/// Socket of a client's connection.
+#[derive(Debug)]
+pub(crate) struct Socket {
+    stream: TcpStream,
+}
+
+/// Handle to the socket of a client's connection, which does not keep it open; clones share it.
+#[derive(Debug, Clone, Default)]
+pub struct ClientSocket(Weak<Socket>);
+
+impl ClientSocket {
+    /// Whether the client has closed its connection or will send nothing more on it.
+    ///
+    /// Also true if the connection has ended on this side.
+    pub fn has_left(&self) -> bool {
+        !ClientSocket::left([((), self)]).is_empty()
+    }
+
+    /// Keys of the sockets whose clients have left, as by [`ClientSocket::has_left`].
+    pub fn left<'a, K>(sockets: impl IntoIterator<Item = (K, &'a ClientSocket)>) -> Vec<K> {
+        let mut left = Vec::new();
+        let mut open = Vec::new();
+        for (key, ClientSocket(socket)) in sockets {
+            match socket.upgrade() {
+                Some(socket) => open.push((key, socket)),
+                None => left.push(key),
+            }
+        }
+        let states = open.iter().map(|(_, it)| PollFd::new(it.stream.as_fd(), READ_CLOSED));
+        let mut states: Vec<_> = states.collect();
+        if let Err(err) = poll(&mut states, PollTimeout::ZERO) {
+            log::debug!(error:% = err; "asking whether clients have left failed");
+            return left;
+        }
+        // Flags without a name show as none.
+        let has_left: Vec<_> = states.iter().map(|it| it.any() != Some(false)).collect();
+        drop(states);
+        let gone = open.into_iter().zip(has_left).filter(|(_, has_left)| *has_left);
+        left.extend(gone.map(|((key, _), _)| key));
+        left
+    }
+}
+
+impl Socket {
+    pub(crate) fn new(stream: TcpStream) -> Arc<Socket> {
+        Arc::new(Socket { stream })
+    }
+
+    pub(crate) fn handle(self: &Arc<Socket>) -> ClientSocket {
+        ClientSocket(Arc::downgrade(self))
+    }
+
+    pub(crate) fn poll_read_ready(&self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.stream.poll_read_ready(context)
+    }
+
+    pub(crate) fn poll_read(
+        &self,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.stream.poll_read_ready(context))?;
+            match self.stream.try_read(buffer.initialize_unfilled()) {
+                Err(err) if err.kind() == io::ErrorKind::WouldBlock => {}
+                result => return Poll::Ready(result.map(|it| buffer.advance(it))),
+            }
+        }
+    }
+
+    pub(crate) fn poll_write(
+        &self,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(context))?;
+            match self.stream.try_write(bytes) {
+                Err(err) if err.kind() == io::ErrorKind::WouldBlock => {}
+                result => return Poll::Ready(result),
+            }
+        }
+    }
+
+    /// Closes the sending half.
+    pub(crate) fn close_write(&self) -> io::Result<()> {
+        shutdown(self.stream.as_raw_fd(), Shutdown::Write).map_err(io::Error::from)
+    }
+}
--- a/components/intake/src/stream.rs
+++ b/components/intake/src/stream.rs
@@ -21,7 +21,10 @@
     time::{Instant, Sleep, sleep},
 };
 
-use crate::pace::{Pace, Place};
+use crate::{
+    pace::{Pace, Place},
+    socket::{ClientSocket, Socket},
+};
 
 /// Time limits of a stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -41,7 +44,7 @@
 
 /// A stream of a client, with timeouts on reads and writes.
 pub struct ClientStream {
-    stream: TcpStream,
+    socket: Arc<Socket>,
     place: Place,
     phase: Phase,
     /// Phase in which the first bytes of the latest head arrived.
@@ -76,7 +79,7 @@
     /// Adds timeouts to `stream`, which is read at `pace`.
     pub fn new(stream: TcpStream, phase: Phase, timeouts: Timeouts, pace: &Pace) -> ClientStream {
         ClientStream {
-            stream,
+            socket: Socket::new(stream),
             place: pace.place(),
             phase,
             head_phase: None,
@@ -88,16 +91,21 @@
         }
     }
 
+    /// Handle to the socket.
+    pub fn socket(&self) -> ClientSocket {
+        self.socket.handle()
+    }
+
     /// Reads once there is something to read and it is the connection's turn.
     fn poll_paced_read(
         &mut self,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        ready!(self.stream.poll_read_ready(context))?;
+        ready!(self.socket.poll_read_ready(context))?;
         ready!(self.place.poll_turn(context));
         let before = buffer.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let result = self.socket.poll_read(context, buffer);
         match result {
             Poll::Ready(_) => self.place.end_turn(buffer.filled().len() - before),
             Poll::Pending => self.place.return_turn(),
@@ -156,7 +164,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        match Pin::new(&mut self.stream).poll_write(context, bytes) {
+        match self.socket.poll_write(context, bytes) {
             Poll::Ready(result) => {
                 self.blocked = false;
                 Poll::Ready(result)
@@ -165,11 +173,11 @@
         }
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+    fn poll_flush(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+    fn poll_shutdown(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(self.socket.close_write())
     }
 }
--- a/hostd/src/callers.rs
+++ b/hostd/src/callers.rs
@@ -10,20 +10,20 @@
 
 use broker::{Config, Limits, Reply, Route, Status, Submission};
 use hyper::{Method, Request, StatusCode, body::Incoming, header::HOST};
-use intake::{Activity, Bodies, BodyError, Shares, WholeBody, discard};
+use intake::{Bodies, BodyError, Shares, WholeBody, discard};
 use mesh::JobId;
 use platform::{
     SubmissionError, caller_headers, decode_submission, parse_job_id, pending_body, shorten,
     status_body,
 };
 use ractor::ActorRef;
-use tokio::{sync::oneshot, task::yield_now};
+use tokio::sync::oneshot;
 
 use crate::{
     clock::uptime,
     config::CurrentConfig,
     entry::Message,
-    http::{Response, close_connection, error_response, json_response, unavailable},
+    http::{Origin, Response, close_connection, error_response, json_response, unavailable},
     job_limits::{JobHold, JobLimits},
     metrics::{Metrics, Outcome},
 };
@@ -89,15 +89,15 @@
     }
 
     /// Answers a request; if the entry is stopping, closes the connection afterwards.
-    pub(crate) async fn handle(self, request: Request<Incoming>, activity: Activity) -> Response {
-        let mut response = self.respond(request, &activity).await;
+    pub(crate) async fn handle(self, request: Request<Incoming>, origin: Origin) -> Response {
+        let mut response = self.respond(request, &origin).await;
         if self.shared.stopping.load(Ordering::Relaxed) {
             close_connection(&mut response);
         }
         response
     }
 
-    async fn respond(&self, request: Request<Incoming>, activity: &Activity) -> Response {
+    async fn respond(&self, request: Request<Incoming>, origin: &Origin) -> Response {
         let Some(config) = self.shared.current_config.get() else {
             self.count("no_config");
             log::warn!(path = shorten(request.uri().path(), MAX_LOGGED_BYTES); "refusing a request: there is no configuration yet");
@@ -118,7 +118,7 @@
                         "the path must end with 16 hexadecimal digits",
                     );
                 };
-                self.submit(&config, route, job, request, activity).await
+                self.submit(&config, route, job, request, origin).await
             }
             (&Method::GET, "") => self.pending(route).await,
             (&Method::GET, job) => self.status(job).await,
@@ -133,7 +133,7 @@
         route: &Arc<Route>,
         job: JobId,
         request: Request<Incoming>,
-        activity: &Activity,
+        origin: &Origin,
     ) -> Response {
         let headers = caller_headers(request.headers());
         let id = headers.request_id.clone();
@@ -141,7 +141,7 @@
             Ok(body) => body,
             Err(response) => return response,
         };
-        let _answer = activity.begin_answer();
+        let _answer = origin.activity.begin_answer();
         let submission = match decode_submission(job, Arc::clone(route), headers, &body) {
             Ok(submission) => submission,
             Err(err) => return self.refuse_undecoded(job, &id, &err),
@@ -151,14 +151,15 @@
             Ok(hold) => hold,
             Err(response) => return response,
         };
-        // Taken before the check of the connection, so that each suspension either ends before that
-        // check or comes after this time.
+        // Taken before the actor checks whether the caller has left, so that each suspension either
+        // ends before that check or comes after this time.
         let arrived = uptime();
-        notice_disconnect().await;
         let request_number = self.shared.next_request.fetch_add(1, Ordering::Relaxed);
         let (sender, receiver) = oneshot::channel();
         let submission = Box::new(submission);
-        let message = Message::Submit { request_number, arrived, submission, hold, reply: sender };
+        let socket = origin.socket.clone();
+        let message =
+            Message::Submit { request_number, arrived, submission, hold, socket, reply: sender };
         let actor = self.shared.actor.clone();
         if actor.cast(message).is_err() {
             return unavailable("the entry has stopped", RETRY_AFTER_S);
@@ -294,16 +295,6 @@
     }
 }
 
-/// Lets the connection notice that its caller has closed it, which drops the calling future.
-///
-/// The caller of a request that was read late may have sent its job to another entry since.
-async fn notice_disconnect() {
-    // The connection takes one pass for the end of the body, and one for its own end.
-    for _ in 0..2 {
-        yield_now().await;
-    }
-}
-
 /// Host name from the `Host` header, without the port.
 fn host(request: &Request<Incoming>) -> &str {
     let header = request.headers().get(HOST).and_then(|it| it.to_str().ok()).unwrap_or_default();
--- a/hostd/src/cmd/agent.rs
+++ b/hostd/src/cmd/agent.rs
@@ -54,7 +54,7 @@
     tokio::spawn(follow_evacuations(process.store.clone(), active, sink));
     let bodies = Bodies::new(process.shares.body_bytes);
     let service = HeartbeatService::new(actor.clone(), bodies, process.metrics.clone());
-    let handle = move |request, activity| service.clone().handle(request, activity);
+    let handle = move |request, origin| service.clone().handle(request, origin);
     let port = internal_port("heartbeats", &process.shares, &process.metrics);
     tokio::spawn(serve(heartbeats, port, process.closing.clone(), handle));
     process.run(is_finished, move |input| actor.cast(Message::Input(input)).is_ok()).await;
--- a/hostd/src/cmd/entry.rs
+++ b/hostd/src/cmd/entry.rs
@@ -98,7 +98,7 @@
         Arc::clone(&stopping),
         &process.shares,
     );
-    let handle = move |request, activity| service.clone().handle(request, activity);
+    let handle = move |request, origin| service.clone().handle(request, origin);
     tokio::spawn(serve(callers, port, process.closing.clone(), handle));
     let (_close, never_closing) = watch::channel(false);
     tokio::spawn(serve(
--- a/hostd/src/entry.rs
+++ b/hostd/src/entry.rs
@@ -13,6 +13,7 @@
 };
 
 use broker::{Broker, Effect, Event, Reply, Status, Submission};
+use intake::ClientSocket;
 use mesh::{Datagram, JobId, Member, Role, Uptime};
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::sync::{oneshot, watch};
@@ -28,6 +29,9 @@
     metrics::Metrics,
 };
 
+/// Interval between checks whether callers of jobs in progress have left, in ms.
+const CALLER_CHECK_MS: u64 = 50;
+
 /// Messages of the actor.
 pub(crate) enum Message {
     /// Input common to both roles.
@@ -42,6 +46,8 @@
         submission: Box<Submission>,
         /// What the job takes until it is answered; none for a copy of a known job.
         hold: Option<JobHold>,
+        /// Socket of the caller.
+        socket: ClientSocket,
         /// Channel for the answer.
         reply: oneshot::Sender<Reply>,
     },
@@ -77,12 +83,15 @@
     callers: HashMap<u64, Caller>,
     /// Evacuated zones that the core knows.
     evacuated: BTreeSet<String>,
+    /// Time of the next check whether callers have left.
+    next_check: Uptime,
     stopping: bool,
 }
 
 struct Caller {
     arrived: Uptime,
     _hold: Option<JobHold>,
+    socket: ClientSocket,
     reply: oneshot::Sender<Reply>,
 }
 
@@ -96,7 +105,13 @@
         _myself: ActorRef<Message>,
         deps: Dependencies,
     ) -> Result<State, ActorProcessingErr> {
-        Ok(State { deps, callers: HashMap::new(), evacuated: BTreeSet::new(), stopping: false })
+        Ok(State {
+            deps,
+            callers: HashMap::new(),
+            evacuated: BTreeSet::new(),
+            next_check: Uptime(0),
+            stopping: false,
+        })
     }
 
     async fn handle(
@@ -114,10 +129,20 @@
     fn handle(&mut self, now: Uptime, message: Message) {
         match message {
             Message::Input(input) => self.on_input(now, input),
-            // A request whose caller disconnected while it waited in the queue is dropped.
-            Message::Submit { reply, .. } if reply.is_closed() => {}
-            Message::Submit { request_number, arrived, submission, hold, reply } => {
-                self.callers.insert(request_number, Caller { arrived, _hold: hold, reply });
+            // The caller may have sent the job to another entry since.
+            Message::Submit { arrived, submission, socket, reply, .. }
+                if reply.is_closed() || socket.has_left() =>
+            {
+                self.deps.metrics.callers_left.inc();
+                log::info!(
+                    job:% = submission.job, request = submission.request.as_str(),
+                    queued_ms = now.since(arrived);
+                    "a job is dropped: its caller has left"
+                );
+            }
+            Message::Submit { request_number, arrived, submission, hold, socket, reply } => {
+                let caller = Caller { arrived, _hold: hold, socket, reply };
+                self.callers.insert(request_number, caller);
                 let submission = *submission;
                 self.handle_event(now, Event::Submit { request_number, arrived, submission });
             }
@@ -234,7 +259,21 @@
         }
     }
 
+    /// Gives up jobs whose callers have left while the end of their connection is not read.
+    fn check_callers(&mut self, now: Uptime) {
+        if now < self.next_check || self.callers.is_empty() {
+            return;
+        }
+        self.next_check = now + CALLER_CHECK_MS;
+        let sockets = self.callers.iter().map(|(number, caller)| (*number, &caller.socket));
+        for request_number in ClientSocket::left(sockets) {
+            self.deps.metrics.callers_left.inc();
+            self.handle(now, Message::Disconnected(request_number));
+        }
+    }
+
     fn on_tick(&mut self, now: Uptime) {
+        self.check_callers(now);
         self.deps.discovery.tick(now);
         let members = self.deps.discovery.members();
         self.deps.evacuations.notify_members(now, members);
--- a/hostd/src/heartbeats.rs
+++ b/hostd/src/heartbeats.rs
@@ -6,14 +6,14 @@
 };
 
 use hyper::{Request, StatusCode, body::Incoming};
-use intake::{Activity, Bodies, BodyError, discard};
+use intake::{Bodies, BodyError, discard};
 use platform::{RegistryCall, decode_heartbeat, parse_registry_call, shorten};
 use ractor::ActorRef;
 use tokio::sync::oneshot;
 
 use crate::{
     agent::Message,
-    http::{Response, close_connection, error_response, json_response, unavailable},
+    http::{Origin, Response, close_connection, error_response, json_response, unavailable},
     metrics::Metrics,
 };
 
@@ -48,7 +48,7 @@
     }
 
     /// Handles a registry call of the endpoint.
-    pub(crate) async fn handle(self, request: Request<Incoming>, activity: Activity) -> Response {
+    pub(crate) async fn handle(self, request: Request<Incoming>, origin: Origin) -> Response {
         let Some(call) = parse_registry_call(request.method(), request.uri().path()) else {
             return error_response(
                 StatusCode::NOT_FOUND,
@@ -72,7 +72,7 @@
                         return refusal(err);
                     }
                 };
-                let _answer = activity.begin_answer();
+                let _answer = origin.activity.begin_answer();
                 match decode_heartbeat(&instance, &body) {
                     Ok(heartbeat) => self.actor.cast(Message::Heartbeat(heartbeat, sender)),
                     Err(err) => {
--- a/hostd/src/http.rs
+++ b/hostd/src/http.rs
@@ -16,7 +16,9 @@
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
-use intake::{Activity, ClientStream, Connection, Connections, Pace, Phase, Timeouts};
+use intake::{
+    Activity, ClientSocket, ClientStream, Connection, Connections, Pace, Phase, Timeouts,
+};
 use serde::Serialize;
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -36,6 +38,15 @@
 /// Response of a service.
 pub(crate) type Response = hyper::Response<Full<Bytes>>;
 
+/// Connection on which a request arrived.
+#[derive(Clone)]
+pub(crate) struct Origin {
+    /// Marks requests that are being answered.
+    pub(crate) activity: Activity,
+    /// Socket of the client.
+    pub(crate) socket: ClientSocket,
+}
+
 /// Connections at a port, and limits for each of them.
 #[derive(Clone)]
 pub(crate) struct Port {
@@ -84,7 +95,7 @@
     closing: watch::Receiver<bool>,
     service: S,
 ) where
-    S: Fn(Request<Incoming>, Activity) -> F + Clone + Send + Sync + 'static,
+    S: Fn(Request<Incoming>, Origin) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
     loop {
@@ -122,14 +133,14 @@
     mut closing: watch::Receiver<bool>,
     service: S,
 ) where
-    S: Fn(Request<Incoming>, Activity) -> F,
+    S: Fn(Request<Incoming>, Origin) -> F,
     F: Future<Output = Response>,
 {
     let phase = Phase::default();
     let stream = ClientStream::new(stream, phase.clone(), port.timeouts, &port.pace);
-    let activity = connection.activity();
+    let origin = Origin { activity: connection.activity(), socket: stream.socket() };
     let handle = service_fn(move |request| {
-        let response = service(request, activity.clone());
+        let response = service(request, origin.clone());
         let phase = phase.clone();
         async move {
             let _guard = phase.begin_request();
--- a/hostd/src/metrics.rs
+++ b/hostd/src/metrics.rs
@@ -33,6 +33,8 @@
     registry: Registry,
     /// Answers to callers, by outcome.
     pub(crate) answers: Family<Outcome, Counter>,
+    /// Requests whose callers had left when they were handled, or left unread.
+    pub(crate) callers_left: Counter,
     /// Time from the arrival of a job to its answer, in seconds.
     pub(crate) answer_time: Histogram,
     /// Jobs in progress.
@@ -179,6 +181,7 @@
         let mut metrics = Metrics {
             registry: Registry::with_prefix("primrosemux"),
             answers: Family::default(),
+            callers_left: Counter::default(),
             answer_time: histogram(),
             jobs: Gauge::default(),
             waiting: Gauge::default(),
@@ -212,6 +215,11 @@
         };
         let registry = &mut metrics.registry;
         registry.register("answers", "Answers to callers", metrics.answers.clone());
+        registry.register(
+            "callers_left",
+            "Requests given up because the kernel showed that their callers have left",
+            metrics.callers_left.clone(),
+        );
         registry.register(
             "answer_seconds",
             "Time to the answer of a job",
--- a/hostd/tests/processes/deployment.rs
+++ b/hostd/tests/processes/deployment.rs
@@ -35,7 +35,7 @@
 /// Time limit for a deployment to become ready or a configuration to be applied.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 /// Default timeout of callers, in ms.
-const DEFAULT_TIMEOUT_MS: u64 = 15_000;
+pub(crate) const DEFAULT_TIMEOUT_MS: u64 = 15_000;
 /// Capacity of an executor, in thousandths of a core.
 pub(crate) const EXECUTOR_CPU: u64 = 2_000;
 /// Time after which nothing may start in an evacuated zone, in ms.
@@ -488,7 +488,7 @@
 
     /// Sends a job and closes the connection at once.
     pub(crate) async fn submit_and_leave(&self, entry: usize, job: u64, body: &str) {
-        send_job(&mut self.connect(entry).await, job, body).await;
+        send_job(&mut self.connect(entry).await, job, DEFAULT_TIMEOUT_MS, body).await;
     }
 
     /// Sends a request; returns status and body of the answer, or status 0 if there is none.
@@ -517,9 +517,9 @@
 }
 
 /// Sends a job on an open connection, without waiting for the answer.
-pub(crate) async fn send_job(stream: &mut TcpStream, job: u64, body: &str) {
+pub(crate) async fn send_job(stream: &mut TcpStream, job: u64, timeout: u64, body: &str) {
     let request = format!(
-        "POST /q/{job:016x} HTTP/1.1\r\nhost: {HOST}\r\n{DEADLINE_HEADER}: {DEFAULT_TIMEOUT_MS}\r\n\
+        "POST /q/{job:016x} HTTP/1.1\r\nhost: {HOST}\r\n{DEADLINE_HEADER}: {timeout}\r\n\
          content-length: {}\r\n\r\n{body}",
         body.len()
     );
--- a/hostd/tests/processes/main.rs
+++ b/hostd/tests/processes/main.rs
@@ -12,12 +12,12 @@
 use hyper::StatusCode;
 use mesh::{Member, Role};
 use nix::sys::signal::Signal;
-use platform_standin::{StartFault, job_text};
+use platform_standin::{Span, StartFault, job_text};
 use tokio::time::{Instant, sleep};
 
 use crate::{
-    deployment::{Deployment, EXECUTOR_CPU, Layout, send_job, submit},
-    invariants::{ObservedJob, overlaps, parse_task_name, violations},
+    deployment::{DEFAULT_TIMEOUT_MS, Deployment, EXECUTOR_CPU, Layout, send_job, submit},
+    invariants::{ObservedJob, overlaps, violations},
 };
 
 /// Duration of short tasks, in ms.
@@ -36,6 +36,12 @@
 const BURST: u64 = 60;
 /// Time within which an entry that has resumed starts what it would start.
 const SETTLE_TIME: Duration = Duration::from_millis(250);
+/// Number of callers that wait at a frozen entry, more than it reads from at once.
+const CROWD: u64 = 200;
+/// Duration of a task that runs on after the time limits of this file, in ms.
+const ENDLESS_MS: &str = "60000";
+/// Time for which the caller of such a job waits, in ms.
+const ENDLESS_TIMEOUT: u64 = 120_000;
 /// Time within which processes have tried to contact all members.
 const ODD_MEMBERS_TIME: Duration = Duration::from_secs(3);
 /// Time within which a signal has taken effect.
@@ -125,12 +131,45 @@
     }
 
     deployment.processes[0].signal(Signal::SIGCONT);
+    sleep(SETTLE_TIME).await;
+
+    assert_eq!(deployment.spans(), vec![Vec::<Span>::new(); 2]);
     deployment.wait_until_jobs_run().await;
+}
 
-    let spans = deployment.spans();
-    let started = spans.iter().flatten().filter(|it| parse_task_name(&it.task).0 <= 10);
-    let started: Vec<_> = started.collect();
-    assert!(started.is_empty(), "{started:#?}");
+/// Guards against jobs that run beside their copies at another entry: more requests wait in the sockets
+/// of a frozen entry than it reads at once, and the ends of their connections are read later.
+#[tokio::test(flavor = "multi_thread")]
+async fn jobs_do_not_run_if_many_callers_are_gone_before_they_are_read() {
+    let mut deployment = Deployment::start([10, 41], 2).await;
+    deployment.signal_entry(Signal::SIGSTOP);
+    sleep(SIGNAL_TIME).await;
+    for job in 1..=CROWD {
+        deployment.caller().submit_and_leave(0, job, &job_text(1, LONG_MS)).await;
+    }
+
+    deployment.signal_entry(Signal::SIGCONT);
+    sleep(SETTLE_TIME).await;
+
+    assert_eq!(deployment.spans(), vec![Vec::<Span>::new(); 2]);
+    deployment.wait_until_jobs_run().await;
+}
+
+/// Guards against a job that runs on for a caller who has left: a further request on the connection
+/// hides its end.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_is_given_up_if_its_caller_leaves_after_a_further_request() {
+    let deployment = Deployment::start([10, 42], 1).await;
+    let caller = deployment.caller();
+    let mut connection = caller.connect(0).await;
+    send_job(&mut connection, 1, ENDLESS_TIMEOUT, &job_text(1, ENDLESS_MS)).await;
+    send_job(&mut connection, 2, DEFAULT_TIMEOUT_MS, &job_text(1, SHORT_MS)).await;
+    deployment.wait_for("/q/0000000000000001", 200).await;
+
+    drop(connection);
+
+    deployment.wait_for("/q/0000000000000001", 410).await;
+    assert_eq!(deployment.starts_of(2), 0);
 }
 
 /// Guards against a job that starts when its entry wakes, for a caller who has left meanwhile: it was
@@ -373,7 +412,7 @@
     sleep(SIGNAL_TIME).await;
     for (number, connection) in (1..).zip(&mut connections) {
         let job = u64::from(round) * BURST + number;
-        send_job(connection, job, &job_text(1, LONG_MS)).await;
+        send_job(connection, job, DEFAULT_TIMEOUT_MS, &job_text(1, LONG_MS)).await;
     }
     sleep(FREEZE_STEP * round).await;
     deployment.signal_entry(Signal::SIGSTOP);
