Count the age of a job from the arrival of its request

Cause: the deadline of a job counted from the time at which its request was read, so that one that had waited in a socket for 4 s was new.

Change: listeners ask the kernel for the time of arrival of what is read (SO_TIMESTAMPNS), which is converted to the steady clock by the differences of the clocks that were seen lately. Deadline and objective count from it. Without a stamp, bytes arrive when they are noticed.

--- a/components/broker/src/broker.rs
+++ b/components/broker/src/broker.rs
@@ -58,8 +58,10 @@
     Submit {
         /// Number of the caller's request.
         request_number: u64,
-        /// Time at which the request was read; it may have waited in a queue since.
+        /// Time at which the end of the request arrived at the host, from which its age counts.
         arrived: Uptime,
+        /// Time at which the request was read; it may have waited in a queue since.
+        read: Uptime,
         /// Job to run.
         submission: Submission,
     },
@@ -262,8 +264,9 @@
         self.check_suspended(now);
         let mut submitted = None;
         match event {
-            Event::Submit { request_number, arrived, submission } => {
-                submitted = self.on_submit(now, request_number, arrived, submission)
+            Event::Submit { request_number, arrived, read, submission } => {
+                let times = jobs::RequestTimes { arrived, read };
+                submitted = self.on_submit(now, request_number, times, submission)
             }
             Event::Disconnected { request_number } => self.on_disconnected(now, request_number),
             Event::Cancel { job } => self.on_cancel(now, job),
--- a/components/broker/src/broker/jobs.rs
+++ b/components/broker/src/broker/jobs.rs
@@ -16,14 +16,24 @@
     queue::JobKey,
 };
 
+/// Times of a request of a caller.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct RequestTimes {
+    /// Time at which its end arrived at the host.
+    pub(super) arrived: Uptime,
+    /// Time at which it was read.
+    pub(super) read: Uptime,
+}
+
 impl Broker {
     pub(super) fn on_submit(
         &mut self,
         now: Uptime,
         request_number: u64,
-        arrived: Uptime,
+        times: RequestTimes,
         submission: Submission,
     ) -> Option<JobKey> {
+        let RequestTimes { arrived, read } = times;
         let id = submission.job;
         if let Some(key) = self.by_id.get(&id).copied() {
             log::info!(job:% = id, request = submission.request.as_str(); "duplicate submission of a job in progress");
@@ -45,7 +55,7 @@
         let last_run = earlier.map_or(0, |it| it.last_run);
         let order = self.options.policy.order;
         let job = Job::new(arrived, submission, request_number, last_run, &self.estimates, order);
-        if let Some(reason) = self.refusal_reason(now, &job) {
+        if let Some(reason) = self.refusal_reason(now, read, &job) {
             let reply = Reply::Refused { retry_after: MIN_RETRY_AFTER_MS };
             log::info!(job:% = id, request = job.submission.request.as_str(), queued_ms = now.since(arrived); "a job is refused: {reason}");
             self.effects.push(Effect::Answer { request_number, reply });
@@ -71,12 +81,14 @@
     }
 
     /// Why a new job is refused whatever capacity is free; none if it is not.
-    fn refusal_reason(&self, now: Uptime, job: &Job) -> Option<&'static str> {
+    ///
+    /// `read` is the time at which its request was read.
+    fn refusal_reason(&self, now: Uptime, read: Uptime, job: &Job) -> Option<&'static str> {
         if let Some(resumed_at) = self.resumed_at
-            && resumed_at.since(job.arrived) >= SUSPENDED_MS
+            && resumed_at.since(read) >= SUSPENDED_MS
         {
             // Its caller may have sent it to another entry since, like those of jobs in progress.
-            return Some("the host was suspended after it arrived");
+            return Some("the host was suspended after it was read");
         }
         if now >= job.deadline {
             return Some("its caller has stopped waiting");
--- a/components/broker/tests/broker/fixture.rs
+++ b/components/broker/tests/broker/fixture.rs
@@ -199,12 +199,23 @@
         self.submit_queued(self.now, submission)
     }
 
-    /// Submits a job that has waited in the queue of the process since `arrived`; returns the number
+    /// Submits a job that has waited in the queue of the process since `read`; returns the number
     /// of the request.
-    pub(crate) fn submit_queued(&mut self, arrived: Uptime, submission: Submission) -> u64 {
+    pub(crate) fn submit_queued(&mut self, read: Uptime, submission: Submission) -> u64 {
+        self.submit_waited(read, read, submission)
+    }
+
+    /// Submits a job that arrived at `arrived` and was read at `read`; returns the number of the
+    /// request.
+    pub(crate) fn submit_waited(
+        &mut self,
+        arrived: Uptime,
+        read: Uptime,
+        submission: Submission,
+    ) -> u64 {
         self.next_request += 1;
         let request_number = self.next_request;
-        self.event(Event::Submit { request_number, arrived, submission });
+        self.event(Event::Submit { request_number, arrived, read, submission });
         request_number
     }
 
--- a/components/broker/tests/broker/jobs.rs
+++ b/components/broker/tests/broker/jobs.rs
@@ -167,7 +167,7 @@
 // Guards against a job that starts after a suspension although its caller may have sent it to another
 // entry: it was read before the suspension and waited in the queue of the process.
 #[test]
-fn refuses_a_job_that_arrived_before_the_host_was_suspended() {
+fn refuses_a_job_that_was_read_before_the_host_was_suspended() {
     let mut fixture = Fixture::new(1);
     let arrived = fixture.now;
     let long = || vec![Step { declared: 2_000, ..step(1, 100) }];
@@ -213,6 +213,24 @@
     assert_eq!(fixture.answer(in_time), Some(Reply::GivenUp));
 }
 
+// Guards against a job that starts for a caller who has stopped waiting: it waited in a socket while
+// the host was suspended.
+#[test]
+fn refuses_a_job_whose_time_is_up_before_it_is_read() {
+    let mut fixture = Fixture::new(1);
+    let (recent, old) = (fixture.now + 3_000, fixture.now);
+    fixture.now = fixture.now + 4_000;
+
+    let late = fixture.submit_waited(old, fixture.now, submission(1, vec![step(1, 100)]));
+    let in_time = fixture.submit_waited(recent, fixture.now, submission(2, vec![step(1, 100)]));
+    fixture.advance(50);
+
+    assert_eq!(fixture.answer(late), Some(Reply::Refused { retry_after: 1_000 }));
+    assert_eq!(fixture.answer(in_time), None);
+    let jobs: Vec<_> = fixture.runs().iter().map(|(_, run)| run.job).collect();
+    assert_eq!(jobs, [JobId(2)]);
+}
+
 #[test]
 fn reports_the_status_of_a_job() {
     let mut fixture = Fixture::new(1);
--- a/components/intake/src/lib.rs
+++ b/components/intake/src/lib.rs
@@ -5,6 +5,7 @@
 //! has sent no whole request for long, or that holds more than itself. Reads have a pace ([`Pace`]),
 //! so that a crowd does not keep a process from its other work.
 
+mod arrival;
 mod bodies;
 mod budget;
 mod connections;
@@ -16,6 +17,7 @@
 mod stream;
 
 pub use crate::{
+    arrival::{ArrivalClock, Clocks, SteadyTime},
     bodies::{Bodies, BodyError, BodyReservation, PartialBody, WholeBody},
     budget::{Budget, Reservation},
     connections::{Activity, AnswerGuard, Connection, Connections},
--- a/components/intake/src/listen.rs
+++ b/components/intake/src/listen.rs
@@ -2,6 +2,7 @@
 
 use std::{io, net::SocketAddr};
 
+use nix::sys::socket::{setsockopt, sockopt::ReceiveTimestampns};
 use tokio::net::{TcpListener, TcpSocket};
 
 /// Receive buffer of a client's connection, in bytes; the kernel doubles it for its own accounts.
@@ -21,9 +22,12 @@
         SocketAddr::V6(_) => TcpSocket::new_v6()?,
     };
     socket.set_reuseaddr(true)?;
-    // Connections inherit the sizes of their listener.
+    // Connections inherit the options of their listener.
     socket.set_recv_buffer_size(RECEIVE_BYTES)?;
     socket.set_send_buffer_size(SEND_BYTES)?;
+    if let Err(err) = setsockopt(&socket, ReceiveTimestampns, &true) {
+        log::warn!(address:% = address, error:% = err; "the kernel does not tell when bytes arrive; they count from their read");
+    }
     socket.bind(address)?;
     socket.listen(backlog)
 }
--- a/components/intake/src/socket.rs
+++ b/components/intake/src/socket.rs
@@ -1,26 +1,37 @@
 //! Sockets of clients, as the kernel sees them.
 //!
 //! The HTTP library knows what it has read of a connection. Its end may have arrived as well, behind
-//! bytes that wait: for the library to ask for them, for a turn, or for a host that stands still.
+//! bytes that wait: for the library to ask for them, for a turn, or for a host that stands still. The
+//! kernel also knows when the bytes that are read arrived.
 
 use std::{
-    io,
+    io::{self, IoSliceMut},
     os::fd::{AsFd, AsRawFd},
-    sync::{Arc, Weak},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, Weak},
     task::{Context, Poll, ready},
+    time::Duration,
 };
 
 use nix::{
+    cmsg_space,
+    errno::Errno,
     libc,
     poll::{PollFd, PollFlags, PollTimeout, poll},
-    sys::socket::{Shutdown, shutdown},
-    unistd::read,
+    sys::{
+        socket::{ControlMessageOwned, MsgFlags, Shutdown, recvmsg, shutdown},
+        time::TimeSpec,
+    },
 };
 use tokio::{
     io::{Interest, ReadBuf},
     net::TcpStream,
 };
 
+use crate::arrival::{ArrivalClock, Clocks, SteadyTime};
+
+/// Converts the stamps of all sockets of the process.
+static ARRIVAL_CLOCK: Mutex<ArrivalClock> = Mutex::new(ArrivalClock::new());
+
 /// The client sends nothing more; `nix` has no name for it.
 const READ_CLOSED: PollFlags = PollFlags::from_bits_retain(libc::POLLRDHUP);
 
@@ -28,6 +39,18 @@
 #[derive(Debug)]
 pub(crate) struct Socket {
     stream: TcpStream,
+    times: Mutex<Times>,
+}
+
+/// Times of a socket.
+#[derive(Debug, Default)]
+struct Times {
+    /// Arrival of the last bytes that were read.
+    arrived: Option<SteadyTime>,
+    /// Time at which bytes that are not read yet were noticed.
+    noticed: Option<SteadyTime>,
+    /// Start of the last read that found no more bytes.
+    emptied: SteadyTime,
 }
 
 /// Handle to the socket of a client's connection, which does not keep it open; clones share it.
@@ -42,6 +65,15 @@
         !ClientSocket::left([((), self)]).is_empty()
     }
 
+    /// Time at which the last bytes that were read of the connection arrived at this host.
+    ///
+    /// Where the kernel does not tell, it is the time at which they were noticed.
+    pub fn arrived(&self) -> SteadyTime {
+        let ClientSocket(socket) = self;
+        let arrived = socket.upgrade().and_then(|it| it.times().arrived);
+        arrived.unwrap_or_else(SteadyTime::now)
+    }
+
     /// Keys of the sockets whose clients have left, as by [`ClientSocket::has_left`].
     pub fn left<'a, K>(sockets: impl IntoIterator<Item = (K, &'a ClientSocket)>) -> Vec<K> {
         let mut left = Vec::new();
@@ -69,7 +101,7 @@
 
 impl Socket {
     pub(crate) fn new(stream: TcpStream) -> Arc<Socket> {
-        Arc::new(Socket { stream })
+        Arc::new(Socket { stream, times: Mutex::default() })
     }
 
     pub(crate) fn handle(self: &Arc<Socket>) -> ClientSocket {
@@ -77,7 +109,9 @@
     }
 
     pub(crate) fn poll_read_ready(&self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.stream.poll_read_ready(context)
+        ready!(self.stream.poll_read_ready(context))?;
+        self.times().noticed.get_or_insert_with(SteadyTime::now);
+        Poll::Ready(Ok(()))
     }
 
     pub(crate) fn poll_read(
@@ -101,7 +135,7 @@
     fn try_read(&self, buffer: &mut [u8]) -> io::Result<usize> {
         let mut short_read = None;
         let result = self.stream.try_io(Interest::READABLE, || {
-            let length = read(self.stream.as_fd(), buffer)?;
+            let length = self.receive(buffer)?;
             if length == 0 || length == buffer.len() {
                 return Ok(length);
             }
@@ -111,6 +145,42 @@
         short_read.map_or(result, Ok)
     }
 
+    /// Reads from the socket, and notes when the bytes arrived.
+    fn receive(&self, buffer: &mut [u8]) -> io::Result<usize> {
+        let now = Clocks::now();
+        let capacity = buffer.len();
+        let mut slices = [IoSliceMut::new(buffer)];
+        let mut control = cmsg_space!(TimeSpec);
+        let flags = MsgFlags::empty();
+        let fd = self.stream.as_raw_fd();
+        let message = match recvmsg::<()>(fd, &mut slices, Some(&mut control), flags) {
+            Ok(message) => message,
+            Err(Errno::EWOULDBLOCK) => {
+                let mut times = self.times();
+                (times.emptied, times.noticed) = (now.steady, None);
+                return Err(io::ErrorKind::WouldBlock.into());
+            }
+            Err(err) => return Err(err.into()),
+        };
+        let length = message.bytes;
+        let stamp = message.cmsgs().ok().and_then(|mut it| it.find_map(stamp));
+        let stamped = stamp.map(|it| lock(&ARRIVAL_CLOCK).arrival(now, it));
+        let mut times = self.times();
+        if length > 0 {
+            // What arrived before the socket was emptied has been read then.
+            let stamped = stamped.map(|it| it.max(times.emptied));
+            times.arrived = stamped.or(times.noticed).or(Some(now.steady));
+        }
+        if length < capacity {
+            (times.emptied, times.noticed) = (now.steady, None);
+        }
+        Ok(length)
+    }
+
+    fn times(&self) -> MutexGuard<'_, Times> {
+        lock(&self.times)
+    }
+
     pub(crate) fn poll_write(
         &self,
         context: &mut Context<'_>,
@@ -130,3 +200,15 @@
         shutdown(self.stream.as_raw_fd(), Shutdown::Write).map_err(io::Error::from)
     }
 }
+
+/// Stamp of the kernel, by its wall clock.
+fn stamp(message: ControlMessageOwned) -> Option<Duration> {
+    match message {
+        ControlMessageOwned::ScmTimestampns(time) => Some(time.into()),
+        _ => None,
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/components/model/src/callers.rs
+++ b/components/model/src/callers.rs
@@ -25,6 +25,8 @@
 pub(crate) struct Callers {
     pub(crate) open: HashMap<JobId, OpenJob>,
     pub(crate) requests: HashMap<u64, JobId>,
+    /// Times at which the ends of closed connections arrive, by request.
+    pub(crate) ends: HashMap<u64, u64>,
     last_request: u64,
 }
 
--- a/components/model/src/simulation.rs
+++ b/components/model/src/simulation.rs
@@ -82,6 +82,8 @@
     pub timeout: Option<u64>,
     /// Longest time for which a request waits in the queue of an entry once it was read, in ms.
     pub queue_delay: u64,
+    /// Time that the end of a caller's connection takes to its entry, in ms.
+    pub end_delay: u64,
     /// Job whose events are recorded in the report.
     pub trace: Option<JobId>,
 }
@@ -108,6 +110,7 @@
             remote_percent: None,
             timeout: None,
             queue_delay: 0,
+            end_delay: 0,
             trace: None,
         }
     }
@@ -127,6 +130,7 @@
         entry: usize,
         job: JobId,
         token: u64,
+        sent: u64,
     },
     /// An entry handles a request that has waited in its queue.
     Dequeue {
@@ -196,6 +200,7 @@
 struct QueuedRequest {
     token: u64,
     arrived: u64,
+    read: u64,
     submission: Submission,
 }
 
@@ -431,7 +436,7 @@
             Event::Remove(agent) => self.on_remove(agent),
             Event::Arrive(kind) => self.on_arrival(kind),
             Event::Send(job) => self.send_job(job),
-            Event::Submit { entry, job, token } => self.on_submit(entry, job, token),
+            Event::Submit { entry, job, token, sent } => self.on_submit(entry, job, token, sent),
             Event::Dequeue { entry, request } => self.handle_request(entry, *request),
             Event::Disconnect { entry, token } => {
                 self.closed.insert(token);
--- a/components/model/src/simulation/callers.rs
+++ b/components/model/src/simulation/callers.rs
@@ -62,7 +62,7 @@
         if let Some(open) = self.callers.open.get_mut(&job) {
             open.request = Some((entry, token));
         }
-        self.push(self.now, Event::Submit { entry, job, token });
+        self.push(self.now, Event::Submit { entry, job, token, sent: self.now });
         self.push(self.now + timeout, Event::RequestTimeout { job, token });
     }
 
@@ -80,15 +80,17 @@
         chosen.unwrap_or(0)
     }
 
-    pub(super) fn on_submit(&mut self, entry: usize, job: JobId, token: u64) {
+    /// Reads a request, possibly long after it was sent if the entry was suspended.
+    pub(super) fn on_submit(&mut self, entry: usize, job: JobId, token: u64, sent: u64) {
         let Some(open) = self.callers.open.get(&job) else { return };
-        if open.request != Some((entry, token)) {
-            // An entry drops a request if its caller has closed the connection before it is read.
+        let end = self.callers.ends.get(&token);
+        if end.is_some_and(|it| *it <= self.now) {
+            // An entry drops a request if the end of its connection has arrived before it is read.
             return;
         }
         let submission = open.submission.clone();
         self.trace(job, || format!("sent to entry {entry} as request {token}"));
-        let request = QueuedRequest { token, arrived: self.now, submission };
+        let request = QueuedRequest { token, arrived: sent, read: self.now, submission };
         if self.options.queue_delay == 0 {
             self.handle_request(entry, request);
             return;
@@ -98,12 +100,13 @@
     }
 
     pub(super) fn handle_request(&mut self, entry: usize, request: QueuedRequest) {
-        let QueuedRequest { token, arrived, submission } = request;
-        if arrived < self.entry_starts[entry] || self.closed.contains(&token) {
+        let QueuedRequest { token, arrived, read, submission } = request;
+        if read < self.entry_starts[entry] || self.closed.contains(&token) {
             return;
         }
-        let arrived = Uptime(arrived);
-        self.run_entry(entry, EntryEvent::Submit { request_number: token, arrived, submission });
+        let (arrived, read) = (Uptime(arrived), Uptime(read));
+        let event = EntryEvent::Submit { request_number: token, arrived, read, submission };
+        self.run_entry(entry, event);
     }
 
     /// Handles a request timeout: the caller disconnects and schedules a retry.
@@ -112,7 +115,9 @@
         let Some((entry, _)) = open.request.filter(|(_, it)| *it == token) else { return };
         open.request = None;
         self.callers.requests.remove(&token);
-        self.push(self.now, Event::Disconnect { entry, token });
+        let end = self.now + self.options.end_delay;
+        self.callers.ends.insert(token, end);
+        self.push(end, Event::Disconnect { entry, token });
         self.push(self.now + RESEND_MS, Event::Send(job));
     }
 
--- a/components/model/tests/promises.rs
+++ b/components/model/tests/promises.rs
@@ -9,6 +9,8 @@
 
 /// Default number of random schedules.
 const SCHEDULES: u64 = 60;
+/// Time that the end of a connection takes if it is lost and sent again, in ms.
+const LONG_END_DELAY: u64 = 3_000;
 /// Time during which jobs arrive, in ms.
 const LENGTH: u64 = 12_000;
 /// Seed in which tasks overlapped as requests from before a suspension counted as new.
@@ -211,6 +213,7 @@
         options.queue_delay = 100;
         // Some callers leave soon after they have sent their job.
         options.timeout = Some(if seed % 2 == 0 { 1_500 } else { 300 });
+        options.end_delay = if seed % 3 == 0 { LONG_END_DELAY } else { 0 };
 
         let report = Simulation::new(options).run();
 
@@ -289,6 +292,24 @@
     }
 }
 
+// Guards against jobs that start when their entry goes on although their callers have sent them to
+// another one: they waited in sockets, and the ends of their connections have not arrived.
+#[test]
+fn no_tasks_overlap_if_an_entry_is_suspended_and_the_ends_of_connections_are_late() {
+    let suspension = |at| Fault { at, length: 4_000, kind: FaultKind::SuspendEntry(0) };
+
+    for seed in seeds(20) {
+        let mut options = options(seed, [500, 5_500, 10_500].map(suspension).to_vec());
+        options.end_delay = LONG_END_DELAY;
+        options.timeout = Some(1_500);
+
+        let report = Simulation::new(options).run();
+
+        print_trace(seed, &[FaultKind::SuspendEntry(0)], &report);
+        assert_eq!(report.violations, vec![], "seed {seed}");
+    }
+}
+
 // Guards against runs that are refused, or ended, on the word of one copy of their start while
 // another copy runs: issue 24, with every other fault beside it.
 #[test]
--- a/hostd/src/callers.rs
+++ b/hostd/src/callers.rs
@@ -20,7 +20,7 @@
 use tokio::sync::oneshot;
 
 use crate::{
-    clock::uptime,
+    clock::{uptime, uptime_at},
     config::CurrentConfig,
     entry::Message,
     http::{Origin, Response, close_connection, error_response, json_response, unavailable},
@@ -141,6 +141,9 @@
             Ok(body) => body,
             Err(response) => return response,
         };
+        // Taken before the actor checks whether the caller has left, so that each suspension either
+        // ends before that check or comes after these times.
+        let (arrived, read) = (uptime_at(origin.socket.arrived()), uptime());
         let _answer = origin.activity.begin_answer();
         let submission = match decode_submission(job, Arc::clone(route), headers, &body) {
             Ok(submission) => submission,
@@ -151,15 +154,19 @@
             Ok(hold) => hold,
             Err(response) => return response,
         };
-        // Taken before the actor checks whether the caller has left, so that each suspension either
-        // ends before that check or comes after this time.
-        let arrived = uptime();
         let request_number = self.shared.next_request.fetch_add(1, Ordering::Relaxed);
         let (sender, receiver) = oneshot::channel();
         let submission = Box::new(submission);
         let socket = origin.socket.clone();
-        let message =
-            Message::Submit { request_number, arrived, submission, hold, socket, reply: sender };
+        let message = Message::Submit {
+            request_number,
+            arrived,
+            read,
+            submission,
+            hold,
+            socket,
+            reply: sender,
+        };
         let actor = self.shared.actor.clone();
         if actor.cast(message).is_err() {
             return unavailable("the entry has stopped", RETRY_AFTER_S);
--- a/hostd/src/entry.rs
+++ b/hostd/src/entry.rs
@@ -31,7 +31,6 @@
 
 /// Interval between checks whether callers of jobs in progress have left, in ms.
 const CALLER_CHECK_MS: u64 = 50;
-
 /// Messages of the actor.
 pub(crate) enum Message {
     /// Input common to both roles.
@@ -40,8 +39,10 @@
     Submit {
         /// Number of the request within this process.
         request_number: u64,
-        /// Time at which the request was read.
+        /// Time at which the end of the request arrived at this host.
         arrived: Uptime,
+        /// Time at which the request was read.
+        read: Uptime,
         /// Submitted job.
         submission: Box<Submission>,
         /// What the job takes until it is answered; none for a copy of a known job.
@@ -140,11 +141,11 @@
                     "a job is dropped: its caller has left"
                 );
             }
-            Message::Submit { request_number, arrived, submission, hold, socket, reply } => {
+            Message::Submit { request_number, arrived, read, submission, hold, socket, reply } => {
                 let caller = Caller { arrived, _hold: hold, socket, reply };
                 self.callers.insert(request_number, caller);
                 let submission = *submission;
-                self.handle_event(now, Event::Submit { request_number, arrived, submission });
+                self.handle_event(now, Event::Submit { request_number, arrived, read, submission });
             }
             Message::Disconnected(request_number) => {
                 self.callers.remove(&request_number);
--- a/hostd/tests/processes/deployment.rs
+++ b/hostd/tests/processes/deployment.rs
@@ -21,7 +21,7 @@
     heartbeat_path, heartbeat_text, job_text,
 };
 use tokio::{
-    io::AsyncWriteExt,
+    io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
     time::{Instant, sleep},
 };
@@ -526,6 +526,14 @@
     stream.write_all(request.as_bytes()).await.expect("a request that fits into the buffer");
 }
 
+/// Status of the next answer on a connection.
+pub(crate) async fn status(mut stream: TcpStream) -> u16 {
+    let mut line = [0; "HTTP/1.1 200".len()];
+    stream.read_exact(&mut line).await.expect("an answer");
+    let line = str::from_utf8(&line).expect("a status line");
+    line.rsplit(' ').next().and_then(|it| it.parse().ok()).expect("a status")
+}
+
 /// Submits a job of `tasks` tasks that run for `work` ms each to the first entry.
 pub(crate) async fn submit(
     deployment: &Deployment,
--- a/hostd/tests/processes/main.rs
+++ b/hostd/tests/processes/main.rs
@@ -16,7 +16,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::{
-    deployment::{DEFAULT_TIMEOUT_MS, Deployment, EXECUTOR_CPU, Layout, send_job, submit},
+    deployment::{DEFAULT_TIMEOUT_MS, Deployment, EXECUTOR_CPU, Layout, send_job, status, submit},
     invariants::{ObservedJob, overlaps, violations},
 };
 
@@ -36,6 +36,8 @@
 const BURST: u64 = 60;
 /// Time within which an entry that has resumed starts what it would start.
 const SETTLE_TIME: Duration = Duration::from_millis(250);
+/// Time for which callers wait while an entry is frozen, in ms.
+const SHORT_TIMEOUT: u64 = 1_000;
 /// Number of callers that wait at a frozen entry, more than it reads from at once.
 const CROWD: u64 = 200;
 /// Duration of a task that runs on after the time limits of this file, in ms.
@@ -155,6 +157,32 @@
     deployment.wait_until_jobs_run().await;
 }
 
+/// Guards against jobs that run beside their copies at another entry: their callers have stopped waiting
+/// while the entry was frozen, and the ends of their connections have not arrived.
+#[tokio::test(flavor = "multi_thread")]
+async fn jobs_do_not_run_if_their_time_is_up_before_they_are_read() {
+    let mut deployment = Deployment::start([10, 43], 2).await;
+    let caller = deployment.caller();
+    deployment.signal_entry(Signal::SIGSTOP);
+    sleep(SIGNAL_TIME).await;
+    let mut connections = Vec::new();
+    for job in 1..=10 {
+        let mut connection = caller.connect(0).await;
+        send_job(&mut connection, job, SHORT_TIMEOUT, &job_text(1, LONG_MS)).await;
+        connections.push(connection);
+    }
+
+    sleep(Duration::from_millis(SHORT_TIMEOUT) * 2).await;
+    deployment.signal_entry(Signal::SIGCONT);
+    sleep(SETTLE_TIME).await;
+
+    assert_eq!(deployment.spans(), vec![Vec::<Span>::new(); 2]);
+    for connection in connections {
+        assert_eq!(status(connection).await, 503);
+    }
+    deployment.wait_until_jobs_run().await;
+}
+
 /// Guards against a job that runs on for a caller who has left: a further request on the connection
 /// hides its end.
 #[tokio::test(flavor = "multi_thread")]
