Count the times of a heartbeat from its arrival

A notice of removal that waited in a socket while the host stood still gave the endpoint more time than it had left, so that runs were left that could not end.

Cause: timeRemainingMs and coldRemainingMs counted from the handling of the heartbeat.

Change: they are shortened by the time since its last byte arrived, which the socket tells.

Evidence: a_notice_that_has_waited_leaves_less_time fails without the shortening.

--- a/components/guard/src/guard.rs
+++ b/components/guard/src/guard.rs
@@ -91,6 +91,18 @@
     pub info: EndpointInfo,
 }
 
+impl Heartbeat {
+    /// The heartbeat as it holds `wait` ms after it arrived.
+    pub fn after(self, wait: u64) -> Heartbeat {
+        let left = |time: Option<u64>| time.map(|it| it.saturating_sub(wait));
+        Heartbeat {
+            time_remaining: left(self.time_remaining),
+            cold_remaining: left(self.cold_remaining),
+            ..self
+        }
+    }
+}
+
 /// State of the agent's availability zone.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ZoneState {
--- a/components/guard/tests/guard/removal.rs
+++ b/components/guard/tests/guard/removal.rs
@@ -59,6 +59,21 @@
     assert_eq!(stopping(&fixture), vec![key(1)]);
 }
 
+// Guards against runs that are lost because the notice waited while the host was suspended.
+#[test]
+fn a_notice_that_has_waited_leaves_less_time() {
+    let mut fixture = fixture();
+    let beat = heartbeat("i-1", HeartbeatState::Draining);
+    let beat = Heartbeat { time_remaining: Some(400), cold_remaining: Some(200), ..beat };
+
+    let late = beat.after(250);
+    let cold_remaining = late.cold_remaining;
+    fixture.event(Event::Heartbeat(late));
+
+    assert_eq!(cold_remaining, Some(0));
+    assert_eq!(stopping(&fixture), vec![key(1)]);
+}
+
 #[test]
 fn a_second_notice_replaces_the_first() {
     let mut fixture = fixture();
--- a/hostd/src/agent.rs
+++ b/hostd/src/agent.rs
@@ -27,8 +27,15 @@
 pub(crate) enum Message {
     /// Input common to both roles.
     Input(Input),
-    /// The endpoint sent a heartbeat; the sender is told once it is handled.
-    Heartbeat(Heartbeat, oneshot::Sender<()>),
+    /// The endpoint sent a heartbeat.
+    Heartbeat {
+        /// Content of the heartbeat.
+        heartbeat: Heartbeat,
+        /// Time at which its end arrived at this host.
+        arrived: Uptime,
+        /// Told once the heartbeat is handled.
+        handled: oneshot::Sender<()>,
+    },
     /// The endpoint with this instance id has deregistered.
     Deregistered(String, oneshot::Sender<()>),
     /// A call to the endpoint was answered or failed.
@@ -100,7 +107,8 @@
     fn handle(&mut self, now: Uptime, message: Message) {
         match message {
             Message::Input(input) => self.on_input(now, input),
-            Message::Heartbeat(heartbeat, handled) => {
+            Message::Heartbeat { heartbeat, arrived, handled } => {
+                let heartbeat = heartbeat.after(now.since(arrived));
                 self.handle_event(now, Event::Heartbeat(heartbeat));
                 // The endpoint may have closed its connection.
                 let _ = handled.send(());
--- a/hostd/src/heartbeats.rs
+++ b/hostd/src/heartbeats.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     agent::Message,
+    clock::uptime_at,
     http::{Origin, Response, close_connection, error_response, json_response, unavailable},
     metrics::Metrics,
 };
@@ -72,9 +73,13 @@
                         return refusal(err);
                     }
                 };
+                let arrived = uptime_at(origin.socket.arrived());
                 let _answer = origin.activity.begin_answer();
                 match decode_heartbeat(&instance, &body) {
-                    Ok(heartbeat) => self.actor.cast(Message::Heartbeat(heartbeat, sender)),
+                    Ok(heartbeat) => {
+                        let message = Message::Heartbeat { heartbeat, arrived, handled: sender };
+                        self.actor.cast(message)
+                    }
                     Err(err) => {
                         self.warn_limited(&instance, &err.to_string());
                         return error_response(StatusCode::BAD_REQUEST, &err.to_string());
