Read the clocks after the bytes, and order the methods of a socket

Cause: a piece that arrived between the reading of the clocks and that of the bytes had a stamp in the future. After a wall clock was set back, an older difference of the clocks then made it look old.

Change: the clocks are read after the bytes. No test shows the moment. Pieces of a request have a test of their age.

--- a/components/intake/src/arrival.rs
+++ b/components/intake/src/arrival.rs
@@ -61,7 +61,10 @@
 impl Clocks {
     /// Reads both clocks.
     pub fn now() -> Clocks {
-        Clocks { steady: SteadyTime::now(), wall: read_clock(ClockId::CLOCK_REALTIME) }
+        // In this order, a pause between the two makes stamps look older, which the true difference
+        // then outweighs.
+        let steady = SteadyTime::now();
+        Clocks { steady, wall: read_clock(ClockId::CLOCK_REALTIME) }
     }
 }
 
--- a/components/intake/src/lib.rs
+++ b/components/intake/src/lib.rs
@@ -4,6 +4,9 @@
 //! settings ([`Shares`]). A crowd cannot use a limit up: whoever needs room displaces a client that
 //! has sent no whole request for long, or that holds more than itself. Reads have a pace ([`Pace`]),
 //! so that a crowd does not keep a process from its other work.
+//!
+//! What waits to be read grows old: [`ClientSocket`] tells when it arrived, and whether its sender has
+//! left since.
 
 mod arrival;
 mod bodies;
--- a/components/intake/src/socket.rs
+++ b/components/intake/src/socket.rs
@@ -49,7 +49,7 @@
     arrived: Option<SteadyTime>,
     /// Time at which bytes that are not read yet were noticed.
     noticed: Option<SteadyTime>,
-    /// Start of the last read that found no more bytes.
+    /// Time of the last read that found no more bytes.
     emptied: SteadyTime,
 }
 
@@ -74,7 +74,7 @@
         arrived.unwrap_or_else(SteadyTime::now)
     }
 
-    /// Keys of the sockets whose clients have left, as by [`ClientSocket::has_left`].
+    /// Keys of the sockets whose clients have left, as by [`ClientSocket::has_left`], in one system call.
     pub fn left<'a, K>(sockets: impl IntoIterator<Item = (K, &'a ClientSocket)>) -> Vec<K> {
         let mut left = Vec::new();
         let mut open = Vec::new();
@@ -100,6 +100,7 @@
 }
 
 impl Socket {
+    /// Takes over a stream; the socket closes once it is dropped.
     pub(crate) fn new(stream: TcpStream) -> Arc<Socket> {
         Arc::new(Socket { stream, times: Mutex::default() })
     }
@@ -108,6 +109,7 @@
         ClientSocket(Arc::downgrade(self))
     }
 
+    /// Waits until there are bytes to read, or the end, and notes when that is noticed.
     pub(crate) fn poll_read_ready(&self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(self.stream.poll_read_ready(context))?;
         self.times().noticed.get_or_insert_with(SteadyTime::now);
@@ -128,6 +130,25 @@
         }
     }
 
+    pub(crate) fn poll_write(
+        &self,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(context))?;
+            match self.stream.try_write(bytes) {
+                Err(err) if err.kind() == io::ErrorKind::WouldBlock => {}
+                result => return Poll::Ready(result),
+            }
+        }
+    }
+
+    /// Closes the sending half.
+    pub(crate) fn close_write(&self) -> io::Result<()> {
+        shutdown(self.stream.as_raw_fd(), Shutdown::Write).map_err(io::Error::from)
+    }
+
     /// Reads what has arrived.
     ///
     /// A read that does not fill the buffer has emptied the socket, which is then no longer taken for
@@ -147,13 +168,15 @@
 
     /// Reads from the socket, and notes when the bytes arrived.
     fn receive(&self, buffer: &mut [u8]) -> io::Result<usize> {
-        let now = Clocks::now();
         let capacity = buffer.len();
         let mut slices = [IoSliceMut::new(buffer)];
         let mut control = cmsg_space!(TimeSpec);
         let flags = MsgFlags::empty();
         let fd = self.stream.as_raw_fd();
-        let message = match recvmsg::<()>(fd, &mut slices, Some(&mut control), flags) {
+        let result = recvmsg::<()>(fd, &mut slices, Some(&mut control), flags);
+        // Read afterwards, so that no stamp lies in the future.
+        let now = Clocks::now();
+        let message = match result {
             Ok(message) => message,
             Err(Errno::EWOULDBLOCK) => {
                 let mut times = self.times();
@@ -180,25 +203,6 @@
     fn times(&self) -> MutexGuard<'_, Times> {
         lock(&self.times)
     }
-
-    pub(crate) fn poll_write(
-        &self,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.stream.poll_write_ready(context))?;
-            match self.stream.try_write(bytes) {
-                Err(err) if err.kind() == io::ErrorKind::WouldBlock => {}
-                result => return Poll::Ready(result),
-            }
-        }
-    }
-
-    /// Closes the sending half.
-    pub(crate) fn close_write(&self) -> io::Result<()> {
-        shutdown(self.stream.as_raw_fd(), Shutdown::Write).map_err(io::Error::from)
-    }
 }
 
 /// Stamp of the kernel, by its wall clock.
--- a/components/intake/tests/arrival.rs
+++ b/components/intake/tests/arrival.rs
@@ -68,28 +68,45 @@
     assert_eq!(arrival, steady(10.0));
 }
 
+#[tokio::test]
+async fn bytes_in_pieces_are_as_old_as_the_last_piece() {
+    let (mut client, mut stream) = connect().await;
+    client.write_all(&[1; 50]).await.expect("bytes are sent");
+    sleep(WAIT).await;
+    client.write_all(&[1; 50]).await.expect("bytes are sent");
+
+    stream.read_exact(&mut [0; 100]).await.expect("bytes");
+
+    let age = SteadyTime::now().since(stream.socket().arrived());
+    assert!(age < WAIT, "{age:?}");
+}
+
 /// Guards against a request that counts as new however long it waited in a socket.
 #[tokio::test]
 async fn bytes_that_wait_in_a_socket_are_as_old_as_their_arrival() {
-    let listener = listen("127.0.0.1:0".parse().expect("an address"), 16).expect("a listener");
-    let address = listener.local_addr().expect("an address");
-    // The first listener of a host makes the kernel put stamps on bytes, a few ms later.
-    sleep(WAIT).await;
-    let mut client = TcpStream::connect(address).await.expect("a connection");
+    let (mut client, mut stream) = connect().await;
     client.write_all(&[1; 100]).await.expect("bytes are sent");
     sleep(WAIT).await;
 
-    let (stream, _) = listener.accept().await.expect("a connection");
-    let mut stream = ClientStream::new(stream, Phase::default(), LONG, &Pace::new(1));
-    let socket = stream.socket();
     stream.read_exact(&mut [0; 100]).await.expect("bytes");
-    let age = SteadyTime::now().since(socket.arrived());
+    let age = SteadyTime::now().since(stream.socket().arrived());
     client.write_all(&[1; 100]).await.expect("bytes are sent");
     stream.read_exact(&mut [0; 100]).await.expect("bytes");
-    let later_age = SteadyTime::now().since(socket.arrived());
+    let later_age = SteadyTime::now().since(stream.socket().arrived());
 
     assert!(age >= WAIT, "{age:?}");
-    assert!(later_age < age, "{later_age:?} of a kept connection");
+    assert!(later_age < age, "{later_age:?}, on the kept connection");
+}
+
+/// A client, and the stream of its connection.
+async fn connect() -> (TcpStream, ClientStream) {
+    let listener = listen("127.0.0.1:0".parse().expect("an address"), 16).expect("a listener");
+    // The first listener of a host makes the kernel put stamps on bytes, a few ms later.
+    sleep(WAIT).await;
+    let address = listener.local_addr().expect("an address");
+    let client = TcpStream::connect(address).await.expect("a connection");
+    let (stream, _) = listener.accept().await.expect("a connection");
+    (client, ClientStream::new(stream, Phase::default(), LONG, &Pace::new(1)))
 }
 
 fn clocks(steady_s: f64, wall_s: f64) -> Clocks {
--- a/hostd/src/entry.rs
+++ b/hostd/src/entry.rs
@@ -31,6 +31,7 @@
 
 /// Interval between checks whether callers of jobs in progress have left, in ms.
 const CALLER_CHECK_MS: u64 = 50;
+
 /// Messages of the actor.
 pub(crate) enum Message {
     /// Input common to both roles.
