--- a/components/intake/src/arrival.rs
+++ b/components/intake/src/arrival.rs
@@ -4,7 +4,7 @@
 //! That clock may be set. So its difference from the steady clock is noted at each read, and a stamp
 //! is understood by all differences that were seen lately: of the times that this gives, the latest
 //! holds that is not in the future. A clock that is set while bytes wait can so make them look
-//! younger, by no more than it was set back, and never older.
+//! younger, by no more than it was set back, but not older unless no read saw how it was set.
 
 use std::{collections::VecDeque, time::Duration};
 
